--- /dev/null
+++ b/admin/main.go
@@ -0,0 +1,4 @@
+// Command admin is the command line of the operators.
+package main
+
+func main() {}
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench runs the demo, the measurements and the load tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/config/state.go
@@ -0,0 +1,132 @@
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"dogwoodsill.org/core/model"
+)
+
+// keptOutcomes is the number of recent changes whose outcome the state keeps.
+// It covers two days at 4,500 changes a day, far longer than an operator
+// repeats an append.
+const keptOutcomes = 9000
+
+// ObjectID names an object within the configuration.
+type ObjectID struct {
+	Kind model.Kind
+	Name string
+}
+
+// State is the configuration after a prefix of the stream. It is not safe for
+// concurrent use.
+type State struct {
+	Next     uint64 // offset of the next record to fold
+	Objects  map[ObjectID]Object
+	outcomes map[string]Outcome
+	order    []string // identifiers of outcomes, oldest first
+}
+
+// NewState returns the empty state before the first record.
+func NewState() *State {
+	return &State{Objects: map[ObjectID]Object{}, outcomes: map[string]Outcome{}}
+}
+
+// Apply folds the record at an offset. A record before Next is ignored, so a
+// repeated delivery has no effect. It returns the outcome if the record is a
+// change that was folded. A record that can't be decoded changes nothing.
+func (s *State) Apply(offset uint64, data []byte) *Outcome {
+	if offset < s.Next {
+		return nil
+	}
+	s.Next = offset + 1
+	var rec Record
+	if err := json.Unmarshal(data, &rec); err != nil {
+		return nil
+	}
+	if rec.Change == nil {
+		return nil
+	}
+	return s.applyChange(offset, rec.Change)
+}
+
+func (s *State) applyChange(offset uint64, c *Change) *Outcome {
+	if c.ID == "" {
+		return nil
+	}
+	if _, ok := s.outcomes[c.ID]; ok {
+		return nil
+	}
+	out := s.decide(offset, c)
+	s.keep(out)
+	return &out
+}
+
+func (s *State) decide(offset uint64, c *Change) Outcome {
+	id := ObjectID{Kind: c.Kind, Name: c.Name}
+	cur := s.Objects[id]
+	if cur.Revision != c.Base {
+		return Outcome{ID: c.ID, Revision: cur.Revision, Reason: "base revision is not the current one"}
+	}
+	if err := s.check(c); err != nil {
+		return Outcome{ID: c.ID, Revision: cur.Revision, Reason: err.Error()}
+	}
+	rev := offset + 1
+	if c.Delete {
+		delete(s.Objects, id)
+	} else {
+		s.Objects[id] = Object{Kind: c.Kind, Name: c.Name, Revision: rev, Body: c.Body}
+	}
+	return Outcome{ID: c.ID, Accepted: true, Revision: rev}
+}
+
+func (s *State) keep(out Outcome) {
+	s.outcomes[out.ID] = out
+	s.order = append(s.order, out.ID)
+	if len(s.order) > keptOutcomes {
+		delete(s.outcomes, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// Outcome returns the outcome of a recent change.
+func (s *State) Outcome(id string) (Outcome, bool) {
+	out, ok := s.outcomes[id]
+	return out, ok
+}
+
+// Snapshot returns the state as a snapshot with objects in a fixed order, so
+// that equal states give equal snapshots.
+func (s *State) Snapshot() Snapshot {
+	snap := Snapshot{Offset: s.Next}
+	for _, o := range s.Objects {
+		snap.Objects = append(snap.Objects, o)
+	}
+	slices.SortFunc(snap.Objects, func(a, b Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	for _, id := range s.order {
+		snap.Outcomes = append(snap.Outcomes, s.outcomes[id])
+	}
+	return snap
+}
+
+// Restore replaces the state by a snapshot that covers more records. It
+// reports whether it did; an older snapshot is ignored, so that the state never
+// reverts.
+func (s *State) Restore(snap Snapshot) bool {
+	if snap.Offset <= s.Next {
+		return false
+	}
+	fresh := NewState()
+	fresh.Next = snap.Offset
+	for _, o := range snap.Objects {
+		fresh.Objects[ObjectID{Kind: o.Kind, Name: o.Name}] = o
+	}
+	for _, out := range snap.Outcomes {
+		fresh.keep(out)
+	}
+	*s = *fresh
+	return true
+}
--- /dev/null
+++ b/core/config/view.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"encoding/json"
+
+	"dogwoodsill.org/core/model"
+)
+
+// View is a decoded, read-only form of a state. It is safe for concurrent use.
+type View struct {
+	Next       uint64 // offset after the last folded record
+	Customers  map[string]model.Customer
+	Keys       map[string]model.Key // by identifier
+	Digests    map[string]string    // key identifier by digest
+	Services   map[string]model.Service
+	Routes     map[string]model.Route
+	Importance map[string]model.Importance
+	Fleet      model.Fleet
+	Revisions  map[ObjectID]uint64
+}
+
+// View decodes the state. Bodies were checked when they were folded, so a body
+// that can't be decoded is left out.
+func (s *State) View() *View {
+	v := &View{
+		Next:       s.Next,
+		Customers:  map[string]model.Customer{},
+		Keys:       map[string]model.Key{},
+		Digests:    map[string]string{},
+		Services:   map[string]model.Service{},
+		Routes:     map[string]model.Route{},
+		Importance: map[string]model.Importance{},
+		Revisions:  make(map[ObjectID]uint64, len(s.Objects)),
+	}
+	for id, o := range s.Objects {
+		v.Revisions[id] = o.Revision
+		v.add(o)
+	}
+	for id, k := range v.Keys {
+		v.Digests[k.Digest] = id
+	}
+	return v
+}
+
+func (v *View) add(o Object) {
+	switch o.Kind {
+	case model.KindCustomer:
+		decodeInto(v.Customers, o)
+	case model.KindKey:
+		decodeInto(v.Keys, o)
+	case model.KindService:
+		decodeInto(v.Services, o)
+	case model.KindRoute:
+		decodeInto(v.Routes, o)
+	case model.KindImportance:
+		decodeInto(v.Importance, o)
+	case model.KindFleet:
+		_ = json.Unmarshal(o.Body, &v.Fleet)
+	}
+}
+
+func decodeInto[T any](m map[string]T, o Object) {
+	var t T
+	if json.Unmarshal(o.Body, &t) == nil {
+		m[o.Name] = t
+	}
+}
+
+// ValidKey reports whether the key with an identifier may be used: it exists,
+// is not revoked and belongs to a customer that exists.
+func (v *View) ValidKey(id string) bool {
+	k, ok := v.Keys[id]
+	if !ok || k.Revoked {
+		return false
+	}
+	_, ok = v.Customers[k.Customer]
+	return ok
+}
--- /dev/null
+++ b/core/keys/doc.go
@@ -0,0 +1,3 @@
+// Package keys creates customers' keys, computes their digests and removes
+// them from requests.
+package keys
--- /dev/null
+++ b/core/logsvc/client.go
@@ -0,0 +1,112 @@
+package logsvc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// maxAnswerBytes bounds an answer of the service.
+const maxAnswerBytes = 64 << 20
+
+// AppendBody is the body of an append request.
+type AppendBody struct {
+	Records [][]byte `json:"records"`
+}
+
+// AppendAnswer is the answer to an append request.
+type AppendAnswer struct {
+	First uint64 `json:"first"`
+}
+
+// ExpiredAnswer is the answer to a read of expired records.
+type ExpiredAnswer struct {
+	First uint64 `json:"first"`
+}
+
+// Client speaks to the log service over HTTP. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the service at a base URL.
+func NewClient(base string, hc *http.Client) *Client {
+	return &Client{base: base, http: hc}
+}
+
+var _ Log = (*Client)(nil)
+
+// Append implements Log.
+func (c *Client) Append(ctx context.Context, stream string, records ...[]byte) (uint64, error) {
+	body, err := json.Marshal(AppendBody{Records: records})
+	if err != nil {
+		return 0, errs.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url(stream), bytes.NewReader(body))
+	if err != nil {
+		return 0, errs.Wrap(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	var answer AppendAnswer
+	if err := c.do(req, stream, 0, &answer); err != nil {
+		return 0, err
+	}
+	return answer.First, nil
+}
+
+// Read implements Log.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, n int, wait time.Duration) (Batch, error) {
+	q := url.Values{
+		"from":   {strconv.FormatUint(from, 10)},
+		"max":    {strconv.Itoa(n)},
+		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream)+"?"+q.Encode(), nil)
+	if err != nil {
+		return Batch{}, errs.Wrap(err)
+	}
+	var b Batch
+	if err := c.do(req, stream, from, &b); err != nil {
+		return Batch{}, err
+	}
+	if b.First != from && len(b.Records) > 0 || b.Next != from+uint64(len(b.Records)) {
+		return Batch{}, &StatusError{Stream: stream, Status: http.StatusOK, Detail: "offsets of the batch don't match the request"}
+	}
+	return b, nil
+}
+
+func (c *Client) url(stream string) string {
+	return fmt.Sprintf("%s/streams/%s/records", c.base, url.PathEscape(stream))
+}
+
+func (c *Client) do(req *http.Request, stream string, from uint64, out any) error {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	if resp.StatusCode == http.StatusGone {
+		var gone ExpiredAnswer
+		if err := json.Unmarshal(data, &gone); err != nil {
+			return errs.Wrap(err)
+		}
+		return &ExpiredError{Stream: stream, From: from, First: gone.First}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{Stream: stream, Status: resp.StatusCode, Detail: string(data[:min(len(data), 200)])}
+	}
+	return errs.Wrap(json.Unmarshal(data, out))
+}
--- /dev/null
+++ b/core/model/call.go
@@ -0,0 +1,22 @@
+package model
+
+import "time"
+
+// Call is the context that a request carries through its whole call chain.
+// Nodes exchange it; callers and upstreams never see it.
+type Call struct {
+	Root       string `msgpack:"root"`     // identifier of the root request
+	Customer   string `msgpack:"customer"` // empty on an open route without a valid key
+	KeyID      string `msgpack:"keyId"`
+	Importance int    `msgpack:"importance"`
+	Rank       uint32 `msgpack:"rank"` // admission order; a lower rank is shed later
+	// Deadline is the local time at which the answer is due. Between nodes it
+	// travels as a remaining duration, so that clocks need not agree.
+	Deadline time.Time `msgpack:"-"`
+	Attempts int       `msgpack:"attempts"` // attempts that this call and those below it may still use
+	Depth    int       `msgpack:"depth"`
+}
+
+// MaxDepth bounds the length of a call chain. The target size has chains of 13
+// calls; twice that is a loop.
+const MaxDepth = 26
--- /dev/null
+++ b/core/model/objects.go
@@ -0,0 +1,94 @@
+package model
+
+// Kind names a type of configuration object.
+type Kind string
+
+// Kinds of configuration objects.
+const (
+	KindCustomer   Kind = "customer"
+	KindKey        Kind = "key"
+	KindService    Kind = "service"
+	KindRoute      Kind = "route"
+	KindImportance Kind = "importance"
+	KindFleet      Kind = "fleet"
+)
+
+// Kinds lists every kind in the order in which objects should be applied, so
+// that an object follows those that it refers to.
+func Kinds() []Kind {
+	return []Kind{KindFleet, KindCustomer, KindKey, KindService, KindRoute, KindImportance}
+}
+
+// Customer is a party that owns keys and is held to a rate and a burst over
+// the whole fleet.
+type Customer struct {
+	Labels map[string]string `json:"labels,omitempty" toml:"labels,omitempty"`
+	Rate   float64           `json:"rate" toml:"rate"`   // requests per second
+	Burst  int64             `json:"burst" toml:"burst"` // requests
+}
+
+// Key is the public record of a customer's key. The name of the object is the
+// key's identifier. The key itself is never stored.
+type Key struct {
+	Customer string `json:"customer" toml:"customer"`
+	Digest   string `json:"digest" toml:"digest"` // SHA-256 of the key, lower-case hexadecimal
+	Revoked  bool   `json:"revoked,omitempty" toml:"revoked,omitempty"`
+}
+
+// Service is a set of interchangeable upstreams.
+type Service struct {
+	Labels map[string]string `json:"labels,omitempty" toml:"labels,omitempty"`
+	SLOs   []SLO             `json:"slos,omitempty" toml:"slos,omitempty"`
+}
+
+// SLO is a service level objective for the calls of a service.
+type SLO struct {
+	Importance *int    `json:"importance,omitempty" toml:"importance,omitempty"` // nil for every importance
+	Objective  float64 `json:"objective" toml:"objective"`                       // fraction of good calls, in (0, 1)
+	LatencyMS  int64   `json:"latencyMs,omitempty" toml:"latencyMs,omitempty"`   // a slower call is bad; 0 for no limit
+}
+
+// Route maps requests to a service.
+type Route struct {
+	Pattern        string            `json:"pattern" toml:"pattern"` // syntax of net/http.ServeMux
+	Service        string            `json:"service" toml:"service"`
+	Labels         map[string]string `json:"labels,omitempty" toml:"labels,omitempty"`
+	Open           bool              `json:"open,omitempty" toml:"open,omitempty"`           // needs no key
+	OpenRate       float64           `json:"openRate,omitempty" toml:"openRate,omitempty"`   // requests per second without a key, over the fleet
+	OpenBurst      int64             `json:"openBurst,omitempty" toml:"openBurst,omitempty"` // requests without a key, over the fleet
+	Internal       bool              `json:"internal,omitempty" toml:"internal,omitempty"`   // reachable by chain calls only
+	Idempotent     bool              `json:"idempotent,omitempty" toml:"idempotent,omitempty"`
+	AtMostOnce     bool              `json:"atMostOnce,omitempty" toml:"atMostOnce,omitempty"` // requires an Idempotency-Key
+	TimeoutMS      int64             `json:"timeoutMs,omitempty" toml:"timeoutMs,omitempty"`
+	Attempts       int               `json:"attempts,omitempty" toml:"attempts,omitempty"` // budget over the whole chain
+	MaxConfigAgeMS int64             `json:"maxConfigAgeMs,omitempty" toml:"maxConfigAgeMs,omitempty"`
+}
+
+// Importance assigns an importance to the requests that all of its selectors
+// match. An empty selector matches everything. Among matching rules the one
+// with the lowest Order wins, then the one with the lowest name.
+type Importance struct {
+	Order     int    `json:"order" toml:"order"`
+	Routes    string `json:"routes,omitempty" toml:"routes,omitempty"`       // label selector
+	Services  string `json:"services,omitempty" toml:"services,omitempty"`   // label selector
+	Customers string `json:"customers,omitempty" toml:"customers,omitempty"` // label selector
+	Level     int    `json:"level" toml:"level"`                             // 0 is the most important, MaxLevel the least
+}
+
+// Levels of importance.
+const (
+	MaxLevel     = 7
+	DefaultLevel = 4
+)
+
+// Fleet describes the availability zones. Its only object is named "fleet".
+type Fleet struct {
+	Zones []ZoneWeight `json:"zones" toml:"zones"`
+}
+
+// ZoneWeight is a zone's part of every customer's rate and burst. The weights
+// of a fleet add up to at most 1.
+type ZoneWeight struct {
+	Name   string  `json:"name" toml:"name"`
+	Weight float64 `json:"weight" toml:"weight"`
+}
--- /dev/null
+++ b/core/refuse/refuse.go
@@ -0,0 +1,141 @@
+package refuse
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reason is the stable last part of a problem type.
+type Reason string
+
+// Reasons of a refusal.
+const (
+	KeyMissing       Reason = "key-missing"
+	KeyInvalid       Reason = "key-invalid"
+	KeyRevoked       Reason = "key-revoked"
+	RouteUnknown     Reason = "route-unknown"
+	RateLimited      Reason = "rate-limited"
+	Overloaded       Reason = "overloaded"
+	DeadlineExceeded Reason = "deadline-exceeded"
+	NoUpstream       Reason = "no-upstream"
+	UpstreamFailed   Reason = "upstream-failed"
+	AttemptsSpent    Reason = "attempts-spent"
+	CallContext      Reason = "call-context-invalid"
+	IdempotencyKey   Reason = "idempotency-key-invalid"
+	OutcomeUnknown   Reason = "outcome-unknown"
+	ConfigStale      Reason = "configuration-stale"
+	NotReady         Reason = "not-ready"
+	BadRequest       Reason = "bad-request"
+	TooLarge         Reason = "too-large"
+	Cancelled        Reason = "cancelled"
+)
+
+// Executed says whether a refused request may have been run.
+type Executed string
+
+// Values of Executed.
+const (
+	No      Executed = "no"      // no attempt was dispatched to any upstream
+	Unknown Executed = "unknown" // an attempt may have been run
+)
+
+// TypePrefix precedes the reason in the type of a problem.
+const TypePrefix = "urn:dogwoodsill:problem:"
+
+// ContentType is the media type of a problem document.
+const ContentType = "application/problem+json"
+
+// Error is a refusal.
+type Error struct {
+	Reason   Reason        `msgpack:"reason"`
+	Detail   string        `msgpack:"detail"`
+	Executed Executed      `msgpack:"executed"`
+	Retry    time.Duration `msgpack:"retry"` // earliest useful repeat; 0 for none
+}
+
+// New returns a refusal for a request that was not dispatched.
+func New(reason Reason, format string, args ...any) *Error {
+	return &Error{Reason: reason, Detail: fmt.Sprintf(format, args...), Executed: No}
+}
+
+// WithExecuted returns a copy of e with the given execution state.
+func (e *Error) WithExecuted(x Executed) *Error {
+	c := *e
+	c.Executed = x
+	return &c
+}
+
+// WithRetry returns a copy of e with a time after which a repeat is useful.
+func (e *Error) WithRetry(d time.Duration) *Error {
+	c := *e
+	c.Retry = d
+	return &c
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s (executed: %s)", e.Reason, e.Detail, e.Executed)
+}
+
+// Problem is the body of a refusal.
+type Problem struct {
+	Type     string   `json:"type"`
+	Title    string   `json:"title"`
+	Status   int      `json:"status"`
+	Detail   string   `json:"detail,omitempty"`
+	Executed Executed `json:"executed"`
+}
+
+// Problem returns the body of the refusal.
+func (e *Error) Problem() Problem {
+	return Problem{
+		Type:     TypePrefix + string(e.Reason),
+		Title:    http.StatusText(e.Status()),
+		Status:   e.Status(),
+		Detail:   e.Detail,
+		Executed: e.Executed,
+	}
+}
+
+// Status returns the HTTP status code of the refusal.
+func (e *Error) Status() int {
+	switch e.Reason {
+	case KeyMissing, KeyInvalid, KeyRevoked:
+		return http.StatusUnauthorized
+	case RouteUnknown:
+		return http.StatusNotFound
+	case RateLimited:
+		return http.StatusTooManyRequests
+	case DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	case UpstreamFailed, OutcomeUnknown:
+		return http.StatusBadGateway
+	case CallContext:
+		return http.StatusForbidden
+	case IdempotencyKey, BadRequest:
+		return http.StatusBadRequest
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// Write sends the refusal as the answer to a request.
+func (e *Error) Write(w http.ResponseWriter) error {
+	h := w.Header()
+	h.Set("Content-Type", ContentType)
+	h.Set("Cache-Control", "no-store")
+	if e.Status() == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	if e.Retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.Retry.Seconds()))))
+	}
+	w.WriteHeader(e.Status())
+	return json.NewEncoder(w).Encode(e.Problem())
+}
--- /dev/null
+++ b/core/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring provides a bounded queue that joins two goroutines.
+package ring
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,2 @@
+// Package route matches requests to routes and assigns their importance.
+package route
--- /dev/null
+++ b/core/route/table.go
@@ -0,0 +1,114 @@
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/model"
+	"k8s.io/apimachinery/pkg/labels"
+)
+
+// Match is the route of a request.
+type Match struct {
+	Name  string
+	Route model.Route
+}
+
+// Table matches requests against the routes of a configuration. It is
+// read-only and safe for concurrent use.
+type Table struct {
+	mux   *http.ServeMux
+	rules []rule
+	view  *config.View
+	// Conflicts describes routes that were left out because their pattern
+	// conflicts with an earlier one, in the order of their names.
+	Conflicts []string
+}
+
+// entry is the handler that ServeMux returns for a route. It never serves.
+type entry struct {
+	match Match
+}
+
+func (*entry) ServeHTTP(http.ResponseWriter, *http.Request) {}
+
+type rule struct {
+	name                        string
+	order, level                int
+	routes, services, customers labels.Selector
+}
+
+// NewTable builds the table of a configuration.
+func NewTable(v *config.View) *Table {
+	t := &Table{mux: http.NewServeMux(), view: v}
+	names := make([]string, 0, len(v.Routes))
+	for name := range v.Routes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		t.addRoute(name, v.Routes[name])
+	}
+	for name, imp := range v.Importance {
+		t.addRule(name, imp)
+	}
+	slices.SortFunc(t.rules, func(a, b rule) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.name, b.name))
+	})
+	return t
+}
+
+// addRoute registers a route. ServeMux panics when a pattern conflicts with an
+// earlier one; such a route is left out and listed in Conflicts.
+func (t *Table) addRoute(name string, r model.Route) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.Conflicts = append(t.Conflicts, fmt.Sprintf("route %q: %v", name, p))
+		}
+	}()
+	t.mux.Handle(r.Pattern, &entry{match: Match{Name: name, Route: r}})
+}
+
+func (t *Table) addRule(name string, imp model.Importance) {
+	r := rule{name: name, order: imp.Order, level: imp.Level}
+	for _, f := range []struct {
+		text string
+		sel  *labels.Selector
+	}{{imp.Routes, &r.routes}, {imp.Services, &r.services}, {imp.Customers, &r.customers}} {
+		sel, err := labels.Parse(f.text)
+		if err != nil {
+			return
+		}
+		*f.sel = sel
+	}
+	t.rules = append(t.rules, r)
+}
+
+// Lookup returns the route of a request. Routes for internal calls match only
+// with internal set.
+func (t *Table) Lookup(r *http.Request, internal bool) (Match, bool) {
+	h, _ := t.mux.Handler(r)
+	e, ok := h.(*entry)
+	if !ok || e.match.Route.Internal && !internal {
+		return Match{}, false
+	}
+	return e.match, true
+}
+
+// Importance returns the importance of a customer's requests on a route, from 0
+// (most important) to model.MaxLevel. The customer is empty for a request
+// without a key.
+func (t *Table) Importance(m Match, customer string) int {
+	routeLabels := labels.Set(m.Route.Labels)
+	serviceLabels := labels.Set(t.view.Services[m.Route.Service].Labels)
+	customerLabels := labels.Set(t.view.Customers[customer].Labels)
+	for _, r := range t.rules {
+		if r.routes.Matches(routeLabels) && r.services.Matches(serviceLabels) && r.customers.Matches(customerLabels) {
+			return r.level
+		}
+	}
+	return model.DefaultLevel
+}
--- /dev/null
+++ b/node/main.go
@@ -0,0 +1,4 @@
+// Command node is the process that runs beside each upstream instance.
+package main
+
+func main() {}
