--- /dev/null
+++ b/core/frame/stream.go
@@ -0,0 +1,431 @@
+package frame
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"sync"
+	"time"
+)
+
+// Stream is one exchange on a session. Reading and writing may go on at the
+// same time; each side of it is for one goroutine at a time.
+type Stream struct {
+	s      *Session
+	id     uint32
+	kind   uint8
+	local  bool // opened by this side
+	head   []byte
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	stop   func() bool // stops watching the context given to Open
+
+	// The mutex of the session guards what follows.
+	readable sync.Cond
+	writable sync.Cond
+
+	in       blockList
+	taken    int // bytes read since the last window frame
+	room     int // bytes that the peer may still send
+	answered bool
+	answer   []byte // head of the answer
+	ended    bool   // the end frame was received
+	trailer  []byte
+	readErr  error
+
+	credit   int // bytes that may be sent
+	headSent bool
+	closed   bool // the end frame is queued
+	writeErr error
+
+	finished bool
+	moved    time.Duration // last progress, from the start of the session
+	patience time.Duration // progress timeout
+}
+
+// newStream returns a stream. s.mu is held.
+func newStream(ctx context.Context, s *Session, id uint32, kind uint8, local bool) *Stream {
+	st := &Stream{
+		s: s, id: id, kind: kind, local: local,
+		room: s.opt.StreamWindow, credit: s.peer.StreamWindow,
+		moved: s.sinceStart(), patience: s.opt.ProgressTimeout,
+	}
+	st.ctx, st.cancel = context.WithCancelCause(ctx)
+	st.readable.L = &s.mu
+	st.writable.L = &s.mu
+	return st
+}
+
+// Kind returns the kind given to Open.
+func (st *Stream) Kind() uint8 { return st.kind }
+
+// Head returns the head given to Open.
+func (st *Stream) Head() []byte { return st.head }
+
+// Peer returns the authenticated instance name of the peer.
+func (st *Stream) Peer() string { return st.s.Peer() }
+
+// Context returns a context that ends when the stream is reset by either side,
+// when the session ends, when the stream has finished at the opener, or when
+// the handler returns. context.Cause gives the reason.
+func (st *Stream) Context() context.Context { return st.ctx }
+
+// SetProgressTimeout changes the progress timeout of the session for this
+// stream. Zero disables it.
+func (st *Stream) SetProgressTimeout(d time.Duration) {
+	st.s.mu.Lock()
+	defer st.s.mu.Unlock()
+	st.patience = d
+	st.moved = st.s.sinceStart()
+}
+
+// watch resets the stream when ctx ends.
+func (st *Stream) watch(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { st.Reset(CodeCanceled) })
+	st.s.mu.Lock()
+	defer st.s.mu.Unlock()
+	st.stop = stop
+	if st.finished {
+		stop()
+	}
+}
+
+// abandonOpen removes a stream whose open frame was not queued.
+func (st *Stream) abandonOpen(ctx context.Context) error {
+	st.s.mu.Lock()
+	defer st.s.mu.Unlock()
+	err := st.readErr
+	if err == nil {
+		err = ctx.Err()
+	}
+	st.end(&ResetError{Code: CodeCanceled}, true)
+	return err
+}
+
+// serve runs the handler and ends what it left open.
+func (st *Stream) serve(h Handler) {
+	defer st.leave()
+	h(st)
+}
+
+func (st *Stream) leave() {
+	s := st.s
+	s.mu.Lock()
+	clean := st.closed && st.writeErr == nil
+	rest := clean && !st.finished
+	if rest {
+		st.end(&ResetError{Code: CodeDone}, true)
+	}
+	s.mu.Unlock()
+	switch {
+	case rest:
+		// Through the bulk ring, so that it can't overtake the end frame.
+		s.bulk.Push(s.done, newCodeFrame(TypeReset, st.id, uint32(CodeDone)))
+	case !clean:
+		st.Reset(CodeInternal)
+	}
+	st.cancel(context.Canceled)
+}
+
+// end finishes the stream. An answer that was received to its end stays
+// readable unless drop is set. s.mu is held.
+func (st *Stream) end(err error, drop bool) {
+	if st.finished {
+		return
+	}
+	if st.writeErr == nil && !st.closed {
+		st.writeErr = err
+	}
+	if !st.ended || drop {
+		if st.readErr == nil {
+			st.readErr = err
+		}
+		st.s.release(st.in.clear())
+	}
+	st.finish(err)
+}
+
+// finish removes the stream from the session. s.mu is held.
+func (st *Stream) finish(cause error) {
+	st.finished = true
+	st.s.forget(st)
+	if st.stop != nil {
+		st.stop()
+	}
+	st.readable.Broadcast()
+	st.writable.Broadcast()
+	if st.local || cause != nil {
+		st.cancel(cause)
+	}
+}
+
+// settle finishes the stream if both directions are complete and all received
+// bytes were read. s.mu is held.
+func (st *Stream) settle() {
+	if !st.finished && st.ended && st.closed && st.in.n == 0 {
+		st.finish(nil)
+	}
+}
+
+// Reset ends the stream at once in both directions. It does nothing after the
+// stream has finished. Unread bytes are dropped.
+func (st *Stream) Reset(code Code) {
+	s := st.s
+	s.mu.Lock()
+	if st.finished {
+		s.release(st.in.clear())
+		if st.readErr == nil && !st.ended {
+			st.readErr = &ResetError{Code: code}
+		}
+		s.mu.Unlock()
+		return
+	}
+	st.end(&ResetError{Code: code}, true)
+	s.mu.Unlock()
+	s.control.Push(s.done, newCodeFrame(TypeReset, st.id, uint32(code)))
+}
+
+// Read reads the body that the peer sends. It returns io.EOF only after the
+// peer's end frame, and otherwise a *ResetError or a *SessionError.
+func (st *Stream) Read(p []byte) (int, error) {
+	s := st.s
+	s.mu.Lock()
+	for {
+		if st.readErr != nil {
+			defer s.mu.Unlock()
+			return 0, st.readErr
+		}
+		if st.in.n > 0 || len(p) == 0 {
+			break
+		}
+		if st.ended {
+			defer s.mu.Unlock()
+			return 0, io.EOF
+		}
+		st.readable.Wait()
+	}
+	n := st.in.read(p)
+	st.moved = s.sinceStart()
+	st.taken += n
+	s.release(n)
+	st.settle()
+	back := 0
+	if !st.ended && st.taken >= s.opt.StreamWindow/2 {
+		back = st.taken
+		st.taken = 0
+		st.room += back
+	}
+	s.mu.Unlock()
+	if back > 0 {
+		s.control.Push(st.ctx.Done(), newCodeFrame(TypeWindow, st.id, uint32(back)))
+	}
+	return n, nil
+}
+
+// RecvHead waits for the head of the answer. It returns io.EOF if the answer
+// ended without a head.
+func (st *Stream) RecvHead(ctx context.Context) ([]byte, error) {
+	s := st.s
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			st.readable.Broadcast()
+		})
+		defer stop()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		switch {
+		case st.answered:
+			return st.answer, nil
+		case st.readErr != nil:
+			return nil, st.readErr
+		case st.ended:
+			return nil, io.EOF
+		case ctx.Err() != nil:
+			return nil, ctx.Err()
+		}
+		st.readable.Wait()
+	}
+}
+
+// Trailer returns the peer's trailer. It is nil until Read has returned io.EOF.
+func (st *Stream) Trailer() []byte {
+	st.s.mu.Lock()
+	defer st.s.mu.Unlock()
+	if !st.ended || st.in.n > 0 {
+		return nil
+	}
+	return st.trailer
+}
+
+// SendHead sends the head of the answer, at most MaxHeadBytes. Only the side
+// that serves the stream sends one, once and before the body.
+func (st *Stream) SendHead(head []byte) error {
+	if len(head) > MaxHeadBytes {
+		return wireErrorf("head of %d bytes is too large", len(head))
+	}
+	st.s.mu.Lock()
+	err := st.writeErr
+	if err == nil && (st.local || st.headSent || st.closed) {
+		err = wireErrorf("head is out of order")
+	}
+	st.headSent = true
+	st.s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return st.push(true, newOutFrame(TypeHead, st.id, 0, head))
+}
+
+// Write sends a part of the body. It waits until the windows of the stream and
+// of the session permit it.
+func (st *Stream) Write(p []byte) (int, error) {
+	total := 0
+	for len(p) > 0 {
+		n, err := st.reserve(len(p))
+		if err != nil {
+			return total, err
+		}
+		if err := st.push(false, newOutFrame(TypeData, st.id, 0, p[:n])); err != nil {
+			return total, err
+		}
+		p = p[n:]
+		total += n
+	}
+	return total, nil
+}
+
+// reserve takes up to n bytes from the windows.
+func (st *Stream) reserve(n int) (int, error) {
+	s := st.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		if st.writeErr != nil {
+			return 0, st.writeErr
+		}
+		if st.closed {
+			return 0, wireErrorf("write after the end")
+		}
+		if st.credit > 0 && s.credit > 0 {
+			break
+		}
+		if s.credit == 0 {
+			s.starved = append(s.starved, st)
+		}
+		st.writable.Wait()
+	}
+	n = min(n, st.credit, s.credit, dataBytes)
+	st.credit -= n
+	s.credit -= n
+	st.headSent = true
+	st.moved = s.sinceStart()
+	return n, nil
+}
+
+// CloseWrite ends the body with a trailer of at most MaxHeadBytes.
+func (st *Stream) CloseWrite(trailer []byte) error {
+	if len(trailer) > MaxHeadBytes {
+		return wireErrorf("trailer of %d bytes is too large", len(trailer))
+	}
+	s := st.s
+	s.mu.Lock()
+	err := st.writeErr
+	if err == nil && st.closed {
+		err = wireErrorf("end is out of order")
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := st.push(false, newOutFrame(TypeEnd, st.id, 0, trailer)); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st.writeErr != nil {
+		return st.writeErr
+	}
+	st.closed = true
+	st.settle()
+	return nil
+}
+
+// push queues a frame for the writer.
+func (st *Stream) push(control bool, f outFrame) error {
+	r := st.s.bulk
+	if control {
+		r = st.s.control
+	}
+	if r.Push(st.ctx.Done(), f) {
+		return nil
+	}
+	st.s.mu.Lock()
+	defer st.s.mu.Unlock()
+	if st.writeErr != nil {
+		return st.writeErr
+	}
+	return context.Cause(st.ctx)
+}
+
+// receive handles a frame for this stream. s.mu is held.
+func (st *Stream) receive(f Frame) error {
+	if st.ended && f.Type != TypeReset && f.Type != TypeWindow {
+		return wireErrorf("frame of type %d after the end of stream %d", f.Type, st.id)
+	}
+	switch f.Type {
+	case TypeHead:
+		return st.receiveHead(f.Payload)
+	case TypeData:
+		return st.receiveData(f.Payload)
+	case TypeEnd:
+		return st.receiveEnd(f.Payload)
+	}
+	if len(f.Payload) != codeBytes {
+		return wireErrorf("malformed frame of type %d", f.Type)
+	}
+	v := binary.BigEndian.Uint32(f.Payload)
+	if f.Type == TypeReset {
+		st.end(&ResetError{Code: Code(v), Remote: true}, false)
+		return nil
+	}
+	if v == 0 || st.credit+int(v) > st.s.peer.StreamWindow {
+		return wireErrorf("window of stream %d exceeded", st.id)
+	}
+	st.credit += int(v)
+	st.writable.Broadcast()
+	return nil
+}
+
+func (st *Stream) receiveHead(p []byte) error {
+	if !st.local || st.answered || st.room != st.s.opt.StreamWindow {
+		return wireErrorf("head of stream %d is out of order", st.id)
+	}
+	st.answered = true
+	st.answer = append([]byte(nil), p...)
+	st.readable.Broadcast()
+	return nil
+}
+
+func (st *Stream) receiveData(p []byte) error {
+	st.room -= len(p)
+	if st.room < 0 {
+		return wireErrorf("peer exceeds the window of stream %d", st.id)
+	}
+	st.in.write(p)
+	st.readable.Broadcast()
+	return nil
+}
+
+func (st *Stream) receiveEnd(p []byte) error {
+	st.ended = true
+	if len(p) > 0 {
+		st.trailer = append([]byte(nil), p...)
+	}
+	st.settle()
+	st.readable.Broadcast()
+	return nil
+}
--- a/core/frame/wire.go
+++ b/core/frame/wire.go
@@ -11,12 +11,13 @@
 
 // Types of frames.
 const (
-	TypeOpen   Type = iota + 1 // first payload byte is the stream kind, the rest the head
+	TypeHello  Type = iota + 1 // handshake step, before any other frame
+	TypeOpen                   // first payload byte is the stream kind, the rest the head
 	TypeHead                   // head of the answer
 	TypeData                   // part of the body
 	TypeEnd                    // end of the body; the payload is the trailer
-	TypeReset                  // 4-byte code
-	TypeWindow                 // 4-byte number of bytes that the receiver consumed
+	TypeReset                  // 4-byte code; on stream 0 the sender accepts no new streams
+	TypeWindow                 // 4-byte number of bytes that the receiver consumed; stream 0 is the session
 	TypePing                   // 8 bytes that the pong repeats
 	TypePong
 )
@@ -24,8 +25,11 @@
 // Limits of the wire format, in bytes.
 const (
 	headerBytes     = 9
-	MaxPayloadBytes = 1 << 20
-	dataBytes       = 32 << 10 // largest payload of a data frame that we send
+	MaxHeadBytes    = 64 << 10         // largest head or trailer
+	MaxPayloadBytes = MaxHeadBytes + 1 // an open frame carries the kind before the head
+	dataBytes       = 32 << 10         // largest payload of a data frame that we send
+	pingBytes       = 8
+	codeBytes       = 4
 )
 
 // WireError is a violation of the wire format. It ends the session.
@@ -38,6 +42,10 @@
 	return "frame format: " + e.Detail
 }
 
+func wireErrorf(format string, args ...any) *WireError {
+	return &WireError{Detail: fmt.Sprintf(format, args...)}
+}
+
 // Frame is one frame.
 type Frame struct {
 	Type    Type
@@ -47,38 +55,62 @@
 
 // ReadFrame reads one frame. It returns a *WireError for a malformed frame.
 func ReadFrame(r io.Reader) (Frame, error) {
-	var h [headerBytes]byte
-	if _, err := io.ReadFull(r, h[:]); err != nil {
-		return Frame{}, err
-	}
-	n := binary.BigEndian.Uint32(h[:4])
-	if n < headerBytes-4 || n > headerBytes-4+MaxPayloadBytes {
-		return Frame{}, &WireError{Detail: fmt.Sprintf("length %d out of range", n)}
-	}
-	f := Frame{Type: Type(h[4]), Stream: binary.BigEndian.Uint32(h[5:])}
-	if f.Type < TypeOpen || f.Type > TypePong {
-		return Frame{}, &WireError{Detail: fmt.Sprintf("unknown type %d", f.Type)}
-	}
-	f.Payload = make([]byte, n-(headerBytes-4))
-	_, err := io.ReadFull(r, f.Payload)
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
-	}
-	return f, err
+	fr := frameReader{r: r, limit: MaxPayloadBytes}
+	return fr.next()
 }
 
 // WriteFrame writes one frame.
 func WriteFrame(w io.Writer, f Frame) error {
 	if len(f.Payload) > MaxPayloadBytes {
-		return &WireError{Detail: fmt.Sprintf("payload of %d bytes is too large", len(f.Payload))}
+		return wireErrorf("payload of %d bytes is too large", len(f.Payload))
 	}
-	var h [headerBytes]byte
-	binary.BigEndian.PutUint32(h[:4], uint32(headerBytes-4+len(f.Payload)))
-	h[4] = byte(f.Type)
-	binary.BigEndian.PutUint32(h[5:], f.Stream)
+	h := header(f.Type, f.Stream, len(f.Payload))
 	if _, err := w.Write(h[:]); err != nil {
 		return err
 	}
 	_, err := w.Write(f.Payload)
 	return err
 }
+
+func header(t Type, stream uint32, n int) [headerBytes]byte {
+	var h [headerBytes]byte
+	binary.BigEndian.PutUint32(h[:4], uint32(headerBytes-4+n))
+	h[4] = byte(t)
+	binary.BigEndian.PutUint32(h[5:], stream)
+	return h
+}
+
+// frameReader reads frames into one buffer that it reuses. limit is the largest
+// payload that it accepts.
+type frameReader struct {
+	r     io.Reader
+	limit int
+	head  [headerBytes]byte
+	buf   []byte
+}
+
+// next reads one frame. The payload is valid until the following call. The
+// buffer grows only as far as the announced length of an accepted frame.
+func (fr *frameReader) next() (Frame, error) {
+	if _, err := io.ReadFull(fr.r, fr.head[:]); err != nil {
+		return Frame{}, err
+	}
+	n := uint64(binary.BigEndian.Uint32(fr.head[:4]))
+	if n < headerBytes-4 || n > uint64(headerBytes-4+fr.limit) {
+		return Frame{}, wireErrorf("length %d out of range", n)
+	}
+	f := Frame{Type: Type(fr.head[4]), Stream: binary.BigEndian.Uint32(fr.head[5:])}
+	if f.Type < TypeHello || f.Type > TypePong {
+		return Frame{}, wireErrorf("unknown type %d", f.Type)
+	}
+	size := int(n) - (headerBytes - 4)
+	if cap(fr.buf) < size {
+		fr.buf = make([]byte, size)
+	}
+	f.Payload = fr.buf[:size]
+	_, err := io.ReadFull(fr.r, f.Payload)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return f, err
+}
--- /dev/null
+++ b/core/frame/writer.go
@@ -0,0 +1,201 @@
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+)
+
+const writeBuffer = 64 << 10 // bytes collected before a write to the connection
+
+// outFrame is a frame on its way to the writer. The payload is in block, or in
+// payload if it is larger than a block. With flushed set it isn't a frame: the
+// writer flushes and closes the channel.
+type outFrame struct {
+	typ     Type
+	stream  uint32
+	n       int // bytes used of block
+	block   *block
+	payload []byte
+	flushed chan struct{}
+}
+
+// newOutFrame copies a payload. The payload of an open frame begins with kind.
+func newOutFrame(t Type, stream uint32, kind uint8, p []byte) outFrame {
+	f := outFrame{typ: t, stream: stream, n: len(p)}
+	at := 0
+	if t == TypeOpen {
+		f.n, at = f.n+1, 1
+	}
+	if f.n == 0 {
+		return f
+	}
+	var b []byte
+	if f.n <= largeBlock {
+		f.block = getBlock(f.n)
+		b = f.block.b
+	} else {
+		f.payload = make([]byte, f.n)
+		b = f.payload
+	}
+	b[0] = kind
+	copy(b[at:], p)
+	return f
+}
+
+// newCodeFrame returns a frame whose payload is one number.
+func newCodeFrame(t Type, stream uint32, v uint32) outFrame {
+	f := outFrame{typ: t, stream: stream, n: codeBytes, block: getBlock(codeBytes)}
+	binary.BigEndian.PutUint32(f.block.b, v)
+	return f
+}
+
+func (f *outFrame) bytes() []byte {
+	if f.block != nil {
+		return f.block.b[:f.n]
+	}
+	return f.payload
+}
+
+// notes are frames that the reader or the watcher wants to send. Neither of
+// them may wait for room in a ring: two sessions whose readers wait for their
+// writers would block each other. The notes have bounded size.
+type notes struct {
+	ping   bool
+	pong   bool
+	echo   [pingBytes]byte
+	goAway bool
+	credit int
+	resets []resetNote // at most one for each stream, checked by the reader
+}
+
+type resetNote struct {
+	stream uint32
+	code   Code
+}
+
+// wakeWriter makes the writer look at the notes. s.mu is held.
+func (s *Session) wakeWriter() {
+	s.noted.Store(true)
+	s.kick.TryPush(struct{}{})
+}
+
+// writeLoop writes frames until the session ends: notes first, then control
+// frames, then bulk. It flushes when all queues are empty.
+func (s *Session) writeLoop() error {
+	w := bufio.NewWriterSize(s.conn, writeBuffer)
+	for {
+		if err := s.writeUrgent(w); err != nil {
+			return err
+		}
+		var f outFrame
+		select {
+		case f = <-s.bulk.C():
+		default:
+			if err := w.Flush(); err != nil {
+				return err
+			}
+			select {
+			case <-s.kick.C():
+				continue
+			case f = <-s.control.C():
+				if err := writeOut(w, f); err != nil {
+					return err
+				}
+				continue
+			case f = <-s.bulk.C():
+			case <-s.done:
+				return nil
+			}
+		}
+		// The open or head frame that precedes f may have been queued after the
+		// control ring was last seen empty.
+		if err := s.writeUrgent(w); err != nil {
+			return err
+		}
+		if err := writeOut(w, f); err != nil {
+			return err
+		}
+	}
+}
+
+// writeUrgent writes the notes and all queued control frames.
+func (s *Session) writeUrgent(w *bufio.Writer) error {
+	for {
+		if s.noted.Swap(false) {
+			if err := s.writeNotes(w); err != nil {
+				return err
+			}
+		}
+		select {
+		case f := <-s.control.C():
+			if err := writeOut(w, f); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+func writeOut(w *bufio.Writer, f outFrame) error {
+	if f.flushed != nil {
+		err := w.Flush()
+		close(f.flushed)
+		return err
+	}
+	err := writeParts(w, f.typ, f.stream, f.bytes())
+	if f.block != nil {
+		f.block.put()
+	}
+	return err
+}
+
+func writeParts(w *bufio.Writer, t Type, stream uint32, p []byte) error {
+	h := header(t, stream, len(p))
+	if _, err := w.Write(h[:]); err != nil {
+		return err
+	}
+	_, err := w.Write(p)
+	return err
+}
+
+func (s *Session) writeNotes(w *bufio.Writer) error {
+	s.mu.Lock()
+	n := s.notes
+	s.notes = notes{}
+	s.mu.Unlock()
+	if n.ping {
+		var b [pingBytes]byte
+		binary.BigEndian.PutUint64(b[:], uint64(s.sinceStart()))
+		if err := writeParts(w, TypePing, 0, b[:]); err != nil {
+			return err
+		}
+	}
+	if n.pong {
+		if err := writeParts(w, TypePong, 0, n.echo[:]); err != nil {
+			return err
+		}
+	}
+	if n.credit > 0 {
+		if err := writeCode(w, TypeWindow, 0, uint32(n.credit)); err != nil {
+			return err
+		}
+	}
+	if n.goAway {
+		if err := writeCode(w, TypeReset, 0, uint32(CodeRefused)); err != nil {
+			return err
+		}
+	}
+	for _, r := range n.resets {
+		if err := writeCode(w, TypeReset, r.stream, uint32(r.code)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeCode(w *bufio.Writer, t Type, stream, v uint32) error {
+	var b [codeBytes]byte
+	binary.BigEndian.PutUint32(b[:], v)
+	return writeParts(w, t, stream, b[:])
+}
