--- /dev/null
+++ b/bench/site/path_test.go
@@ -0,0 +1,128 @@
+package site_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/bench/fakes"
+	"dogwoodsill.org/bench/site"
+	"dogwoodsill.org/core/refuse"
+)
+
+// start runs the Press for one test.
+func start(t *testing.T) (context.Context, *site.Running) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	t.Cleanup(cancel)
+	r, err := site.Start(ctx, site.Press())
+	assert.NilError(t, err)
+	t.Cleanup(r.Stop)
+	return ctx, r
+}
+
+// nodeOf returns a node that runs beside an upstream of the service, or one
+// that doesn't.
+func nodeOf(r *site.Running, service string, beside bool) *site.Node {
+	for _, n := range r.Nodes {
+		if (n.Service == service) == beside {
+			return n
+		}
+	}
+	return nil
+}
+
+type answer struct {
+	status  int
+	problem refuse.Problem
+	body    fakes.Answer
+}
+
+func do(ctx context.Context, t *testing.T, c *http.Client, method, url, key string, body io.Reader) answer {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	assert.NilError(t, err)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	req.Header.Set(fakes.RequestID, t.Name())
+	resp, err := c.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	a := answer{status: resp.StatusCode}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), refuse.ContentType) {
+		assert.NilError(t, json.Unmarshal(data, &a.problem))
+	} else if resp.StatusCode == http.StatusOK {
+		assert.NilError(t, json.Unmarshal(data, &a.body))
+	}
+	return a
+}
+
+// Guards against a path that works only when the caller reaches the node
+// beside the upstream.
+func TestCallThroughOtherNode(t *testing.T) {
+	ctx, r := start(t)
+	n := nodeOf(r, "archive", false)
+	got := do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7?api_key=x&page=2", r.Keys["theatre"], nil)
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body.Service, "archive")
+}
+
+// Guards against requests that run without a key or with an unknown one.
+func TestRefusedWithoutKey(t *testing.T) {
+	ctx, r := start(t)
+	url := "http://" + r.Nodes[0].Addrs().Callers + "/runs/7"
+	for _, c := range []struct {
+		name, key string
+		reason    refuse.Reason
+	}{
+		{"no key", "", refuse.KeyMissing},
+		{"unknown key", "dws_unknown", refuse.KeyInvalid},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := do(ctx, t, http.DefaultClient, "GET", url, c.key, nil)
+			assert.Equal(t, got.status, 401)
+			assert.Equal(t, got.problem.Type, refuse.TypePrefix+string(c.reason))
+			assert.Equal(t, got.problem.Executed, refuse.No)
+		})
+	}
+	for _, n := range r.Nodes {
+		assert.Equal(t, n.Upstream.Started(), int64(0))
+	}
+}
+
+// Guards against a key that is checked once a connection only.
+func TestRevokedKeyOnOpenConnection(t *testing.T) {
+	ctx, r := start(t)
+	c := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	defer c.CloseIdleConnections()
+	url := "http://" + r.Nodes[0].Addrs().Callers + "/runs/7"
+	assert.Equal(t, do(ctx, t, c, "GET", url, r.Keys["buses"], nil).status, 200)
+	assert.NilError(t, r.RevokeKey(ctx, "buses"))
+	assert.NilError(t, r.InForce(ctx))
+	got := do(ctx, t, c, "GET", url, r.Keys["buses"], nil)
+	assert.Equal(t, got.status, 401)
+	assert.Equal(t, got.problem.Type, refuse.TypePrefix+string(refuse.KeyRevoked))
+}
+
+// Guards against keys that reach an upstream in a header or the query.
+func TestUpstreamSeesNoKey(t *testing.T) {
+	ctx, r := start(t)
+	key := r.Keys["theatre"]
+	n := nodeOf(r, "orders", false)
+	url := "http://" + n.Addrs().Callers + "/orders/quick?note=" + key + "&page=2"
+	got := do(ctx, t, http.DefaultClient, "POST", url, key, strings.NewReader("500 stubs"))
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body.Bytes, int64(9))
+	for _, n := range r.Nodes {
+		assert.Assert(t, !n.Upstream.Saw(key), n.Service)
+	}
+}
--- /dev/null
+++ b/bench/site/start.go
@@ -0,0 +1,264 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"dogwoodsill.org/bench/fakes"
+	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/keys"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/node/agent"
+)
+
+// Secret is the fleet secret of the deployments.
+const Secret = "a secret for tests and demos only"
+
+// Running is a deployment that was started.
+type Running struct {
+	Site      Site
+	Log       *fakes.Log
+	Client    *logsvc.Client
+	Nodes     []*Node
+	Keys      map[string]string // key by customer
+	KeyIDs    map[string]string // key identifier by customer
+	revisions map[config.ObjectID]uint64
+}
+
+// Node is a node with its upstream.
+type Node struct {
+	*agent.Agent
+	Settings setup.Node
+	Service  string
+	Upstream *fakes.Upstream
+}
+
+// Option configures Start.
+type Option func(*startConfig)
+
+type startConfig struct {
+	logger hclog.Logger
+}
+
+// WithLogger sets the logger of all nodes.
+func WithLogger(l hclog.Logger) Option {
+	return func(c *startConfig) { c.logger = l }
+}
+
+// Start runs a deployment. The context bounds the start only.
+func Start(ctx context.Context, s Site, opts ...Option) (*Running, error) {
+	cfg := startConfig{logger: hclog.NewNullLogger()}
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	log, err := fakes.StartLog("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Running{
+		Site: s, Log: log, Client: logsvc.NewClient(log.URL(), &http.Client{Timeout: 10 * time.Second}),
+		Keys: map[string]string{}, KeyIDs: map[string]string{}, revisions: map[config.ObjectID]uint64{},
+	}
+	if err := r.start(ctx, cfg); err != nil {
+		r.Stop()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Running) start(ctx context.Context, cfg startConfig) error {
+	if err := r.publishAll(ctx); err != nil {
+		return err
+	}
+	n := 0
+	for _, svc := range r.Site.Services {
+		for i := range svc.Targets {
+			zone := r.Site.Zones[n%len(r.Site.Zones)]
+			n++
+			name := fmt.Sprintf("%s-%s-%d", zone, svc.Name, i)
+			if err := r.StartNode(name, zone, svc, cfg.logger); err != nil {
+				return err
+			}
+		}
+	}
+	return r.awaitReady(ctx)
+}
+
+// StartNode adds a node with an upstream to the deployment.
+func (r *Running) StartNode(name, zone string, svc Service, logger hclog.Logger) error {
+	cfg := r.Settings(name, zone)
+	a, err := agent.New(cfg, agent.WithLogger(logger.Named(name)))
+	if err != nil {
+		return err
+	}
+	n := &Node{Agent: a, Settings: cfg, Service: svc.Name}
+	r.Nodes = append(r.Nodes, n)
+	n.Upstream, err = fakes.StartUpstream(svc.Name, a.Addrs().Local,
+		fakes.WithSlots(svc.Slots, 4*svc.Slots), fakes.WithServiceTime(svc.Time), fakes.WithCalls(svc.Calls...))
+	return err
+}
+
+// Settings returns the settings of a new node.
+func (r *Running) Settings(name, zone string) setup.Node {
+	cfg := setup.Default()
+	cfg.Instance = setup.Instance{Name: name, Zone: zone}
+	const any = "127.0.0.1:0"
+	cfg.Listen = setup.Listen{Callers: any, Local: any, Peers: any, Operations: any}
+	cfg.Log.URL = r.Log.URL()
+	cfg.Peers.Secret = Secret
+	for _, n := range r.Nodes[:min(3, len(r.Nodes))] {
+		cfg.Peers.Seeds = append(cfg.Peers.Seeds, n.Addrs().Peers)
+	}
+	return cfg
+}
+
+// awaitReady waits until every node has a configuration and knows all others.
+func (r *Running) awaitReady(ctx context.Context) error {
+	for _, n := range r.Nodes {
+		select {
+		case <-n.Ready():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return r.Await(ctx, func() bool {
+		for _, n := range r.Nodes {
+			if knownTargets(n) < len(r.Nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func knownTargets(n *Node) int {
+	known := 0
+	for _, m := range n.Status().Members {
+		if m.Service != "" {
+			known++
+		}
+	}
+	return known
+}
+
+// pollEvery is the time between two looks at a condition.
+const pollEvery = 20 * time.Millisecond
+
+// Await waits until a condition holds or ctx ends.
+func (r *Running) Await(ctx context.Context, cond func() bool) error {
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for !cond() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// InForce waits until every node has folded all published changes.
+func (r *Running) InForce(ctx context.Context) error {
+	b, err := r.Client.Read(ctx, logsvc.StreamConfig, 0, 1, 0)
+	if err != nil {
+		return err
+	}
+	return r.Await(ctx, func() bool {
+		for _, n := range r.Nodes {
+			if n.Status().ConfigOffset < b.End {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Stop ends everything at once.
+func (r *Running) Stop() {
+	for _, n := range r.Nodes {
+		if n.Upstream != nil {
+			_ = n.Upstream.Close()
+		}
+		n.Kill()
+	}
+	_ = r.Log.Close()
+}
+
+func (r *Running) publishAll(ctx context.Context) error {
+	s := r.Site
+	fleet := model.Fleet{}
+	for _, z := range s.Zones {
+		fleet.Zones = append(fleet.Zones, model.ZoneWeight{Name: z, Weight: 1 / float64(len(s.Zones))})
+	}
+	if err := r.Publish(ctx, model.KindFleet, "fleet", fleet); err != nil {
+		return err
+	}
+	for name, c := range s.Customers {
+		if err := r.Publish(ctx, model.KindCustomer, name, c); err != nil {
+			return err
+		}
+		if err := r.IssueKey(ctx, name); err != nil {
+			return err
+		}
+	}
+	for _, svc := range s.Services {
+		if err := r.Publish(ctx, model.KindService, svc.Name, model.Service{Labels: svc.Labels}); err != nil {
+			return err
+		}
+	}
+	for name, route := range s.Routes {
+		if err := r.Publish(ctx, model.KindRoute, name, route); err != nil {
+			return err
+		}
+	}
+	for name, imp := range s.Importance {
+		if err := r.Publish(ctx, model.KindImportance, name, imp); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// IssueKey gives a customer a new key.
+func (r *Running) IssueKey(ctx context.Context, customer string) error {
+	key := keys.New()
+	id := uuid.NewString()
+	r.Keys[customer], r.KeyIDs[customer] = key, id
+	return r.Publish(ctx, model.KindKey, id, model.Key{Customer: customer, Digest: keys.Digest(key)})
+}
+
+// RevokeKey revokes the key of a customer.
+func (r *Running) RevokeKey(ctx context.Context, customer string) error {
+	k := model.Key{Customer: customer, Digest: keys.Digest(r.Keys[customer]), Revoked: true}
+	return r.Publish(ctx, model.KindKey, r.KeyIDs[customer], k)
+}
+
+// Publish appends a change of an object that only this deployment changes.
+func (r *Running) Publish(ctx context.Context, kind model.Kind, name string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	id := config.ObjectID{Kind: kind, Name: name}
+	rec, err := json.Marshal(config.Record{Change: &config.Change{
+		ID: uuid.NewString(), Kind: kind, Name: name, Base: r.revisions[id], Body: data,
+	}})
+	if err != nil {
+		return err
+	}
+	off, err := r.Client.Append(ctx, logsvc.StreamConfig, rec)
+	if err != nil {
+		return err
+	}
+	r.revisions[id] = off + 1
+	return nil
+}
--- a/core/chain/table.go
+++ b/core/chain/table.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"context"
 	"crypto/rand"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 type Active struct {
 	Token string
 	Call  model.Call
+	ctx   context.Context
 
 	mu       sync.Mutex
 	attempts int
@@ -35,9 +37,10 @@
 	return &Table{calls: map[string]*Active{}}
 }
 
-// Begin registers a call and returns it with a new token.
-func (t *Table) Begin(c model.Call) *Active {
-	a := &Active{Token: rand.Text(), Call: c, attempts: c.Attempts}
+// Begin registers a call and returns it with a new token. Calls further down
+// the chain end with ctx.
+func (t *Table) Begin(ctx context.Context, c model.Call) *Active {
+	a := &Active{Token: rand.Text(), Call: c, ctx: ctx, attempts: c.Attempts}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls[a.Token] = a
@@ -70,6 +73,11 @@
 	return len(t.calls)
 }
 
+// Context returns the context of the call.
+func (a *Active) Context() context.Context {
+	return a.ctx
+}
+
 // Take moves up to n attempts from the call to a child and returns their
 // number.
 func (a *Active) Take(n int) int {
--- /dev/null
+++ b/core/metric/set.go
@@ -0,0 +1,73 @@
+package metric
+
+import (
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Names of measurements. A name with a trailing dot is a prefix.
+const (
+	Admitted       = "admitted"          // requests admitted at entry
+	Refused        = "refused."          // by refusal reason
+	RefusedInside  = "refusedInsideRate" // requests refused by overload although inside the customer's rate
+	Attempts       = "attempts"          // attempts sent to targets
+	Retries        = "retries"           // attempts after the first of a call
+	Served         = "served"            // calls dispatched to the local upstream
+	UpstreamErrors = "upstreamErrors"    // failed exchanges with the local upstream
+	TokensBorrowed = "tokensBorrowed"    // millitokens received as loans
+	TokensExpired  = "tokensExpired"     // millitokens of loans that expired unspent
+	TokensLent     = "tokensLent"        // millitokens granted by this node's holders
+	Claims         = "claims"            // idempotency keys claimed
+	ClaimsUnknown  = "claimsUnknown"     // repeats answered with an unknown outcome
+	ConfigOffset   = "configOffset"      // offset after the last folded configuration record
+	ConfigAge      = "configAgeMs"       // time since the configuration was confirmed to be the newest
+	Epoch          = "epoch"             // member list epoch of the own zone
+	GossipPackets  = "gossipPackets"     // gossip packets sent
+	GossipBytes    = "gossipBytes"       // gossip bytes sent
+	Latency        = "addedLatency"      // time between the caller's request and its answer
+	Limit          = "concurrencyLimit"  // of the local upstream
+	InFlight       = "inFlight"          // calls at the local upstream
+)
+
+// Set is the registry of one node. It is safe for concurrent use.
+type Set struct {
+	reg gometrics.Registry
+}
+
+// New returns an empty set.
+func New() *Set {
+	return &Set{reg: gometrics.NewRegistry()}
+}
+
+// Add adds n to a counter.
+func (s *Set) Add(name string, n int64) {
+	gometrics.GetOrRegisterCounter(name, s.reg).Inc(n)
+}
+
+// Put sets a gauge.
+func (s *Set) Put(name string, v int64) {
+	gometrics.GetOrRegisterGauge(name, s.reg).Update(v)
+}
+
+// Observe records a duration in a timer.
+func (s *Set) Observe(name string, d time.Duration) {
+	gometrics.GetOrRegisterTimer(name, s.reg).Update(d)
+}
+
+// Count returns the value of a counter or gauge, 0 if there is none.
+func (s *Set) Count(name string) int64 {
+	switch m := s.reg.Get(name).(type) {
+	case gometrics.Counter:
+		return m.Count()
+	case gometrics.Gauge:
+		return m.Value()
+	default:
+		return 0
+	}
+}
+
+// Export returns all measurements by name, ready for JSON.
+func (s *Set) Export() map[string]map[string]any {
+	return s.reg.GetAll()
+}
--- /dev/null
+++ b/core/setup/node.go
@@ -0,0 +1,123 @@
+package setup
+
+import (
+	"time"
+)
+
+// Node is the settings of a node process.
+type Node struct {
+	Instance   Instance   `toml:"instance"`
+	Listen     Listen     `toml:"listen"`
+	Log        Log        `toml:"log"`
+	Peers      Peers      `toml:"peers"`
+	CallersTLS TLSFiles   `toml:"callersTls"`
+	Limits     Limits     `toml:"limits"`
+	Logging    Logging    `toml:"logging"`
+	Shutdown   ShutdownAt `toml:"shutdown"`
+}
+
+// Instance says where the process runs.
+type Instance struct {
+	Name string `toml:"name"` // unique in the fleet and stable over restarts
+	Zone string `toml:"zone"` // availability zone
+}
+
+// Listen holds the addresses of the four listeners as IP and port.
+type Listen struct {
+	Callers    string `toml:"callers"`
+	Local      string `toml:"local"` // loopback only
+	Peers      string `toml:"peers"`
+	Operations string `toml:"operations"`
+	// AdvertisePeers is the address that other nodes dial, if it differs from
+	// Peers.
+	AdvertisePeers string `toml:"advertisePeers"`
+}
+
+// Log locates the platform's log service.
+type Log struct {
+	URL       string   `toml:"url"`
+	Timeout   Duration `toml:"timeout"`
+	Retention Duration `toml:"retention"` // how long the service keeps records
+}
+
+// Peers configures the links between nodes. Either a secret or certificates
+// are needed.
+type Peers struct {
+	Secret string   `toml:"secret"`
+	TLS    TLSFiles `toml:"tls"`
+	Seeds  []string `toml:"seeds"` // peer addresses to start from
+}
+
+// TLSFiles names PEM files.
+type TLSFiles struct {
+	CA   string `toml:"ca"`
+	Cert string `toml:"cert"`
+	Key  string `toml:"key"`
+}
+
+// Set reports whether certificates are configured.
+func (t TLSFiles) Set() bool {
+	return t.Cert != "" || t.Key != "" || t.CA != ""
+}
+
+// Limits bounds what callers can use.
+type Limits struct {
+	HeaderBytes          int      `toml:"headerBytes"`
+	BodyBytes            int64    `toml:"bodyBytes"` // 0 for no limit
+	ConnectionsPerCaller int      `toml:"connectionsPerCaller"`
+	HeaderTimeout        Duration `toml:"headerTimeout"`
+	IdleTimeout          Duration `toml:"idleTimeout"`
+	ProgressTimeout      Duration `toml:"progressTimeout"` // a body that stalls this long is aborted
+	RevokeGrace          Duration `toml:"revokeGrace"`     // a body of a revoked key is aborted after this time
+}
+
+// Logging configures the log output of the process.
+type Logging struct {
+	Level string `toml:"level"`
+	JSON  bool   `toml:"json"`
+}
+
+// ShutdownAt bounds a graceful shutdown.
+type ShutdownAt struct {
+	Timeout Duration `toml:"timeout"`
+}
+
+// Duration is a time.Duration that is written like "250ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// D returns d as a time.Duration.
+func (d Duration) D() time.Duration {
+	return time.Duration(d)
+}
+
+// Default returns the settings that apply where a file is silent.
+func Default() Node {
+	return Node{
+		Log: Log{Timeout: Duration(2 * time.Second), Retention: Duration(24 * time.Hour)},
+		Limits: Limits{
+			HeaderBytes:          32 << 10,
+			ConnectionsPerCaller: 1000,
+			HeaderTimeout:        Duration(5 * time.Second),
+			IdleTimeout:          Duration(2 * time.Minute),
+			ProgressTimeout:      Duration(10 * time.Second),
+			RevokeGrace:          Duration(5 * time.Second),
+		},
+		Logging:  Logging{Level: "info"},
+		Shutdown: ShutdownAt{Timeout: Duration(30 * time.Second)},
+	}
+}
--- /dev/null
+++ b/core/super/doc.go
@@ -0,0 +1,3 @@
+// Package super runs long-lived duties under a tree of supervisors that
+// restart a duty after an error or a panic.
+package super
--- /dev/null
+++ b/core/super/tree.go
@@ -0,0 +1,176 @@
+package super
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+)
+
+// Restart delays of a failing duty. They double from the first to the last.
+const (
+	minDelay = 50 * time.Millisecond
+	maxDelay = 5 * time.Second
+	// steadyTime is how long a duty must run before its delay starts anew.
+	steadyTime = 30 * time.Second
+)
+
+// Duty is a long-lived task. It ends when its context ends. The supervisor
+// starts it again after an error and leaves it ended after nil.
+type Duty func(ctx context.Context) error
+
+// PanicError is the error of a duty that panicked.
+type PanicError struct {
+	Duty  string
+	Value any
+	Stack []byte
+}
+
+// Error implements error.
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("duty %s panicked: %v\n%s", e.Duty, e.Value, e.Stack)
+}
+
+// Status is the state of one duty.
+type Status struct {
+	Name     string `json:"name"`
+	Running  bool   `json:"running"`
+	Restarts int    `json:"restarts"`
+	LastErr  string `json:"lastError,omitempty"`
+}
+
+// Tree is a supervisor with its duties and subtrees. It is safe for concurrent
+// use.
+type Tree struct {
+	name   string
+	ctx    context.Context
+	cancel context.CancelFunc
+	onErr  func(duty string, err error)
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	duties []*duty
+	subs   []*Tree
+}
+
+type duty struct {
+	Status
+}
+
+// Option configures a tree.
+type Option func(*Tree)
+
+// WithErrorHook calls f with each error that ends a duty.
+func WithErrorHook(f func(duty string, err error)) Option {
+	return func(t *Tree) { t.onErr = f }
+}
+
+// New returns a tree without duties. Its duties end when ctx ends.
+func New(ctx context.Context, name string, opts ...Option) *Tree {
+	t := &Tree{name: name, onErr: func(string, error) {}}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// Sub adds a subtree that stops with its parent.
+func (t *Tree) Sub(name string) *Tree {
+	s := New(t.ctx, t.name+"/"+name, WithErrorHook(t.onErr))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.subs = append(t.subs, s)
+	return s
+}
+
+// Start runs a duty until the tree stops.
+func (t *Tree) Start(name string, run Duty) {
+	d := &duty{Status: Status{Name: t.name + "/" + name, Running: true}}
+	t.mu.Lock()
+	t.duties = append(t.duties, d)
+	t.mu.Unlock()
+	t.wg.Go(func() { t.supervise(d, run) })
+}
+
+// Stop ends all duties and waits for them.
+func (t *Tree) Stop() {
+	t.cancel()
+	t.mu.Lock()
+	subs := t.subs
+	t.mu.Unlock()
+	for _, s := range subs {
+		s.Stop()
+	}
+	t.wg.Wait()
+}
+
+// Status returns the state of every duty of the tree, its own first.
+func (t *Tree) Status() []Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Status
+	for _, d := range t.duties {
+		out = append(out, d.Status)
+	}
+	for _, s := range t.subs {
+		out = append(out, s.Status()...)
+	}
+	return out
+}
+
+func (t *Tree) supervise(d *duty, run Duty) {
+	delay := minDelay
+	for {
+		started := time.Now()
+		err := runOnce(t.ctx, d.Name, run)
+		if t.ctx.Err() != nil || err == nil {
+			t.note(d, nil)
+			return
+		}
+		if time.Since(started) > steadyTime {
+			delay = minDelay
+		}
+		t.note(d, err)
+		if !errors.Is(err, context.Canceled) {
+			t.onErr(d.Name, err)
+		}
+		if !wait(t.ctx, delay) {
+			return
+		}
+		delay = min(2*delay, maxDelay)
+	}
+}
+
+func (t *Tree) note(d *duty, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err == nil {
+		d.Running = false
+		return
+	}
+	d.Restarts++
+	d.LastErr = err.Error()
+}
+
+func runOnce(ctx context.Context, name string, run Duty) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = &PanicError{Duty: name, Value: v, Stack: debug.Stack()}
+		}
+	}()
+	return run(ctx)
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/node/agent/agent.go
@@ -0,0 +1,227 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+
+	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/core/super"
+	"dogwoodsill.org/node/entry"
+	"dogwoodsill.org/node/local"
+	"dogwoodsill.org/node/opsapi"
+	"dogwoodsill.org/node/relay"
+	"dogwoodsill.org/node/store"
+)
+
+// Agent is a running node.
+type Agent struct {
+	cfg         setup.Node
+	incarnation uint64
+	log         hclog.Logger
+	platform    logsvc.Log
+	metrics     *metric.Set
+	tree        *super.Tree
+
+	store  *store.Store
+	calls  *chain.Table
+	target *relay.Target
+	caller *relay.Caller
+	fleet  *fleet
+	links  *links
+	peers  *peerServer
+
+	entry *entry.Server
+	local *local.Server
+	ops   *http.Server
+	lns   listeners
+
+	stopping atomic.Bool
+}
+
+// Option configures an agent.
+type Option func(*Agent)
+
+// WithLogger sets the logger. The default discards everything.
+func WithLogger(l hclog.Logger) Option {
+	return func(a *Agent) { a.log = l }
+}
+
+// WithLog sets the client of the log service in place of the one that the
+// settings name.
+func WithLog(l logsvc.Log) Option {
+	return func(a *Agent) { a.platform = l }
+}
+
+// Addrs holds the addresses on which an agent listens.
+type Addrs struct {
+	Callers, Local, Peers, Operations string
+}
+
+type listeners struct {
+	callers, local, peers, ops net.Listener
+}
+
+// New starts a node. It returns an error if an address can't be listened on.
+func New(cfg setup.Node, opts ...Option) (*Agent, error) {
+	a := &Agent{
+		cfg:         cfg,
+		incarnation: uint64(time.Now().UnixNano()),
+		log:         hclog.NewNullLogger(),
+		metrics:     metric.New(),
+		store:       store.New(),
+		calls:       chain.NewTable(),
+	}
+	for _, opt := range opts {
+		opt(a)
+	}
+	if err := a.listen(); err != nil {
+		a.lns.close()
+		return nil, err
+	}
+	if a.platform == nil {
+		a.platform = logsvc.NewClient(cfg.Log.URL, newLogHTTP(cfg.Log.Timeout.D()))
+	}
+	if err := a.assemble(); err != nil {
+		a.lns.close()
+		return nil, err
+	}
+	a.start()
+	return a, nil
+}
+
+// newLogHTTP returns the HTTP client for the log service. The time-out covers
+// the wait for the header of the answer beyond a long poll.
+func newLogHTTP(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout + store.ReadWait}
+}
+
+func (a *Agent) listen() error {
+	for _, l := range []struct {
+		addr string
+		ln   *net.Listener
+	}{
+		{a.cfg.Listen.Callers, &a.lns.callers},
+		{a.cfg.Listen.Local, &a.lns.local},
+		{a.cfg.Listen.Peers, &a.lns.peers},
+		{a.cfg.Listen.Operations, &a.lns.ops},
+	} {
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return errs.Wrap(err)
+		}
+		*l.ln = ln
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.local, l.peers, l.ops} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+func (a *Agent) assemble() error {
+	auth, err := newAuth(a.cfg.Instance.Name, a.cfg.Peers)
+	if err != nil {
+		return err
+	}
+	a.links = newLinks(auth)
+	a.target = relay.NewTarget(a.store, a.calls, a.metrics, a.announce)
+	a.fleet = newFleet(a)
+	a.caller = relay.NewCaller(a.fleet, a.links, a.metrics, a.cfg.Instance.Zone)
+	a.peers = newPeerServer(a, auth)
+	a.entry = entry.New(a.store, a.caller, noLimit{}, a.metrics, a.cfg.Limits)
+	a.local = local.New(a.store, a.calls, a.target, a.caller, a.metrics, a.cfg.Limits.HeaderBytes)
+	a.ops = opsapi.New(a.Status, a.metrics)
+	return nil
+}
+
+// noLimit admits everything.
+type noLimit struct{}
+
+// start runs every duty of the node. The tree is:
+//
+//	node
+//	├── listeners: callers, local, peers, operations
+//	├── config: follow
+//	└── members: gossip, announce
+func (a *Agent) start() {
+	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(func(duty string, err error) {
+		a.log.Error("duty failed", "duty", duty, "error", err)
+	}))
+	ls := a.tree.Sub("listeners")
+	ls.Start("callers", serveHTTP(a.entry.HTTP(), limitConns(a.lns.callers, a.cfg.Limits.ConnectionsPerCaller)))
+	ls.Start("local", serveHTTP(a.local.HTTP(), a.lns.local))
+	ls.Start("operations", serveHTTP(a.ops, a.lns.ops))
+	ls.Start("peers", a.peers.serve(a.lns.peers))
+	cs := a.tree.Sub("config")
+	cs.Start("follow", a.store.Follow(a.platform, func(err error) {
+		a.log.Warn("configuration log unreachable", "error", err)
+	}))
+	ms := a.tree.Sub("members")
+	ms.Start("gossip", a.fleet.gossip)
+}
+
+// Addrs returns the addresses on which the agent listens.
+func (a *Agent) Addrs() Addrs {
+	return Addrs{
+		Callers:    a.lns.callers.Addr().String(),
+		Local:      a.lns.local.Addr().String(),
+		Peers:      a.lns.peers.Addr().String(),
+		Operations: a.lns.ops.Addr().String(),
+	}
+}
+
+// Ready is closed once the node has a configuration.
+func (a *Agent) Ready() <-chan struct{} {
+	return a.store.Ready()
+}
+
+// Shutdown drains the upstream, finishes what is in flight, tells the fleet and
+// ends. When ctx ends first, what is left is cut off and its error returned.
+func (a *Agent) Shutdown(ctx context.Context) error {
+	a.stopping.Store(true)
+	err := errs.Combine(
+		a.target.Drain(ctx),
+		a.entry.HTTP().Shutdown(ctx),
+		a.local.HTTP().Shutdown(ctx),
+	)
+	a.fleet.leave(ctx)
+	a.close()
+	return err
+}
+
+// Kill ends the node at once, as a crash would.
+func (a *Agent) Kill() {
+	a.stopping.Store(true)
+	a.close()
+}
+
+func (a *Agent) close() {
+	_ = a.entry.HTTP().Close()
+	_ = a.local.HTTP().Close()
+	_ = a.ops.Close()
+	a.lns.close()
+	a.peers.close()
+	a.links.close()
+	a.tree.Stop()
+	a.target.Close()
+}
+
+// Take implements entry.Limiter.
+func (noLimit) Take(context.Context, string, time.Time) *refuse.Error { return nil }
+
+// GiveBack implements entry.Limiter.
+func (noLimit) GiveBack(string, time.Time) {}
--- /dev/null
+++ b/node/agent/conns.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// connLimiter is a listener that closes connections above a number for each
+// remote IP address.
+type connLimiter struct {
+	net.Listener
+	limit int
+
+	mu   sync.Mutex
+	open map[netip.Addr]int
+}
+
+func limitConns(ln net.Listener, limit int) net.Listener {
+	return &connLimiter{Listener: ln, limit: limit, open: map[netip.Addr]int{}}
+}
+
+// Accept implements net.Listener.
+func (l *connLimiter) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		addr := remoteIP(c)
+		if l.acquire(addr) {
+			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { l.release(addr) })}, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func remoteIP(c net.Conn) netip.Addr {
+	ap, err := netip.ParseAddrPort(c.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr()
+}
+
+func (l *connLimiter) acquire(a netip.Addr) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open[a] >= l.limit {
+		return false
+	}
+	l.open[a]++
+	return true
+}
+
+func (l *connLimiter) release(a netip.Addr) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[a]--
+	if l.open[a] == 0 {
+		delete(l.open, a)
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/node/agent/fleet.go
@@ -0,0 +1,235 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/member"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/report"
+	"dogwoodsill.org/node/relay"
+)
+
+// exchangeTimeout bounds one gossip exchange.
+const exchangeTimeout = time.Second
+
+// fleet connects the gossip state machine to the network. It is safe for
+// concurrent use.
+type fleet struct {
+	agent *Agent
+
+	mu      sync.Mutex
+	machine *member.Machine
+	cache   map[string]candidates
+}
+
+// candidates is the list of a service's targets at one generation.
+type candidates struct {
+	gen  uint64
+	list []relay.Candidate
+}
+
+func newFleet(a *Agent) *fleet {
+	cfg := member.Config{
+		Name:        a.cfg.Instance.Name,
+		Incarnation: a.incarnation,
+		Addr:        a.advertised(),
+		Zone:        a.cfg.Instance.Zone,
+		Seeds:       a.cfg.Peers.Seeds,
+		RandSeed:    a.incarnation,
+	}
+	return &fleet{agent: a, machine: member.New(cfg, time.Now()), cache: map[string]candidates{}}
+}
+
+// advertised returns the address that other nodes dial.
+func (a *Agent) advertised() string {
+	if a.cfg.Listen.AdvertisePeers != "" {
+		return a.cfg.Listen.AdvertisePeers
+	}
+	return a.lns.peers.Addr().String()
+}
+
+// gossip is the duty that sends what the state machine asks for.
+func (f *fleet) gossip(ctx context.Context) error {
+	tick := time.NewTicker(member.TickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			f.announce(now)
+			f.step(ctx, func() []member.Send { return f.machine.Tick(now) })
+		}
+	}
+}
+
+// announce tells the state machine about the local target and the progress of
+// the configuration.
+func (f *fleet) announce(now time.Time) {
+	var t *member.Target
+	if up, ok := f.agent.target.Upstream(now); ok {
+		t = &member.Target{Service: up.Service, Labels: up.Labels, Slots: up.Slots, State: targetState(up.State)}
+	}
+	f.step(context.Background(), func() []member.Send {
+		out := f.machine.Announce(now, t)
+		return append(out, f.machine.SetProgress(now, f.agent.store.Next(), 0)...)
+	})
+}
+
+// announce spreads the state of the local target at once.
+func (a *Agent) announce() {
+	a.fleet.announce(time.Now())
+}
+
+func targetState(s relay.State) member.TargetState {
+	switch s {
+	case relay.Cold:
+		return member.Cold
+	case relay.Draining:
+		return member.Draining
+	default:
+		return member.Ready
+	}
+}
+
+func relayState(s member.TargetState) relay.State {
+	switch s {
+	case member.Cold:
+		return relay.Cold
+	case member.Draining:
+		return relay.Draining
+	default:
+		return relay.Ready
+	}
+}
+
+// step changes the state machine and delivers what it wants to send.
+func (f *fleet) step(ctx context.Context, change func() []member.Send) {
+	f.mu.Lock()
+	sends := change()
+	f.mu.Unlock()
+	for _, s := range sends {
+		go f.deliver(ctx, s)
+	}
+}
+
+func (f *fleet) deliver(ctx context.Context, s member.Send) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	session, err := f.agent.links.Session(ctx, s.Addr)
+	if err != nil {
+		return // the state machine times the message out
+	}
+	if s.Probe != nil {
+		reply, err := frame.Call[member.ProbeRequest, member.ProbeReply](ctx, session, relay.KindProbe, *s.Probe)
+		if err == nil {
+			f.locked(func() { f.machine.ProbeAnswer(time.Now(), s.ID, reply) })
+		}
+		return
+	}
+	reply, err := frame.Call[member.Packet, member.Packet](ctx, session, relay.KindGossip, *s.Packet)
+	if err == nil {
+		f.step(context.WithoutCancel(ctx), func() []member.Send { return f.machine.Reply(time.Now(), s.ID, reply) })
+	}
+	f.agent.metrics.Add(metric.GossipPackets, 1)
+}
+
+func (f *fleet) locked(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// receive answers a packet of another node.
+func (f *fleet) receive(_ context.Context, p member.Packet) (member.Packet, error) {
+	var reply member.Packet
+	f.step(context.Background(), func() []member.Send {
+		var out []member.Send
+		reply, out = f.machine.Receive(time.Now(), p)
+		return out
+	})
+	return reply, nil
+}
+
+// probe checks a node on behalf of another one.
+func (f *fleet) probe(ctx context.Context, req member.ProbeRequest) (member.ProbeReply, error) {
+	var send member.Send
+	f.locked(func() { send = f.machine.Probe(time.Now(), req) })
+	ctx, cancel := context.WithTimeout(ctx, member.IndirectTimeout)
+	defer cancel()
+	session, err := f.agent.links.Session(ctx, send.Addr)
+	if err != nil {
+		return member.ProbeReply{Target: req.Target}, nil
+	}
+	reply, err := frame.Call[member.Packet, member.Packet](ctx, session, relay.KindGossip, *send.Packet)
+	if err != nil || reply.From != req.Target {
+		return member.ProbeReply{Target: req.Target}, nil
+	}
+	f.step(context.Background(), func() []member.Send { return f.machine.Reply(time.Now(), send.ID, reply) })
+	return member.ProbeReply{Target: req.Target, Reached: true}, nil
+}
+
+// leave tells other nodes that this one ends.
+func (f *fleet) leave(ctx context.Context) {
+	f.mu.Lock()
+	sends := f.machine.Leave(time.Now())
+	f.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, s := range sends {
+		wg.Go(func() { f.deliver(ctx, s) })
+	}
+	wg.Wait()
+}
+
+// Candidates implements relay.Directory.
+func (f *fleet) Candidates(service string) []relay.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	gen := f.machine.ServiceGeneration(service)
+	if c, ok := f.cache[service]; ok && c.gen == gen {
+		return c.list
+	}
+	var list []relay.Candidate
+	for _, e := range f.machine.Targets(service) {
+		list = append(list, relay.Candidate{
+			Instance:    e.Name,
+			Incarnation: e.Incarnation,
+			Addr:        e.Addr,
+			Zone:        e.Zone,
+			Slots:       e.Target.Slots,
+			State:       relayState(e.Target.State),
+		})
+	}
+	f.cache[service] = candidates{gen: gen, list: list}
+	return list
+}
+
+// members returns the nodes that this one knows.
+func (f *fleet) members() []report.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []report.Member
+	for _, zone := range f.machine.Zones() {
+		for _, name := range f.machine.Alive(zone) {
+			if e, ok := f.machine.Lookup(name); ok {
+				out = append(out, memberReport(e))
+			}
+		}
+	}
+	return out
+}
+
+func memberReport(e member.Entry) report.Member {
+	m := report.Member{
+		Instance: e.Name, Zone: e.Zone, Addr: e.Addr, Incarnation: e.Incarnation, State: e.State.String(),
+		ConfigOffset: e.Offset, Epoch: e.Epoch,
+	}
+	if e.Target != nil {
+		m.Service = e.Target.Service
+		m.TargetState = e.Target.State.String()
+	}
+	return m
+}
--- /dev/null
+++ b/node/agent/peers.go
@@ -0,0 +1,104 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/node/relay"
+)
+
+// peerServer accepts links from other nodes.
+type peerServer struct {
+	agent *Agent
+	auth  *auth
+
+	mu       sync.Mutex
+	sessions map[*frame.Session]struct{}
+	closed   bool
+}
+
+func newPeerServer(a *Agent, au *auth) *peerServer {
+	return &peerServer{agent: a, auth: au, sessions: map[*frame.Session]struct{}{}}
+}
+
+// serve returns the duty that accepts links.
+func (p *peerServer) serve(ln net.Listener) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				if ctx.Err() != nil || p.agent.stopping.Load() {
+					return nil
+				}
+				return err
+			}
+			go p.open(ctx, conn)
+		}
+	}
+}
+
+// open performs the handshake of a new link and serves it.
+func (p *peerServer) open(ctx context.Context, conn net.Conn) {
+	s, err := frame.Server(ctx, conn, p.handle, p.auth.server...)
+	if err != nil {
+		_ = conn.Close()
+		p.agent.log.Warn("peer link refused", "remote", conn.RemoteAddr(), "error", err)
+		return
+	}
+	if !p.add(s) {
+		_ = s.Close()
+		return
+	}
+	<-s.Done()
+	p.remove(s)
+}
+
+func (p *peerServer) add(s *frame.Session) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.sessions[s] = struct{}{}
+	return true
+}
+
+func (p *peerServer) remove(s *frame.Session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.sessions, s)
+}
+
+func (p *peerServer) close() {
+	p.mu.Lock()
+	p.closed = true
+	var open []*frame.Session
+	for s := range p.sessions {
+		open = append(open, s)
+	}
+	p.mu.Unlock()
+	for _, s := range open {
+		_ = s.Close()
+	}
+}
+
+// handle serves a stream of another node by its kind.
+func (p *peerServer) handle(s *frame.Stream) {
+	a := p.agent
+	var err error
+	switch s.Kind() {
+	case relay.KindCall:
+		a.target.Serve(s)
+	case relay.KindGossip:
+		err = frame.Answer(s, a.fleet.receive)
+	case relay.KindProbe:
+		err = frame.Answer(s, a.fleet.probe)
+	default:
+		s.Reset(frame.CodeRefused)
+	}
+	if err != nil {
+		a.log.Debug("control exchange failed", "peer", s.Peer(), "kind", s.Kind(), "error", err)
+	}
+}
--- /dev/null
+++ b/node/agent/status.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"dogwoodsill.org/core/report"
+	"dogwoodsill.org/node/relay"
+)
+
+// Status returns the state of the node.
+func (a *Agent) Status() report.Status {
+	now := time.Now()
+	s := report.Status{
+		Instance:     a.cfg.Instance.Name,
+		Zone:         a.cfg.Instance.Zone,
+		Incarnation:  a.incarnation,
+		Draining:     a.stopping.Load(),
+		ConfigOffset: a.store.Next(),
+		ConfigAgeMS:  -1,
+		Members:      a.fleet.members(),
+		Duties:       a.tree.Status(),
+	}
+	if cur := a.store.Current(); cur != nil {
+		s.Ready = true
+		s.ConfigAgeMS = a.store.Age(now).Milliseconds()
+		s.Conflicts = cur.Table.Conflicts
+	}
+	if up, ok := a.target.Upstream(now); ok {
+		s.Upstream = upstreamReport(up)
+		s.Upstream.InFlight = a.calls.Len()
+	}
+	return s
+}
+
+func upstreamReport(u relay.Upstream) *report.Upstream {
+	return &report.Upstream{Service: u.Service, Addr: u.Addr, State: string(u.State), Slots: u.Slots}
+}
+
+// serveHTTP returns the duty that serves a listener.
+func serveHTTP(s *http.Server, ln net.Listener) func(context.Context) error {
+	return func(context.Context) error {
+		err := s.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		return err
+	}
+}
--- /dev/null
+++ b/node/local/server.go
@@ -0,0 +1,191 @@
+package local
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/keys"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/route"
+	"dogwoodsill.org/node/entry"
+	"dogwoodsill.org/node/relay"
+	"dogwoodsill.org/node/store"
+)
+
+// AnnouncePath takes announcements of the local upstream.
+const AnnouncePath = "/.dogwoodsill/announce"
+
+// Announcement limits.
+const (
+	maxAnnouncement = 64 << 10
+	DefaultTTL      = 10 * time.Second
+	maxTTL          = time.Minute
+)
+
+// Server serves the local upstream. It is safe for concurrent use.
+type Server struct {
+	store   *store.Store
+	calls   *chain.Table
+	target  *relay.Target
+	sender  entry.Sender
+	metrics *metric.Set
+	http    *http.Server
+}
+
+// New returns a server that is not listening yet.
+func New(st *store.Store, calls *chain.Table, target *relay.Target, sender entry.Sender, m *metric.Set, headerBytes int) *Server {
+	s := &Server{store: st, calls: calls, target: target, sender: sender, metrics: m}
+	e := echo.New()
+	e.POST(AnnouncePath, s.announce)
+	e.DELETE(AnnouncePath, s.withdraw)
+	e.Any("/*", s.call)
+	s.http = &http.Server{Handler: e, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: 5 * time.Second}
+	return s
+}
+
+// HTTP returns the underlying HTTP server.
+func (s *Server) HTTP() *http.Server {
+	return s.http
+}
+
+func (s *Server) announce(c echo.Context) error {
+	dec := json.NewDecoder(io.LimitReader(c.Request().Body, maxAnnouncement))
+	dec.DisallowUnknownFields()
+	var u relay.Upstream
+	if err := dec.Decode(&u); err != nil {
+		return refuse.New(refuse.BadRequest, "announcement: %v", err).Write(c.Response())
+	}
+	if err := complete(&u); err != nil {
+		return refuse.New(refuse.BadRequest, "announcement: %v", err).Write(c.Response())
+	}
+	s.target.Announce(u, time.Now())
+	return c.NoContent(http.StatusNoContent)
+}
+
+// complete fills in defaults and validates an announcement.
+func complete(u *relay.Upstream) error {
+	if u.Service == "" {
+		return fmt.Errorf("service is empty")
+	}
+	if _, err := netip.ParseAddrPort(u.Addr); err != nil {
+		return fmt.Errorf("addr %q is not an IP address with a port", u.Addr)
+	}
+	switch u.State {
+	case "":
+		u.State = relay.Ready
+	case relay.Ready, relay.Cold, relay.Draining:
+	default:
+		return fmt.Errorf("state %q is not one of ready, cold, draining", u.State)
+	}
+	if u.Slots < 0 || u.Connections < 0 || u.TTLMS < 0 {
+		return fmt.Errorf("slots, connections and ttlMs must not be negative")
+	}
+	if u.TTLMS == 0 {
+		u.TTLMS = DefaultTTL.Milliseconds()
+	}
+	u.TTLMS = min(u.TTLMS, maxTTL.Milliseconds())
+	return nil
+}
+
+func (s *Server) withdraw(c echo.Context) error {
+	s.target.Withdraw()
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) call(c echo.Context) error {
+	w, r := c.Response(), c.Request()
+	if e := s.handle(w, r, time.Now()); e != nil {
+		s.metrics.Add(metric.Refused+string(e.Reason), 1)
+		return e.Write(w)
+	}
+	return nil
+}
+
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, now time.Time) *refuse.Error {
+	parent, ok := s.calls.Lookup(r.Header.Get(chain.Header), now)
+	if !ok {
+		return refuse.New(refuse.CallContext, "header %s holds no token of a running request", chain.Header)
+	}
+	cur := s.store.Current()
+	if cur == nil {
+		return refuse.New(refuse.NotReady, "the node has no configuration yet")
+	}
+	if parent.Call.KeyID != "" && !cur.View.ValidKey(parent.Call.KeyID) {
+		return refuse.New(refuse.KeyRevoked, "the key of the root request was revoked")
+	}
+	m, ok := cur.Table.Lookup(r, true)
+	if !ok {
+		return refuse.New(refuse.RouteUnknown, "no route for %s %s", r.Method, r.URL.Path)
+	}
+	if parent.Call.Depth >= model.MaxDepth {
+		return refuse.New(refuse.CallContext, "the call chain is longer than %d", model.MaxDepth)
+	}
+	return s.send(w, r, m, parent, now)
+}
+
+func (s *Server) send(w http.ResponseWriter, r *http.Request, m route.Match, parent *chain.Active, now time.Time) *refuse.Error {
+	ctx, cancel := entry.Join(r.Context(), parent.Context())
+	defer cancel()
+	call := parent.Call
+	call.Deadline = deadline(parent.Call.Deadline, m.Route, r.Header, now)
+	call.Attempts = parent.Take(parent.Left())
+	if call.Attempts == 0 {
+		return refuse.New(refuse.AttemptsSpent, "the attempts of the root request are spent")
+	}
+	body, err := relay.NewBody(r.Body, r.ContentLength, func() http.Header { return relay.CleanHeader(r.Trailer) })
+	if err != nil {
+		parent.Return(call.Attempts)
+		return refuse.New(refuse.BadRequest, "the body is incomplete")
+	}
+	header := relay.CleanHeader(r.Header)
+	keys.Strip(header, "")
+	resp, left, e := s.sender.Do(ctx, &relay.Request{
+		Call:          call,
+		Service:       m.Route.Service,
+		Route:         m.Name,
+		Method:        r.Method,
+		URI:           r.URL.RequestURI(),
+		Header:        header,
+		ContentLength: r.ContentLength,
+		Body:          body,
+		Repeatable:    entry.Repeatable(r.Method, m.Route),
+	})
+	if e != nil {
+		parent.Return(left)
+		return e
+	}
+	defer func() { _ = resp.Body.Close() }()
+	defer func() { parent.Return(resp.Trailer().AttemptsLeft) }()
+	entry.Reply(w, resp)
+	return nil
+}
+
+// deadline returns the earliest of the parent's deadline, the route's timeout
+// and the deadline that the upstream asks for.
+func deadline(parent time.Time, r model.Route, h http.Header, now time.Time) time.Time {
+	d := parent
+	if r.TimeoutMS > 0 {
+		d = earlier(d, now.Add(time.Duration(r.TimeoutMS)*time.Millisecond))
+	}
+	if ms, err := strconv.ParseInt(h.Get(chain.DeadlineHeader), 10, 64); err == nil && ms > 0 && ms < time.Hour.Milliseconds() {
+		d = earlier(d, now.Add(time.Duration(ms)*time.Millisecond))
+	}
+	return d
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/node/opsapi/server.go
@@ -0,0 +1,36 @@
+package opsapi
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/report"
+)
+
+const headerTimeout = 5 * time.Second
+
+// New returns an HTTP server that is not listening yet. The status function is
+// called for each request.
+func New(status func() report.Status, m *metric.Set) *http.Server {
+	e := echo.New()
+	e.GET("/health", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, map[string]string{"status": "ok"})
+	})
+	e.GET("/ready", func(c echo.Context) error {
+		s := status()
+		if !s.Ready || s.Draining {
+			return c.JSON(http.StatusServiceUnavailable, map[string]string{"status": "not ready"})
+		}
+		return c.JSON(http.StatusOK, map[string]string{"status": "ready"})
+	})
+	e.GET("/status", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, status())
+	})
+	e.GET("/metrics", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, m.Export())
+	})
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+}
--- /dev/null
+++ b/node/relay/body.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// repeatBytes is the largest request body that is kept for another attempt.
+const repeatBytes = 64 << 10
+
+// Body is the body of a request and its trailer.
+type Body struct {
+	r       io.Reader
+	kept    []byte
+	whole   bool // kept holds the whole body
+	used    bool
+	trailer func() http.Header
+}
+
+// NewBody returns the body of a request with n bytes, or -1 if the number is
+// unknown. The trailer is read after the end of the body and may be nil. A
+// short body is read at once, so that it can be sent again.
+func NewBody(r io.Reader, n int64, trailer func() http.Header) (*Body, error) {
+	b := &Body{r: r, trailer: trailer}
+	if n < 0 || n > repeatBytes {
+		return b, nil
+	}
+	kept, err := io.ReadAll(io.LimitReader(r, n))
+	if err == nil && int64(len(kept)) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	b.kept = kept
+	b.whole = true
+	return b, err
+}
+
+// open returns a reader over the body, or false if the body was used up by an
+// earlier attempt.
+func (b *Body) open() (io.Reader, bool) {
+	if b.whole {
+		return bytes.NewReader(b.kept), true
+	}
+	if b.used {
+		return nil, false
+	}
+	b.used = true
+	return b.r, true
+}
+
+// repeatable reports whether open can still return a reader.
+func (b *Body) repeatable() bool {
+	return b.whole || !b.used
+}
+
+func (b *Body) packTrailer() []byte {
+	if b.trailer == nil {
+		return nil
+	}
+	h := b.trailer()
+	if len(h) == 0 {
+		return nil
+	}
+	data, err := pack(h)
+	if err != nil {
+		return nil
+	}
+	return data
+}
--- /dev/null
+++ b/node/relay/wire.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+)
+
+// Kinds of streams between nodes.
+const (
+	KindCall uint8 = iota + 1
+	KindClaim
+	KindBorrow
+	KindGossip
+	KindProbe
+	KindRecords
+	KindConfirm
+)
+
+// CallHead opens a call stream.
+type CallHead struct {
+	Attempt       string      `msgpack:"attempt"`     // unique for each attempt
+	Incarnation   uint64      `msgpack:"incarnation"` // of the target's node that must run the attempt; 0 for any
+	Resume        bool        `msgpack:"resume"`      // the attempt may already run there
+	Call          model.Call  `msgpack:"call"`
+	Remaining     int64       `msgpack:"remaining"` // microseconds until the deadline
+	Service       string      `msgpack:"service"`
+	Route         string      `msgpack:"route"`
+	Method        string      `msgpack:"method"`
+	URI           string      `msgpack:"uri"`
+	Header        http.Header `msgpack:"header"`
+	ContentLength int64       `msgpack:"contentLength"` // -1 if unknown
+	Key           string      `msgpack:"key,omitempty"` // idempotency key, on claim streams only
+}
+
+// ReplyHead is the head of the answer to a call. With Refusal set there is no
+// answer of an upstream.
+type ReplyHead struct {
+	Refusal       *refuse.Error `msgpack:"refusal,omitempty"`
+	Status        int           `msgpack:"status"`
+	Header        http.Header   `msgpack:"header"`
+	ContentLength int64         `msgpack:"contentLength"` // -1 if unknown
+	Feedback      Feedback      `msgpack:"feedback"`
+	AttemptsLeft  int           `msgpack:"attemptsLeft"` // unused attempts of a refused call
+}
+
+// ReplyTrailer follows the body of an answer.
+type ReplyTrailer struct {
+	Complete     bool        `msgpack:"complete"` // the upstream's answer ended cleanly
+	Trailer      http.Header `msgpack:"trailer,omitempty"`
+	AttemptsLeft int         `msgpack:"attemptsLeft"`
+	Feedback     Feedback    `msgpack:"feedback"`
+}
+
+// Feedback tells the calling side about the load of a target.
+type Feedback struct {
+	Level    uint32 `msgpack:"level"`    // highest rank that is admitted
+	InFlight int    `msgpack:"inFlight"` // calls at the upstream
+	Draining bool   `msgpack:"draining"`
+}
+
+// deadline converts the remaining time of the head to a local deadline.
+func (h *CallHead) deadline(now time.Time) time.Time {
+	return now.Add(time.Duration(h.Remaining) * time.Microsecond)
+}
+
+func pack(v any) ([]byte, error) {
+	return msgpack.Marshal(v)
+}
+
+func unpack[T any](data []byte) (T, error) {
+	var v T
+	err := msgpack.Unmarshal(data, &v)
+	return v, err
+}
