--- /dev/null
+++ b/core/admit/level.go
@@ -0,0 +1,157 @@
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+// Parameters of a Level.
+const (
+	levelInterval = 100 * time.Millisecond
+	levelCells    = 10 // the level follows the last second
+	// levelSamples bounds the ranks kept. The level lies at a quantile of
+	// them, with an error of about 1% of demand.
+	levelSamples = 512
+	// levelCalm is the number of intervals without a refusal after which the
+	// level opens. Readers let some demand above the level pass (Margin), so a
+	// demand that still exceeds capacity shows itself earlier.
+	levelCalm = 10
+)
+
+// Level is the controller of a target's admission level. The level is the rank
+// up to which the demand that reached the target in the last second fits its
+// throughput. It only informs the readers; the target itself admits by the
+// order of its queue.
+type Level struct {
+	level   uint32
+	cells   [levelCells]levelCell
+	current int64 // number of the interval of the newest cell
+	calm    int   // intervals since the last refusal
+	ranks   [levelSamples]rankSample
+	next    int
+	sorted  []uint32
+}
+
+type levelCell struct {
+	number                    int64
+	arrived, started, refused int
+}
+
+type rankSample struct {
+	at   time.Time
+	rank uint32
+}
+
+// NewLevel returns an open level.
+func NewLevel() *Level {
+	return &Level{level: Open, sorted: make([]uint32, 0, levelSamples)}
+}
+
+// Arrive records a request that reached the target.
+func (l *Level) Arrive(now time.Time, rank uint32) {
+	l.advance(now).arrived++
+	l.ranks[l.next] = rankSample{at: now, rank: rank}
+	l.next = (l.next + 1) % levelSamples
+}
+
+// Start records a request that was given to the upstream.
+func (l *Level) Start(now time.Time) {
+	l.advance(now).started++
+}
+
+// Refuse records a request that was refused for lack of capacity.
+func (l *Level) Refuse(now time.Time) {
+	l.advance(now).refused++
+}
+
+// Value returns the highest rank that readers should send.
+func (l *Level) Value(now time.Time) uint32 {
+	l.advance(now)
+	return l.level
+}
+
+// Throughput returns the requests per second given to the upstream over the
+// last second.
+func (l *Level) Throughput(now time.Time) float64 {
+	l.advance(now)
+	_, started := l.sums()
+	return float64(started) / (levelCells * levelInterval).Seconds()
+}
+
+// advance closes the intervals that have ended and returns the current one.
+func (l *Level) advance(now time.Time) *levelCell {
+	n := now.UnixNano() / int64(levelInterval)
+	if l.current == 0 {
+		l.current = n
+	}
+	if n-l.current > levelCells {
+		l.level, l.calm = Open, levelCalm
+		l.current = n
+	}
+	for l.current < n {
+		l.closeInterval(now)
+		l.current++
+	}
+	c := &l.cells[uint64(l.current)%levelCells]
+	if c.number != l.current {
+		*c = levelCell{number: l.current}
+	}
+	return c
+}
+
+func (l *Level) closeInterval(now time.Time) {
+	c := l.cells[uint64(l.current)%levelCells]
+	if c.number == l.current && c.refused > 0 {
+		l.calm = 0
+		l.lower(now)
+		return
+	}
+	l.calm++
+	if l.calm >= levelCalm {
+		l.level = Open
+		return
+	}
+	if ranks := l.recent(now); len(ranks) > 0 {
+		l.level = max(l.level, ranks[len(ranks)-1])
+	}
+}
+
+// lower puts the level at the quantile of recent ranks that the throughput of
+// the last second covers.
+func (l *Level) lower(now time.Time) {
+	ranks := l.recent(now)
+	arrived, started := l.sums()
+	if len(ranks) == 0 || arrived == 0 {
+		return
+	}
+	i := len(ranks) * started / arrived
+	if i >= len(ranks) {
+		l.level = max(l.level, ranks[len(ranks)-1])
+		return
+	}
+	l.level = ranks[i]
+}
+
+// recent returns the ranks of the last second in increasing order.
+func (l *Level) recent(now time.Time) []uint32 {
+	l.sorted = l.sorted[:0]
+	for i := range l.ranks {
+		s := &l.ranks[i]
+		if !s.at.IsZero() && now.Sub(s.at) <= levelCells*levelInterval {
+			l.sorted = append(l.sorted, s.rank)
+		}
+	}
+	slices.Sort(l.sorted)
+	return l.sorted
+}
+
+func (l *Level) sums() (arrived, started int) {
+	for i := range l.cells {
+		c := &l.cells[i]
+		if c.number > l.current-levelCells && c.number <= l.current {
+			arrived += c.arrived
+			started += c.started
+		}
+	}
+	return arrived, started
+}
--- /dev/null
+++ b/core/admit/queue.go
@@ -0,0 +1,139 @@
+package admit
+
+import (
+	"sort"
+	"time"
+)
+
+// Item is a request at a gate.
+type Item[T any] struct {
+	Rank     uint32
+	Customer string
+	Weight   float64 // offered requests that this one stands for (Reader.Weight)
+	Deadline time.Time
+	Value    T // of the user of the gate, to find the request again
+}
+
+// Cause says why an item was refused.
+type Cause int
+
+// Causes of a refusal.
+const (
+	Full   Cause = iota // the queue was full of items of lower rank
+	Late                // the deadline can't be met any more
+	Waited              // waited for the longest time without a free place
+)
+
+// Dropped is an item that was refused.
+type Dropped[T any] struct {
+	Item  Item[T]
+	Cause Cause
+}
+
+// Queue is a short queue ordered by rank, first in first out within a rank.
+type Queue[T any] struct {
+	maxWait time.Duration
+	items   []queued[T] // by decreasing rank, then by decreasing sequence
+	seq     uint64
+}
+
+type queued[T any] struct {
+	item Item[T]
+	seq  uint64
+	at   time.Time
+}
+
+// NewQueue returns an empty queue in which an item waits at most maxWait.
+func NewQueue[T any](maxWait time.Duration) *Queue[T] {
+	return &Queue[T]{maxWait: maxWait}
+}
+
+// Len returns the number of items.
+func (q *Queue[T]) Len() int {
+	return len(q.items)
+}
+
+// Push adds an item. While there are more than size items, the one with the
+// highest rank, and among those the newest, is dropped; that may be the new
+// one.
+func (q *Queue[T]) Push(now time.Time, size int, it Item[T]) []Dropped[T] {
+	e := queued[T]{item: it, seq: q.seq, at: now}
+	q.seq++
+	i := sort.Search(len(q.items), func(i int) bool { return q.items[i].item.Rank <= it.Rank })
+	q.items = append(q.items, e)
+	copy(q.items[i+1:], q.items[i:])
+	q.items[i] = e
+	n := len(q.items) - max(0, size)
+	if n <= 0 {
+		return nil
+	}
+	dropped := make([]Dropped[T], 0, n)
+	for _, e := range q.items[:n] {
+		dropped = append(dropped, Dropped[T]{Item: e.item, Cause: Full})
+	}
+	q.remove(n)
+	return dropped
+}
+
+// remove deletes the first n items and clears the freed places, so that they
+// keep no values alive.
+func (q *Queue[T]) remove(n int) {
+	m := copy(q.items, q.items[n:])
+	clear(q.items[m:])
+	q.items = q.items[:m]
+}
+
+// Pop removes the item with the lowest rank, and among those the oldest. Items
+// that can't meet their deadline with the expected service time, or that have
+// waited too long, are dropped on the way.
+func (q *Queue[T]) Pop(now time.Time, expected time.Duration) (it Item[T], ok bool, dropped []Dropped[T]) {
+	for len(q.items) > 0 {
+		last := len(q.items) - 1
+		e := q.items[last]
+		q.items[last] = queued[T]{}
+		q.items = q.items[:last]
+		cause, drop := q.overdue(now, expected, e)
+		if !drop {
+			return e.item, true, dropped
+		}
+		dropped = append(dropped, Dropped[T]{Item: e.item, Cause: cause})
+	}
+	return Item[T]{}, false, dropped
+}
+
+// Sweep drops every item that Pop would drop.
+func (q *Queue[T]) Sweep(now time.Time, expected time.Duration) []Dropped[T] {
+	var dropped []Dropped[T]
+	kept := q.items[:0]
+	for _, e := range q.items {
+		if cause, drop := q.overdue(now, expected, e); drop {
+			dropped = append(dropped, Dropped[T]{Item: e.item, Cause: cause})
+			continue
+		}
+		kept = append(kept, e)
+	}
+	clear(q.items[len(kept):])
+	q.items = kept
+	return dropped
+}
+
+func (q *Queue[T]) overdue(now time.Time, expected time.Duration, e queued[T]) (Cause, bool) {
+	switch {
+	case now.Add(expected).After(e.item.Deadline):
+		return Late, true
+	case now.Sub(e.at) > q.maxWait:
+		return Waited, true
+	default:
+		return Full, false
+	}
+}
+
+// holds reports whether the item with a sequence number and rank is in the
+// queue.
+func (q *Queue[T]) holds(seq uint64, rank uint32) bool {
+	i := sort.Search(len(q.items), func(i int) bool {
+		e := &q.items[i]
+		return e.item.Rank < rank || e.item.Rank == rank && e.seq <= seq
+	})
+	return i < len(q.items) && q.items[i].seq == seq
+}
--- /dev/null
+++ b/core/admit/reader.go
@@ -0,0 +1,233 @@
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+// Parameters of a Reader.
+const (
+	// LevelExpiry is the time after which a level counts no more
+	// (docs/design.md 6.2).
+	LevelExpiry = time.Second
+	// DefaultMargin is the part of the demand below the level that passes in
+	// addition. A target thus always sees more than it admits and can raise
+	// its level when it has room.
+	DefaultMargin = 0.1
+
+	// demandExpiry is longer than LevelExpiry, as the demand of a customer
+	// changes slowly and few of its requests may pass.
+	demandExpiry = 5 * time.Second
+	demandWeight = 0.2 // of a new report, to average over the targets of a service
+	// readerSamples bounds the ranks kept for each service; 310 services then
+	// take less than 1 MB.
+	readerSamples = 256
+	cutRefresh    = 20 * time.Millisecond
+	weightDecay   = 2 // seconds; time constant of offered and passed requests
+	maxWeight     = 1000
+	// readerCustomers bounds the customers kept for each service.
+	readerCustomers = 1024
+)
+
+// Reader holds what a node learned from the feedback of targets. The services
+// may be any names that the node uses alike for reports and questions: a
+// target's own service for the choice of a target, the route for the level of
+// a whole chain at an entry.
+type Reader struct {
+	margin   float64
+	services map[string]*service
+}
+
+type service struct {
+	targets   map[string]report
+	customers map[string]*customer
+	ranks     []uint32 // ring
+	next      int
+	cut       uint32
+	cutAt     time.Time
+	sorted    []uint32
+}
+
+type report struct {
+	level uint32
+	at    time.Time
+}
+
+type customer struct {
+	demand          float64
+	demandAt        time.Time
+	offered, passed decayed
+}
+
+// ReaderOption changes a parameter of a Reader.
+type ReaderOption func(*Reader)
+
+// WithMargin sets the part of the demand below a level that passes in
+// addition.
+func WithMargin(x float64) ReaderOption {
+	return func(r *Reader) { r.margin = x }
+}
+
+// NewReader returns a reader without reports.
+func NewReader(opts ...ReaderOption) *Reader {
+	r := &Reader{margin: DefaultMargin, services: map[string]*service{}}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+func (r *Reader) service(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{targets: map[string]report{}, customers: map[string]*customer{}, cut: Open}
+		r.services[name] = s
+	}
+	return s
+}
+
+// Report records the feedback of a target to a request of a customer.
+func (r *Reader) Report(now time.Time, name, target, customer string, f Feedback) {
+	s := r.service(name)
+	s.targets[target] = report{level: f.Level, at: now}
+	if c := s.customer(customer); c != nil && f.Demand > 0 {
+		c.report(now, f.Demand)
+	}
+}
+
+func (s *service) customer(name string) *customer {
+	c := s.customers[name]
+	if c == nil && len(s.customers) < readerCustomers {
+		c = &customer{}
+		s.customers[name] = c
+	}
+	return c
+}
+
+func (c *customer) report(now time.Time, demand float64) {
+	if c.demandAt.IsZero() || now.Sub(c.demandAt) > demandExpiry {
+		c.demand = demand
+	} else {
+		c.demand += (demand - c.demand) * demandWeight
+	}
+	c.demandAt = now
+}
+
+// Demand returns the demand of a customer as a multiple of its fair share of
+// the service, for Rank. It is 1 without a fresh report.
+func (r *Reader) Demand(now time.Time, name, customer string) float64 {
+	s := r.services[name]
+	if s == nil {
+		return 1
+	}
+	c := s.customers[customer]
+	if c == nil || c.demandAt.IsZero() || now.Sub(c.demandAt) > demandExpiry {
+		return 1
+	}
+	return c.demand
+}
+
+// Target returns the level of a target, and false without a fresh one.
+func (r *Reader) Target(now time.Time, name, target string) (level uint32, ok bool) {
+	s := r.services[name]
+	if s == nil {
+		return Open, false
+	}
+	t, ok := s.targets[target]
+	if !ok || now.Sub(t.at) > LevelExpiry {
+		return Open, false
+	}
+	return t.level, true
+}
+
+// Level returns the level of a service: the upper median over the fresh levels
+// of its targets, Open without any. A single target that is overloaded doesn't
+// close the service.
+func (r *Reader) Level(now time.Time, name string) uint32 {
+	s := r.services[name]
+	if s == nil {
+		return Open
+	}
+	return s.level(now)
+}
+
+func (s *service) level(now time.Time) uint32 {
+	var levels []uint32
+	for name, t := range s.targets {
+		if now.Sub(t.at) > LevelExpiry {
+			delete(s.targets, name)
+			continue
+		}
+		levels = append(levels, t.level)
+	}
+	if len(levels) == 0 {
+		return Open
+	}
+	slices.Sort(levels)
+	return levels[len(levels)/2]
+}
+
+// Admit records a request of a customer and reports whether it should be sent.
+// A request above the level of the service is refused unless it lies within
+// the margin.
+func (r *Reader) Admit(now time.Time, name, customer string, rank uint32) bool {
+	s := r.service(name)
+	s.observe(rank)
+	if s.cutAt.IsZero() || now.Sub(s.cutAt) >= cutRefresh {
+		s.cut = s.margin(s.level(now), r.margin)
+		s.cutAt = now
+	}
+	pass := rank <= s.cut
+	if c := s.customer(customer); c != nil {
+		c.offered.add(now, 1)
+		if pass {
+			c.passed.add(now, 1)
+		}
+	}
+	return pass
+}
+
+func (s *service) observe(rank uint32) {
+	if len(s.ranks) < readerSamples {
+		s.ranks = append(s.ranks, rank)
+		return
+	}
+	s.ranks[s.next] = rank
+	s.next = (s.next + 1) % readerSamples
+}
+
+// margin returns the rank up to which requests pass: the level, raised until
+// the given part of the recent demand below it passes in addition, and at
+// least one more of the recent requests.
+func (s *service) margin(level uint32, part float64) uint32 {
+	if level == Open {
+		return Open
+	}
+	s.sorted = append(s.sorted[:0], s.ranks...)
+	slices.Sort(s.sorted)
+	below, _ := slices.BinarySearch(s.sorted, level+1)
+	i := below + int(float64(below)*part)
+	if i >= len(s.sorted) {
+		return Open
+	}
+	return max(level, s.sorted[i])
+}
+
+// Weight returns the number of recent requests of a customer that each passed
+// one stands for, at least 1. It travels with the call, so that targets can
+// measure the demand that entries refuse.
+func (r *Reader) Weight(now time.Time, name, customer string) float64 {
+	s := r.services[name]
+	if s == nil {
+		return 1
+	}
+	c := s.customers[customer]
+	if c == nil {
+		return 1
+	}
+	offered, passed := c.offered.value(now), c.passed.value(now)
+	if passed <= 0 {
+		return 1
+	}
+	return min(max(1, offered/passed), maxWeight)
+}
--- /dev/null
+++ b/core/limit/limit.go
@@ -0,0 +1,240 @@
+package limit
+
+import (
+	"slices"
+	"time"
+)
+
+// Parameters of a Limit.
+const (
+	DefaultMin     = 4    // floor; keeps measurements coming from a failing target
+	DefaultMax     = 2000 // ceiling; above the connections of any upstream in docs/design.md 1.6
+	DefaultInitial = 8    // first limit of a cold target
+	// DefaultTolerance is the ratio of latency to baseline above which
+	// requests are taken to queue inside the upstream.
+	DefaultTolerance = 1.4
+
+	shortWindow    = 100 * time.Millisecond
+	longWindow     = time.Second // a window of few samples closes after this
+	windowSamples  = 40          // fewer samples make the quantile too noisy to compare
+	windowCap      = 256         // samples kept of one window
+	lowQuantile    = 0.3         // low enough to ignore a tail of slow requests
+	shedPart       = 0.01        // part of shed responses that counts as overload
+	shedFactor     = 0.9         // decrease after a window with shed responses
+	maxDecrease    = 0.7         // largest decrease in one window
+	startGrowth    = 1.5         // growth of a window in slow start
+	steadyGrowth   = 0.05        // growth of a window after slow start, as a part of the limit
+	usedPart       = 0.7         // a limit that isn't used up to this part isn't raised
+	idlePart       = 0.5         // below this part of the limit, latency is taken as unloaded
+	baselineFall   = 0.3         // weight of a lower window in the baseline
+	baselineRise   = 1.25        // largest rise of the baseline in one window
+	loadHintAge    = time.Second
+	loadHintFactor = 0.5 // growth while the load endpoint reports overload
+)
+
+// Sample is a finished call at the target.
+type Sample struct {
+	// Latency is the time that the upstream itself spent: the duration of the
+	// call without the time in which it waited for its own chain calls. With
+	// that time, a slow service below would shrink every limit above it.
+	Latency time.Duration
+	// Shed is set if the upstream refused the request as overloaded. The
+	// latency of such a response is ignored.
+	Shed bool
+	// Failed is set for other failures. They carry no signal about load.
+	Failed bool
+}
+
+// Limit is the concurrency limit of one target. It is not safe for concurrent
+// use.
+type Limit struct {
+	min, max  float64
+	tolerance float64
+	limit     float64
+	slots     float64 // announced; 0 if unknown
+	load      float64
+	loadAt    time.Time
+	started   bool // slow start has ended
+	baseline  float64
+
+	start    time.Time // of the window; zero before the first sample
+	samples  []float64 // seconds
+	seen     int       // latencies offered to samples
+	done     int
+	shed     int
+	peak     int     // largest in-flight count of the window
+	lastLow  float64 // low quantile of the previous window
+	lastPeak int
+	lowered  bool // the previous window ended with a decrease because of latency
+}
+
+// Option changes a parameter of a Limit.
+type Option func(*Limit)
+
+// WithBounds sets the floor and the ceiling of the limit.
+func WithBounds(low, high int) Option {
+	return func(l *Limit) { l.min, l.max = float64(low), float64(high) }
+}
+
+// WithInitial sets the first limit of a cold target.
+func WithInitial(n int) Option {
+	return func(l *Limit) { l.limit = float64(n) }
+}
+
+// WithTolerance sets the ratio of latency to baseline that is accepted.
+func WithTolerance(x float64) Option {
+	return func(l *Limit) { l.tolerance = x }
+}
+
+// New returns the limit of a cold target.
+func New(opts ...Option) *Limit {
+	l := &Limit{min: DefaultMin, max: DefaultMax, limit: DefaultInitial, tolerance: DefaultTolerance}
+	for _, o := range opts {
+		o(l)
+	}
+	l.limit = min(max(l.limit, l.min), l.max)
+	return l
+}
+
+// Value returns the current limit, at least 1.
+func (l *Limit) Value() int {
+	return max(1, int(l.limit))
+}
+
+// Baseline returns the latency that is taken as unloaded, 0 before the first
+// window.
+func (l *Limit) Baseline() time.Duration {
+	return time.Duration(l.baseline * float64(time.Second))
+}
+
+// HintSlots records the slots that the upstream announced; 0 withdraws them.
+// Up to this number slow start may continue, above it growth is additive.
+func (l *Limit) HintSlots(n int) {
+	l.slots = float64(max(0, n))
+}
+
+// HintLoad records the load that the upstream's endpoint reports, 1 being
+// full. A fresh load of 1 or more halves growth; it never stops it, as the
+// endpoint may be stuck.
+func (l *Limit) HintLoad(now time.Time, load float64) {
+	l.load, l.loadAt = load, now
+}
+
+// Restart returns the limit to slow start, after the upstream was replaced.
+func (l *Limit) Restart() {
+	*l = Limit{min: l.min, max: l.max, tolerance: l.tolerance, limit: min(max(DefaultInitial, l.min), l.max)}
+}
+
+// Observe records a finished call. The in-flight count includes it.
+func (l *Limit) Observe(now time.Time, s Sample, inFlight int) {
+	if l.start.IsZero() {
+		l.start = now
+	}
+	l.peak = max(l.peak, inFlight)
+	switch {
+	case s.Shed:
+		l.shed++
+	case s.Failed:
+		return
+	default:
+		l.add(s.Latency.Seconds())
+	}
+	l.done++
+	if l.complete(now) {
+		l.close(now)
+	}
+}
+
+// add keeps the sample in a ring, so that a long window holds its latest part.
+func (l *Limit) add(x float64) {
+	if len(l.samples) < windowCap {
+		l.samples = append(l.samples, x)
+	} else {
+		l.samples[l.seen%windowCap] = x
+	}
+	l.seen++
+}
+
+func (l *Limit) complete(now time.Time) bool {
+	age := now.Sub(l.start)
+	return age >= shortWindow && l.done >= windowSamples || age >= longWindow
+}
+
+func (l *Limit) close(now time.Time) {
+	low := l.low()
+	peak := float64(l.peak)
+	switch {
+	case float64(l.shed) > shedPart*float64(l.done):
+		l.started = true
+		l.lowered = false
+		l.limit = max(min(l.limit, peak)*shedFactor, l.limit*maxDecrease)
+	case low == 0:
+		l.lowered = false
+	default:
+		l.adapt(now, low, peak)
+	}
+	l.limit = min(max(l.limit, l.min), l.max)
+	l.lastLow, l.lastPeak = low, l.peak
+	l.start, l.seen, l.done, l.shed, l.peak = now, 0, 0, 0, 0
+	l.samples = l.samples[:0]
+}
+
+func (l *Limit) low() float64 {
+	if len(l.samples) == 0 {
+		return 0
+	}
+	slices.Sort(l.samples)
+	return l.samples[int(lowQuantile*float64(len(l.samples)-1))]
+}
+
+func (l *Limit) adapt(now time.Time, low, peak float64) {
+	l.learn(low, peak)
+	ratio := low / l.baseline
+	if ratio > l.tolerance && peak > l.min {
+		l.started = true
+		l.lowered = true
+		l.limit = min(l.limit, peak) * max(maxDecrease, l.tolerance/ratio)
+		return
+	}
+	l.lowered = false
+	if peak < usedPart*l.limit {
+		return
+	}
+	l.grow(now)
+}
+
+// learn updates the baseline. A lower latency is adopted quickly. A higher one
+// counts as a change of the service itself only if it can't be queueing: the
+// target was mostly idle, or latency stayed although the in-flight count fell.
+func (l *Limit) learn(low, peak float64) {
+	switch {
+	case l.baseline == 0:
+		l.baseline = low
+	case low <= l.baseline:
+		l.baseline += (low - l.baseline) * baselineFall
+	case peak <= l.min || peak < idlePart*l.limit || l.unaffected(low, peak):
+		l.baseline = min(low, l.baseline*baselineRise)
+	}
+}
+
+// unaffected reports whether latency stayed although a decrease of the limit
+// lowered the in-flight count. Latency that comes from a queue falls in
+// proportion to the in-flight count.
+func (l *Limit) unaffected(low, peak float64) bool {
+	if !l.lowered || l.lastPeak == 0 || l.lastLow == 0 {
+		return false
+	}
+	fell := 1 - peak/float64(l.lastPeak)
+	return fell > 0.1 && low > l.lastLow*(1-fell/2)
+}
+
+func (l *Limit) grow(now time.Time) {
+	step := max(1, l.limit*steadyGrowth)
+	if !l.started && (l.slots == 0 || l.limit < l.slots) {
+		step = l.limit * (startGrowth - 1)
+	}
+	if l.load >= 1 && now.Sub(l.loadAt) <= loadHintAge {
+		step *= loadHintFactor
+	}
+	l.limit += step
+}
