--- a/core/config/check.go
+++ b/core/config/check.go
@@ -2,11 +2,17 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
+	"strings"
+	"unicode/utf8"
 
 	"dogwoodsill.org/core/model"
 	"k8s.io/apimachinery/pkg/labels"
@@ -15,6 +21,15 @@
 // weightSlack allows for rounding in the sum of zone weights.
 const weightSlack = 1e-9
 
+// Limits of an object. With them every object fits a part of a snapshot.
+const (
+	MaxNameBytes = 256
+	MaxBodyBytes = 64 << 10
+)
+
+// FleetName is the name of the only object of kind fleet.
+const FleetName = "fleet"
+
 // CheckError says why the body of an object is not valid.
 type CheckError struct {
 	Kind   model.Kind
@@ -27,49 +42,106 @@
 	return fmt.Sprintf("%s %q: %s", e.Kind, e.Name, e.Detail)
 }
 
-func (s *State) check(c *Change) error {
-	if c.Name == "" {
-		return &CheckError{Kind: c.Kind, Name: c.Name, Detail: "name is empty"}
+// check validates a change against the object that it replaces.
+func (s *State) check(c *Change, cur Object) error {
+	fail := func(detail string) error {
+		return &CheckError{Kind: c.Kind, Name: c.Name, Detail: detail}
 	}
 	if c.Delete {
+		switch {
+		case cur.Revision == 0:
+			return fail("there is no such object")
+		case c.Kind == model.KindFleet:
+			return fail("the fleet can't be deleted: without it zones could use old and new weights at once")
+		}
 		return nil
 	}
-	return Check(c.Kind, c.Name, c.Body)
+	if err := Check(c.Kind, c.Name, c.Body); err != nil {
+		return err
+	}
+	if c.Kind == model.KindFleet && cur.Revision > 0 {
+		if detail := checkWeightStep(cur.Body, c.Body); detail != "" {
+			return fail(detail)
+		}
+	}
+	return nil
+}
+
+// checkWeightStep refuses a change in which one zone could use its new weight
+// while another, that has not seen the change, still uses its old one and both
+// add up to more than 1.
+func checkWeightStep(before, after []byte) string {
+	var old, fresh model.Fleet
+	if json.Unmarshal(before, &old) != nil || json.Unmarshal(after, &fresh) != nil {
+		return ""
+	}
+	highest := map[string]float64{}
+	for _, z := range slices.Concat(old.Zones, fresh.Zones) {
+		highest[z.Name] = max(highest[z.Name], z.Weight)
+	}
+	var sum float64
+	for _, name := range slices.Sorted(maps.Keys(highest)) {
+		sum += highest[name]
+	}
+	if sum > 1+weightSlack {
+		return "lower the weights of the other zones in a change of its own before raising one"
+	}
+	return ""
 }
 
 // Check validates the body of an object. It returns a *CheckError.
 func Check(kind model.Kind, name string, body []byte) error {
-	var detail string
+	detail := checkObject(kind, name, body)
+	if detail == "" {
+		return nil
+	}
+	return &CheckError{Kind: kind, Name: name, Detail: detail}
+}
+
+func checkObject(kind model.Kind, name string, body []byte) string {
+	switch {
+	case name == "":
+		return "name is empty"
+	case len(name) > MaxNameBytes || !utf8.ValidString(name):
+		return fmt.Sprintf("name must be UTF-8 of at most %d bytes", MaxNameBytes)
+	case len(body) > MaxBodyBytes:
+		return fmt.Sprintf("body is larger than %d bytes", MaxBodyBytes)
+	}
 	switch kind {
 	case model.KindCustomer:
-		detail = checkBody(body, checkCustomer)
+		return checkBody(body, checkCustomer)
 	case model.KindKey:
-		detail = checkBody(body, checkKey)
+		return checkBody(body, checkKey)
 	case model.KindService:
-		detail = checkBody(body, checkService)
+		return checkBody(body, checkService)
 	case model.KindRoute:
-		detail = checkBody(body, checkRoute)
+		return checkBody(body, checkRoute)
 	case model.KindImportance:
-		detail = checkBody(body, checkImportance)
+		return checkBody(body, checkImportance)
 	case model.KindFleet:
-		detail = checkBody(body, checkFleet)
+		if name != FleetName {
+			return "the only fleet object is named " + FleetName
+		}
+		return checkBody(body, checkFleet)
 	default:
-		detail = "unknown kind"
-	}
-	if detail == "" {
-		return nil
+		return "unknown kind"
 	}
-	return &CheckError{Kind: kind, Name: name, Detail: detail}
 }
 
 func checkBody[T any](body []byte, check func(T) string) string {
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
-	var v T
+	var v *T // nil after the JSON value null
 	if err := dec.Decode(&v); err != nil {
 		return err.Error()
 	}
-	return check(v)
+	if v == nil {
+		return "body is null"
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return "body holds more than one value"
+	}
+	return check(*v)
 }
 
 func checkCustomer(c model.Customer) string {
@@ -86,16 +158,22 @@
 	if k.Customer == "" {
 		return "customer is empty"
 	}
-	if b, err := hex.DecodeString(k.Digest); err != nil || len(b) != 32 {
-		return "digest must be 64 hexadecimal digits"
+	b, err := hex.DecodeString(k.Digest)
+	if err != nil || len(b) != sha256.Size || strings.ToLower(k.Digest) != k.Digest {
+		return "digest must be 64 lower-case hexadecimal digits"
 	}
 	return ""
 }
 
 func checkService(s model.Service) string {
 	for _, o := range s.SLOs {
-		if !(o.Objective > 0 && o.Objective < 1) {
+		switch {
+		case !(o.Objective > 0 && o.Objective < 1):
 			return "objective must lie between 0 and 1"
+		case o.LatencyMS < 0:
+			return "latencyMs must not be negative"
+		case o.Importance != nil && (*o.Importance < 0 || *o.Importance > model.MaxLevel):
+			return fmt.Sprintf("importance must lie between 0 and %d", model.MaxLevel)
 		}
 	}
 	return ""
@@ -111,7 +189,7 @@
 		return "attempts must not be negative"
 	case r.OpenRate < 0 || r.OpenBurst < 0:
 		return "openRate and openBurst must not be negative"
-	case r.Open && r.OpenRate == 0:
+	case r.Open && (r.OpenRate == 0 || r.OpenBurst == 0):
 		return "an open route needs openRate and openBurst"
 	}
 	return checkPattern(r.Pattern)
--- a/core/config/record.go
+++ b/core/config/record.go
@@ -38,8 +38,12 @@
 	Reason   string `json:"reason,omitempty"`   // why the change was rejected
 }
 
-// Snapshot is a state that covers all records before its offset.
+// Snapshot is a state that covers all records before its offset, or one of
+// several parts of it.
 type Snapshot struct {
+	ID       string    `json:"id,omitempty"`    // ties parts together
+	Part     int       `json:"part,omitempty"`  // number of the part, from 0
+	Parts    int       `json:"parts,omitempty"` // number of parts; 0 and 1 mean that this is the whole
 	Offset   uint64    `json:"offset"`
 	Objects  []Object  `json:"objects"`
 	Outcomes []Outcome `json:"outcomes"`
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 
 	"dogwoodsill.org/core/model"
@@ -33,19 +32,17 @@
 	return &State{Objects: map[ObjectID]Object{}, outcomes: map[string]Outcome{}}
 }
 
-// Apply folds the record at an offset. A record before Next is ignored, so a
-// repeated delivery has no effect. It returns the outcome if the record is a
-// change that was folded. A record that can't be decoded changes nothing.
+// Apply folds the record at offset Next. Any other record is ignored: one before
+// Next was folded already, and one after it would leave a gap. Apply returns the
+// outcome if the record is a change that was folded. A record that can't be
+// decoded changes nothing.
 func (s *State) Apply(offset uint64, data []byte) *Outcome {
-	if offset < s.Next {
+	if offset != s.Next {
 		return nil
 	}
 	s.Next = offset + 1
-	var rec Record
-	if err := json.Unmarshal(data, &rec); err != nil {
-		return nil
-	}
-	if rec.Change == nil {
+	rec, err := Decode(data)
+	if err != nil || rec.Change == nil {
 		return nil
 	}
 	return s.applyChange(offset, rec.Change)
@@ -69,7 +66,7 @@
 	if cur.Revision != c.Base {
 		return Outcome{ID: c.ID, Revision: cur.Revision, Reason: "base revision is not the current one"}
 	}
-	if err := s.check(c); err != nil {
+	if err := s.check(c, cur); err != nil {
 		return Outcome{ID: c.ID, Revision: cur.Revision, Reason: err.Error()}
 	}
 	rev := offset + 1
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 
 	"dogwoodsill.org/core/model"
 )
@@ -36,12 +38,23 @@
 		v.Revisions[id] = o.Revision
 		v.add(o)
 	}
-	for id, k := range v.Keys {
-		v.Digests[k.Digest] = id
-	}
+	v.indexDigests()
 	return v
 }
 
+// indexDigests maps digests to keys. Of several objects with one digest a
+// revoked one counts, so that a key can't be used past its revocation, and then
+// the one with the lowest identifier, so that all nodes choose the same.
+func (v *View) indexDigests() {
+	for _, id := range slices.Sorted(maps.Keys(v.Keys)) {
+		k := v.Keys[id]
+		other, ok := v.Digests[k.Digest]
+		if !ok || k.Revoked && !v.Keys[other].Revoked {
+			v.Digests[k.Digest] = id
+		}
+	}
+}
+
 func (v *View) add(o Object) {
 	switch o.Kind {
 	case model.KindCustomer:
--- /dev/null
+++ b/core/member/config.go
@@ -0,0 +1,72 @@
+package member
+
+import "time"
+
+// Timing and fan-out of the protocol.
+const (
+	// TickEvery is how often the caller should call Tick.
+	TickEvery = 100 * time.Millisecond
+	// Period is the time between two packets of a node to peers of its zone.
+	Period = 500 * time.Millisecond
+	// ProbeTimeout covers a round trip between regions and a pause of a
+	// collector or scheduler.
+	ProbeTimeout = 250 * time.Millisecond
+	// IndirectTimeout is the time that indirect probes get, two hops each.
+	IndirectTimeout = 500 * time.Millisecond
+	// IndirectProbes is the number of peers asked to probe a silent target.
+	IndirectProbes = 3
+	// Suspicion is the time that a suspect has to refute.
+	Suspicion = 3 * time.Second
+	// DeadKeep is how long a dead or left entry is kept, so that a late packet
+	// can't bring the instance back.
+	DeadKeep = 10 * time.Minute
+	// ZoneKeep is how long the entries of a silent zone are kept. Regions lose
+	// each other for minutes; an hour covers that, and a lost zone still goes.
+	ZoneKeep = time.Hour
+	// SyncEvery is the time between two digest exchanges inside a zone.
+	SyncEvery = 10 * time.Second
+	// ZoneSyncEvery is the time between two digest exchanges of one border
+	// instance with one other zone.
+	ZoneSyncEvery = 30 * time.Second
+	// SeedEvery is how often a seed outside the known members is tried. It joins
+	// groups of nodes that have forgotten each other.
+	SeedEvery = 30 * time.Second
+	// Borders is the number of border instances of a zone.
+	Borders = 3
+	// UrgentFanout is the number of peers that get an urgent entry at once.
+	// Passing it on once to 4 peers reaches 98% of a zone; the packets of the
+	// next periods reach the others.
+	UrgentFanout = 4
+	// urgentTries is how often an urgent or cross-zone packet is sent until it is
+	// answered, each time to another instance.
+	urgentTries = 4
+	// pauseGap is the time without a call after which the process counts as
+	// paused.
+	pauseGap = 2 * time.Second
+	// isolatedAfter is the time without any packet after which a node takes
+	// itself for cut off, and isolatedFactor by how much its suspicions then
+	// slow down.
+	isolatedAfter  = 2 * time.Second
+	isolatedFactor = 10
+	// quietPerNode is the time for each known instance between two spread
+	// changes of the load hint, offset or epoch of one instance, so that the
+	// fleet spreads about one of them a second at any size.
+	quietPerNode = time.Second
+	// quietBurst is the number of such changes that are spread at once.
+	quietBurst = 4
+	// rumorExtra is added to the binary logarithm of the zone's size to give the
+	// number of times that a change is sent.
+	rumorExtra = 2
+	// bucketCount is the number of digest buckets of a zone.
+	bucketCount = 64
+)
+
+// Config describes the local instance.
+type Config struct {
+	Name        string
+	Incarnation uint64 // greater than that of every earlier process of the instance
+	Addr        string // peer address
+	Zone        string
+	Seeds       []string // peer addresses to start from
+	RandSeed    uint64   // source of all random choices
+}
--- /dev/null
+++ b/core/member/table.go
@@ -0,0 +1,212 @@
+package member
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// record is an entry with what this node keeps about it.
+type record struct {
+	Entry
+	size     int           // bytes on the wire
+	seq      uint64        // table sequence number of the last change
+	deadline time.Duration // machine time at which a suspicion ends or a gone entry is dropped
+	direct   uint64        // offset told by the instance itself, if later than Offset
+	heard    time.Duration // machine time of its last packet
+}
+
+// zoneInfo is what the table keeps for each zone.
+type zoneInfo struct {
+	alive   map[string]*record
+	list    []string // names of alive, sorted; nil when out of date
+	borders []string // nil when out of date
+	gen     uint64
+	sum     uint64
+	buckets [bucketCount]uint64
+	heard   time.Time     // last news, by the caller's clock
+	heardAt time.Duration // the same, by machine time
+}
+
+// serviceInfo is the index of the targets of a service.
+type serviceInfo struct {
+	targets map[string]*record
+	list    []Entry // nil when out of date
+	gen     uint64
+}
+
+// table holds the entries and their indexes.
+type table struct {
+	records  map[string]*record
+	zones    map[string]*zoneInfo
+	services map[string]*serviceInfo
+	gone     map[string]*record
+	suspects map[string]*record
+	seq      uint64
+	gen      uint64
+}
+
+func newTable() *table {
+	return &table{
+		records:  map[string]*record{},
+		zones:    map[string]*zoneInfo{},
+		services: map[string]*serviceInfo{},
+		gone:     map[string]*record{},
+		suspects: map[string]*record{},
+	}
+}
+
+func (t *table) zone(name string) *zoneInfo {
+	z, ok := t.zones[name]
+	if !ok {
+		z = &zoneInfo{alive: map[string]*record{}}
+		t.zones[name] = z
+	}
+	return z
+}
+
+// put stores an entry in place of an older one of the same name.
+func (t *table) put(e Entry) *record {
+	old := t.records[e.Name]
+	r := &record{Entry: e, size: encodedSize(&e)}
+	t.seq++
+	r.seq = t.seq
+	if old != nil {
+		t.unlink(old)
+		if old.Incarnation == e.Incarnation {
+			r.direct, r.heard = old.direct, old.heard
+		}
+	}
+	t.records[e.Name] = r
+	t.link(r)
+	if old == nil || visible(old.Entry) != visible(e) || !sameTarget(old.Target, e.Target) {
+		t.changed(old)
+		t.changed(r)
+	}
+	return r
+}
+
+// shown is the part of an entry that watchers see, besides the target.
+type shown struct {
+	incarnation uint64
+	state       State
+	addr, zone  string
+}
+
+func visible(e Entry) shown {
+	return shown{incarnation: e.Incarnation, state: e.State, addr: e.Addr, zone: e.Zone}
+}
+
+func (t *table) link(r *record) {
+	z := t.zone(r.Zone)
+	z.add(r.Entry)
+	switch {
+	case r.State.Gone():
+		t.gone[r.Name] = r
+		return
+	case r.State == Suspect:
+		t.suspects[r.Name] = r
+	}
+	z.alive[r.Name] = r
+	if r.Target == nil {
+		return
+	}
+	s, ok := t.services[r.Target.Service]
+	if !ok {
+		s = &serviceInfo{targets: map[string]*record{}}
+		t.services[r.Target.Service] = s
+	}
+	s.targets[r.Name] = r
+	s.list = nil
+}
+
+func (t *table) unlink(r *record) {
+	z := t.zone(r.Zone)
+	z.add(r.Entry) // XOR: the second addition removes it
+	delete(z.alive, r.Name)
+	delete(t.gone, r.Name)
+	delete(t.suspects, r.Name)
+	if r.Target == nil {
+		return
+	}
+	if s, ok := t.services[r.Target.Service]; ok {
+		delete(s.targets, r.Name)
+		s.list = nil
+	}
+}
+
+func (t *table) drop(r *record) {
+	t.unlink(r)
+	delete(t.records, r.Name)
+	t.changed(r)
+}
+
+// changed marks the indexes of a record as out of date for watchers.
+func (t *table) changed(r *record) {
+	if r == nil {
+		return
+	}
+	t.gen++
+	z := t.zone(r.Zone)
+	z.gen, z.list, z.borders = t.gen, nil, nil
+	if r.Target == nil {
+		return
+	}
+	if s, ok := t.services[r.Target.Service]; ok {
+		s.gen = t.gen
+	}
+}
+
+func (z *zoneInfo) add(e Entry) {
+	n := e.sum()
+	z.sum ^= n
+	z.buckets[bucketOf(e.Name)] ^= n
+}
+
+// names returns the alive and suspect instances of the zone in order.
+func (z *zoneInfo) names() []string {
+	if z.list == nil {
+		z.list = slices.Sorted(maps.Keys(z.alive))
+	}
+	return z.list
+}
+
+// borderNames returns the border instances of a zone by rendezvous hashing.
+func (t *table) borderNames(zone string) []string {
+	z, ok := t.zones[zone]
+	if !ok {
+		return nil
+	}
+	if z.borders == nil {
+		z.borders = topRanked(zone, z.names(), Borders)
+	}
+	return z.borders
+}
+
+// topRanked returns the n names with the greatest rendezvous hash.
+func topRanked(key string, names []string, n int) []string {
+	rank := make(map[string]uint64, len(names))
+	for _, name := range names {
+		rank[name] = xxhash.Sum64String(key + "\x00" + name)
+	}
+	sorted := slices.Clone(names)
+	slices.SortFunc(sorted, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank[b], rank[a]), cmp.Compare(a, b))
+	})
+	return sorted[:min(n, len(sorted))]
+}
+
+// zoneNames returns the zones with alive members in order.
+func (t *table) zoneNames() []string {
+	var names []string
+	for name, z := range t.zones {
+		if len(z.alive) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/member/wire.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Packet is the message of the gossip stream, in both directions.
+type Packet struct {
+	From        string            `msgpack:"from"`
+	Incarnation uint64            `msgpack:"incarnation"`
+	Addr        string            `msgpack:"addr"`
+	Zone        string            `msgpack:"zone"`
+	Offset      uint64            `msgpack:"offset,omitempty"` // next offset of the sender's configuration
+	Epoch       uint64            `msgpack:"epoch,omitempty"`  // adopted epoch of the sender's zone
+	Sync        bool              `msgpack:"sync,omitempty"`   // Entries repair a gap and are not recent changes
+	More        bool              `msgpack:"more,omitempty"`   // a limit cut the answer short
+	Entries     []Entry           `msgpack:"entries,omitempty"`
+	Retired     map[string]uint64 `msgpack:"retiredThrough,omitempty"` // highest retired epoch of each zone
+	Digests     []Digest          `msgpack:"digests,omitempty"`
+	Ranges      []Range           `msgpack:"ranges,omitempty"`
+	Want        []string          `msgpack:"want,omitempty"` // instances whose entries the sender lacks
+}
+
+// Digest sums up the entries of a zone.
+type Digest struct {
+	Zone    string   `msgpack:"zone"`
+	Sum     uint64   `msgpack:"sum"`
+	AgeMS   int64    `msgpack:"ageMs"`             // time since a node of the zone was last heard of
+	Buckets []uint64 `msgpack:"buckets,omitempty"` // partial sums, in an answer only
+}
+
+// Range lists the entries that the sender holds in one digest bucket.
+type Range struct {
+	Zone   string `msgpack:"zone"`
+	Bucket int    `msgpack:"bucket"`
+	Refs   []Ref  `msgpack:"refs,omitempty"`
+}
+
+// Ref names an entry and its place in the order of Compare.
+type Ref struct {
+	Name        string `msgpack:"name"`
+	Incarnation uint64 `msgpack:"incarnation"`
+	Version     uint64 `msgpack:"version"`
+	State       State  `msgpack:"state,omitempty"`
+}
+
+// ProbeRequest asks a node to probe a target on behalf of the sender.
+type ProbeRequest struct {
+	From   string `msgpack:"from"`
+	Target string `msgpack:"target"`
+	Addr   string `msgpack:"addr"`
+}
+
+// ProbeReply is the answer to a ProbeRequest.
+type ProbeReply struct {
+	Target  string `msgpack:"target"`
+	Reached bool   `msgpack:"reached"`
+}
+
+// Send is a message that the caller should deliver. Exactly one of Packet and
+// Probe is set.
+type Send struct {
+	ID     uint64 // names the message in Reply and ProbeAnswer
+	To     string // instance; empty for a seed that is not yet known
+	Addr   string // peer address
+	Packet *Packet
+	Probe  *ProbeRequest
+}
+
+// Limits of packets, in bytes of entries, references and digests.
+const (
+	// maxDeltaBytes keeps a packet of recent changes within one TCP segment.
+	maxDeltaBytes = 1200
+	// maxSyncBytes bounds the memory and the burst of one synchronisation step.
+	maxSyncBytes = 32 << 10
+)
+
+// encodedSize returns the size of a value on the wire.
+func encodedSize(v any) int {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		return maxSyncBytes
+	}
+	return len(b)
+}
