--- /dev/null
+++ b/core/epoch/member.go
@@ -0,0 +1,140 @@
+package epoch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is one run of the node at an instance.
+//
+// Incarnation identifies the process and grows with each start at the same
+// address. It must not change while the process runs, because a higher one
+// proves that the earlier process has ended.
+type Member struct {
+	Name        string `json:"name" msgpack:"name"`
+	Incarnation uint64 `json:"incarnation" msgpack:"incarnation"`
+	Address     string `json:"address" msgpack:"address"`
+	Zone        string `json:"zone" msgpack:"zone"`
+}
+
+// Same reports whether both values denote the same process.
+func (m Member) Same(o Member) bool {
+	return m.Name == o.Name && m.Incarnation == o.Incarnation && m.Zone == o.Zone
+}
+
+func byName(a, b Member) int {
+	return cmp.Compare(a.Name, b.Name)
+}
+
+// replaces reports whether m is a later process at the instance of o.
+func (m Member) replaces(o Member) bool {
+	same := m.Name == o.Name && m.Zone == o.Zone || m.Address != "" && m.Address == o.Address
+	return same && m.Incarnation > o.Incarnation
+}
+
+// Epoch is a numbered member list of a zone.
+type Epoch struct {
+	Zone           string   `json:"zone" msgpack:"zone"`
+	Number         uint64   `json:"number" msgpack:"number"`
+	Base           uint64   `json:"base" msgpack:"base"`                     // number of the epoch that it replaces; 0 for the first
+	Members        []Member `json:"members" msgpack:"members"`               // in order of names
+	RetiredThrough uint64   `json:"retiredThrough" msgpack:"retiredThrough"` // every epoch up to this one is retired
+}
+
+// Majority returns the least number of members that is more than half.
+func (e Epoch) Majority() int {
+	return len(e.Members)/2 + 1
+}
+
+// Member returns the member with a name.
+func (e Epoch) Member(name string) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(e.Members, name, func(m Member, n string) int {
+		return cmp.Compare(m.Name, n)
+	})
+	if !ok {
+		return Member{}, false
+	}
+	return e.Members[i], true
+}
+
+// Has reports whether the list contains this very process.
+func (e Epoch) Has(m Member) bool {
+	got, ok := e.Member(m.Name)
+	return ok && got.Same(m)
+}
+
+// Slots returns the owners of n slots of a key. Owners are distinct while the
+// list has enough members, so that the loss of one instance leaves the other
+// slots. Slot i has the same owner in two epochs unless that owner left, or a
+// member that ranks higher joined, or the owner took an earlier slot.
+func (e Epoch) Slots(key string, n int) []Member {
+	owners := make([]Member, 0, n)
+	if len(e.Members) == 0 {
+		return owners
+	}
+	for i := range n {
+		owners = append(owners, pickSlot(e.Members, key, i, owners))
+	}
+	return owners
+}
+
+func pickSlot(members []Member, key string, slot int, used []Member) Member {
+	h := hashKey(key) + uint64(slot)*slotStep
+	var best Member
+	var bestScore uint64
+	found := false
+	for _, m := range members {
+		if len(used) < len(members) && slices.ContainsFunc(used, m.Same) {
+			continue
+		}
+		s := score(h, m.Name)
+		if !found || s > bestScore || s == bestScore && m.Name < best.Name {
+			best, bestScore, found = m, s, true
+		}
+	}
+	return best
+}
+
+// slotStep separates the hashes of the slots of a key. It is the odd constant
+// of Fibonacci hashing, 2^64 divided by the golden ratio.
+const slotStep = 0x9e3779b97f4a7c15
+
+// Top returns up to n members in descending rendezvous order for a key. Only
+// names count, so an instance keeps its rank when its process restarts.
+func Top(members []Member, key string, n int) []Member {
+	type ranked struct {
+		score  uint64
+		member Member
+	}
+	h := hashKey(key)
+	all := make([]ranked, 0, len(members))
+	for _, m := range members {
+		all = append(all, ranked{score(h, m.Name), m})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
+	})
+	top := make([]Member, 0, min(n, len(all)))
+	for _, r := range all[:min(n, len(all))] {
+		top = append(top, r.member)
+	}
+	return top
+}
+
+func hashKey(key string) uint64 {
+	return xxhash.Sum64String(key)
+}
+
+// score mixes the hash of a key with that of a name by the finalizer of
+// MurmurHash3, which is enough for an even spread.
+func score(key uint64, name string) uint64 {
+	x := key ^ xxhash.Sum64String(name)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
