--- a/core/frame/reader.go
+++ b/core/frame/reader.go
@@ -69,28 +69,73 @@
 
 // receiveSession handles frames that concern the whole session.
 func (s *Session) receiveSession(f Frame) error {
-	if len(f.Payload) != codeBytes {
-		return wireErrorf("malformed session frame")
-	}
 	switch f.Type {
 	case TypeWindow:
-		n := int(binary.BigEndian.Uint32(f.Payload))
-		if n == 0 || s.credit+n > s.peer.SessionWindow {
+		n, own, err := parseWindow(f.Payload)
+		if err != nil {
+			return err
+		}
+		if own != 0 || s.credit+n > s.peer.SessionWindow {
 			return wireErrorf("session window exceeded")
 		}
 		s.credit += n
 		for _, st := range s.starved {
+			st.starving = false
 			st.writable.Broadcast()
 		}
 		s.starved = s.starved[:0]
 		return nil
 	case TypeReset:
-		s.peerDrains = true
+		c, err := parseCode(f.Payload)
+		if err != nil {
+			return err
+		}
+		s.receiveGoAway(c)
 		return nil
 	}
 	return wireErrorf("frame of type %d without a stream", f.Type)
 }
 
+func parseCode(p []byte) (Code, error) {
+	if len(p) != codeBytes {
+		return 0, wireErrorf("malformed reset")
+	}
+	return Code(binary.BigEndian.Uint32(p)), nil
+}
+
+// parseWindow returns the number of returned bytes and how many of them were
+// own data.
+func parseWindow(p []byte) (n, own int, err error) {
+	if len(p) == windowBytes {
+		n = int(binary.BigEndian.Uint32(p))
+		own = int(binary.BigEndian.Uint32(p[codeBytes:]))
+	}
+	if n == 0 || own > n {
+		return 0, 0, wireErrorf("malformed window")
+	}
+	return n, own, nil
+}
+
+// receiveGoAway handles both steps of a shutdown: the peer accepts no new
+// streams (CodeRefused), which is confirmed when no open frame is on its way to
+// the writer; or the peer confirms that (CodeDone).
+func (s *Session) receiveGoAway(c Code) {
+	if c == CodeDone {
+		s.peerQuiet = true
+		s.checkQuiet()
+		return
+	}
+	s.peerDrains = true
+	s.confirmGoAway()
+}
+
+func (s *Session) confirmGoAway() {
+	if s.peerDrains && !s.opening {
+		s.notes.goneAck = true
+		s.wakeWriter()
+	}
+}
+
 // charge counts received body bytes against the session window.
 func (s *Session) charge(n int) error {
 	s.unread += n
@@ -100,10 +145,12 @@
 	return nil
 }
 
-// release returns bytes to the session window that are no longer buffered.
+// release returns bytes to the session window that are no longer buffered. It
+// waits for an eighth of the window, so that streams whose readers stopped can
+// hold the rest before they delay other streams.
 func (s *Session) release(n int) {
 	s.consumed += n
-	if s.consumed < s.opt.SessionWindow/2 || s.err != nil {
+	if s.consumed < s.opt.SessionWindow/8 || s.err != nil {
 		return
 	}
 	s.notes.credit += s.consumed
@@ -151,6 +198,7 @@
 	}
 	st := newStream(context.Background(), s, f.Stream, f.Payload[0], false)
 	st.head = append([]byte(nil), f.Payload[1:]...)
+	st.queued = true
 	s.streams[st.id] = st
 	go st.serve(s.opt.Handler)
 	return nil
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -50,7 +50,8 @@
 	mu         sync.Mutex // guards what follows and the state of all streams
 	err        error
 	draining   bool // Shutdown was called
-	peerDrains bool
+	peerDrains bool // the peer accepts no new streams
+	opening    bool // a stream is registered and its open frame not yet queued
 	streams    map[uint32]*Stream
 	opened     int    // streams in the map that this side opened
 	lastOwn    uint32 // last number assigned by this side
@@ -59,7 +60,10 @@
 	unread     int    // received bytes that aren't returned as credit yet
 	consumed   int    // of these, bytes that are no longer buffered
 	starved    []*Stream
-	idle       chan struct{} // closed when the map gets empty; set by Shutdown
+	quiet      chan struct{} // set by Shutdown; closed when no stream is left and the peer opens none
+	peerQuiet  bool          // the peer opens no more streams
+	flushed    chan struct{} // set by Shutdown; closed when all queues are flushed
+	sealed     bool          // the sending direction of conn is closed
 	notes      notes
 }
 
@@ -106,7 +110,7 @@
 		s.lastOwn, s.lastPeer = 0, ^uint32(0)
 	}
 	s.loops.Go(func() { s.fail(s.readLoop()) })
-	s.loops.Go(func() { s.fail(s.writeLoop()) })
+	s.loops.Go(func() { s.writeEnded(s.writeLoop()) })
 	go func() {
 		s.watchLoop()
 		s.loops.Wait()
@@ -132,17 +136,32 @@
 
 // InFlight returns the number of unfinished streams of both sides.
 func (s *Session) InFlight() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.streams)
+	return s.state().streams
 }
 
 // Usable reports whether Open may succeed: the session runs, neither side is
 // shutting down and the peer's stream limit isn't reached.
 func (s *Session) Usable() bool {
+	return s.state().usable
+}
+
+// sessionState is what a pool needs to know of a session.
+type sessionState struct {
+	ended   bool
+	serving bool // neither side is shutting down
+	usable  bool // Open may succeed
+	streams int  // unfinished
+}
+
+func (s *Session) state() sessionState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.openError() == nil
+	return sessionState{
+		ended:   s.err != nil,
+		serving: s.err == nil && !s.draining && !s.peerDrains,
+		usable:  s.openError() == nil,
+		streams: len(s.streams),
+	}
 }
 
 // Close ends the session and all its streams at once and waits for its
@@ -155,47 +174,62 @@
 
 // Shutdown stops new streams of both sides, waits until the running ones have
 // finished and their last frames are sent, and closes the session. It returns
-// the error of ctx if ctx ends first, and then closes the session at once.
+// the error of ctx if ctx ends first, or that of the session if it was lost
+// meanwhile; both close it at once. No stream that the peer opened before it
+// learnt of the shutdown is lost: it is refused with CodeRefused.
 func (s *Session) Shutdown(ctx context.Context) error {
 	defer s.Close()
-	idle := s.drain()
-	select {
-	case <-idle:
-	case <-s.done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	quiet := s.drain()
+	if err := s.await(ctx, quiet); err != nil {
+		return err
 	}
+	s.mu.Lock()
 	flushed := make(chan struct{})
-	if !s.bulk.Push(ctx.Done(), outFrame{flushed: flushed}) {
-		return ctx.Err()
+	s.flushed = flushed
+	s.wakeWriter()
+	s.mu.Unlock()
+	if err := s.await(ctx, flushed); err != nil {
+		return err
 	}
+	s.awaitPeer(ctx)
+	return nil
+}
+
+// await waits for c, the end of the session or that of ctx.
+func (s *Session) await(ctx context.Context, c <-chan struct{}) error {
 	select {
-	case <-flushed:
-	case <-s.done:
+	case <-c:
 		return nil
+	case <-s.done:
+		return s.Err()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	s.awaitPeer(ctx)
-	return nil
 }
 
 // drain marks the session and tells the peer. It returns a channel that is
-// closed when no stream is left.
+// closed when no stream is left and the peer will open none.
 func (s *Session) drain() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-		if len(s.streams) == 0 {
-			close(s.idle)
+	if !s.draining {
+		s.draining = true
+		s.quiet = make(chan struct{})
+		s.notes.goAway = true
+		s.wakeWriter()
+	}
+	return s.quiet
+}
+
+// checkQuiet closes quiet when its condition holds. s.mu is held.
+func (s *Session) checkQuiet() {
+	if s.draining && s.peerQuiet && len(s.streams) == 0 && s.err == nil {
+		select {
+		case <-s.quiet:
+		default:
+			close(s.quiet)
 		}
 	}
-	s.draining = true
-	s.notes.goAway = true
-	s.wakeWriter()
-	return s.idle
 }
 
 // awaitPeer closes the sending direction and waits a short time for the peer to
@@ -203,14 +237,28 @@
 // of the peer are still unread.
 func (s *Session) awaitPeer(ctx context.Context) {
 	c, ok := s.conn.(interface{ CloseWrite() error })
-	if !ok || c.CloseWrite() != nil {
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	s.sealed = true
+	s.mu.Unlock()
+	if c.CloseWrite() != nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	select {
-	case <-s.done:
-	case <-ctx.Done():
+	_ = s.await(ctx, nil)
+}
+
+// writeEnded ends the session with the error of the writer. In a sealed session
+// the writer fails at its next frame, which is no reason to stop reading.
+func (s *Session) writeEnded(err error) {
+	s.mu.Lock()
+	sealed := s.sealed
+	s.mu.Unlock()
+	if !sealed {
+		s.fail(err)
 	}
 }
 
@@ -273,7 +321,7 @@
 	s.notes.ping = true
 	s.wakeWriter()
 	for _, st := range s.streams {
-		if st.patience > 0 && now-st.moved >= st.patience {
+		if st.queued && st.patience > 0 && now-st.moved >= st.patience {
 			s.notes.resets = append(s.notes.resets, resetNote{st.id, CodeStalled})
 			st.end(&ResetError{Code: CodeStalled}, true)
 		}
@@ -303,9 +351,7 @@
 	st, err := s.register(ctx, kind)
 	if err == nil {
 		f := newOutFrame(TypeOpen, st.id, kind, head)
-		if !s.control.Push(st.ctx.Done(), f) {
-			err = st.abandonOpen(ctx)
-		}
+		err = st.opened(ctx, s.control.Push(st.ctx.Done(), f))
 	}
 	<-s.openSem
 	if err != nil {
@@ -324,13 +370,14 @@
 	if err := s.openError(); err != nil {
 		return nil, err
 	}
-	if s.lastOwn+2 < s.lastOwn && s.lastOwn != ^uint32(0) {
+	if s.lastOwn != ^uint32(0) && s.lastOwn+2 < s.lastOwn {
 		return nil, &SessionError{Reason: "has used all stream numbers"}
 	}
 	s.lastOwn += 2
 	st := newStream(ctx, s, s.lastOwn, kind, true)
 	s.streams[st.id] = st
 	s.opened++
+	s.opening = true
 	return st, nil
 }
 
@@ -351,8 +398,5 @@
 	if st.local {
 		s.opened--
 	}
-	if s.idle != nil && len(s.streams) == 0 {
-		close(s.idle)
-		s.idle = nil
-	}
+	s.checkQuiet()
 }
--- a/core/frame/stream.go
+++ b/core/frame/stream.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"io"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,8 +25,12 @@
 	writable sync.Cond
 
 	in       blockList
-	taken    int // bytes read since the last window frame
-	room     int // bytes that the peer may still send
+	shared   int  // bytes of in that occupy the window of the session
+	taken    int  // bytes read since the last window frame
+	takenOwn int  // of these, own data
+	room     int  // bytes that the peer may still send
+	roomOwn  int  // own data that the peer may still send
+	begun    bool // a part of the body was received
 	answered bool
 	answer   []byte // head of the answer
 	ended    bool   // the end frame was received
@@ -34,10 +38,13 @@
 	readErr  error
 
 	credit   int // bytes that may be sent
+	own      int // own data that may be sent
 	headSent bool
 	closed   bool // the end frame is queued
 	writeErr error
+	starving bool // in the list of streams that wait for the window of the session
 
+	queued   bool // the open frame is on its way or was received
 	finished bool
 	moved    time.Duration // last progress, from the start of the session
 	patience time.Duration // progress timeout
@@ -47,7 +54,7 @@
 func newStream(ctx context.Context, s *Session, id uint32, kind uint8, local bool) *Stream {
 	st := &Stream{
 		s: s, id: id, kind: kind, local: local,
-		room: s.opt.StreamWindow, credit: s.peer.StreamWindow,
+		room: s.opt.StreamWindow, roomOwn: allowance, credit: s.peer.StreamWindow, own: allowance,
 		moved: s.sinceStart(), patience: s.opt.ProgressTimeout,
 	}
 	st.ctx, st.cancel = context.WithCancelCause(ctx)
@@ -90,10 +97,18 @@
 	}
 }
 
-// abandonOpen removes a stream whose open frame was not queued.
-func (st *Stream) abandonOpen(ctx context.Context) error {
-	st.s.mu.Lock()
-	defer st.s.mu.Unlock()
+// opened notes whether the open frame was queued. If not, it removes the stream
+// and returns the reason.
+func (st *Stream) opened(ctx context.Context, queued bool) error {
+	s := st.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opening = false
+	s.confirmGoAway()
+	st.queued = queued
+	if queued {
+		return nil
+	}
 	err := st.readErr
 	if err == nil {
 		err = ctx.Err()
@@ -140,14 +155,24 @@
 		if st.readErr == nil {
 			st.readErr = err
 		}
-		st.s.release(st.in.clear())
+		st.dropUnread()
 	}
 	st.finish(err)
 }
 
+// dropUnread drops the received bytes. s.mu is held.
+func (st *Stream) dropUnread() {
+	st.in.clear()
+	st.s.release(st.shared)
+	st.shared = 0
+}
+
 // finish removes the stream from the session. s.mu is held.
 func (st *Stream) finish(cause error) {
 	st.finished = true
+	if st.starving {
+		st.s.starved = slices.DeleteFunc(st.s.starved, func(o *Stream) bool { return o == st })
+	}
 	st.s.forget(st)
 	if st.stop != nil {
 		st.stop()
@@ -173,9 +198,9 @@
 	s := st.s
 	s.mu.Lock()
 	if st.finished {
-		s.release(st.in.clear())
-		if st.readErr == nil && !st.ended {
+		if st.in.n > 0 {
 			st.readErr = &ResetError{Code: code}
+			st.dropUnread()
 		}
 		s.mu.Unlock()
 		return
@@ -204,24 +229,42 @@
 		}
 		st.readable.Wait()
 	}
-	n := st.in.read(p)
-	st.moved = s.sinceStart()
-	st.taken += n
-	s.release(n)
+	n := st.take(p)
 	st.settle()
-	back := 0
-	if !st.ended && st.taken >= s.opt.StreamWindow/2 {
-		back = st.taken
-		st.taken = 0
-		st.room += back
-	}
+	back, own := st.giveBack()
 	s.mu.Unlock()
 	if back > 0 {
-		s.control.Push(st.ctx.Done(), newCodeFrame(TypeWindow, st.id, uint32(back)))
+		s.control.Push(st.ctx.Done(), newWindowFrame(st.id, back, own))
 	}
 	return n, nil
 }
 
+// take reads buffered bytes. Those that occupy the window of the session count
+// as read first. s.mu is held.
+func (st *Stream) take(p []byte) int {
+	n := st.in.read(p)
+	shared := min(n, st.shared)
+	st.shared -= shared
+	st.s.release(shared)
+	st.taken += n
+	st.takenOwn += n - shared
+	st.moved = st.s.sinceStart()
+	return n
+}
+
+// giveBack returns the numbers for a window frame, or zero if it isn't time to
+// send one. s.mu is held.
+func (st *Stream) giveBack() (n, own int) {
+	if st.ended || (st.taken < st.s.opt.StreamWindow/2 && st.takenOwn < allowance/2) {
+		return 0, 0
+	}
+	n, own = st.taken, st.takenOwn
+	st.taken, st.takenOwn = 0, 0
+	st.room += n
+	st.roomOwn += own
+	return n, own
+}
+
 // RecvHead waits for the head of the answer. It returns io.EOF if the answer
 // ended without a head.
 func (st *Stream) RecvHead(ctx context.Context) ([]byte, error) {
@@ -285,11 +328,11 @@
 func (st *Stream) Write(p []byte) (int, error) {
 	total := 0
 	for len(p) > 0 {
-		n, err := st.reserve(len(p))
+		n, typ, err := st.reserve(len(p))
 		if err != nil {
 			return total, err
 		}
-		if err := st.push(false, newOutFrame(TypeData, st.id, 0, p[:n])); err != nil {
+		if err := st.push(false, newOutFrame(typ, st.id, 0, p[:n])); err != nil {
 			return total, err
 		}
 		p = p[n:]
@@ -298,32 +341,41 @@
 	return total, nil
 }
 
-// reserve takes up to n bytes from the windows.
-func (st *Stream) reserve(n int) (int, error) {
+// reserve takes up to n bytes from the windows. The own allowance serves only
+// while the window of the session is used up.
+func (st *Stream) reserve(n int) (int, Type, error) {
 	s := st.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
 		if st.writeErr != nil {
-			return 0, st.writeErr
+			return 0, 0, st.writeErr
 		}
 		if st.closed {
-			return 0, wireErrorf("write after the end")
+			return 0, 0, wireErrorf("write after the end")
 		}
-		if st.credit > 0 && s.credit > 0 {
+		if st.credit > 0 && (s.credit > 0 || st.own > 0) {
 			break
 		}
-		if s.credit == 0 {
+		if s.credit == 0 && !st.starving {
+			st.starving = true
 			s.starved = append(s.starved, st)
 		}
 		st.writable.Wait()
 	}
-	n = min(n, st.credit, s.credit, dataBytes)
-	st.credit -= n
-	s.credit -= n
 	st.headSent = true
 	st.moved = s.sinceStart()
-	return n, nil
+	n = min(n, st.credit, dataBytes)
+	if s.credit > 0 {
+		n = min(n, s.credit)
+		st.credit -= n
+		s.credit -= n
+		return n, TypeData, nil
+	}
+	n = min(n, st.own)
+	st.credit -= n
+	st.own -= n
+	return n, TypeOwnData, nil
 }
 
 // CloseWrite ends the body with a trailer of at most MaxHeadBytes.
@@ -379,29 +431,36 @@
 	switch f.Type {
 	case TypeHead:
 		return st.receiveHead(f.Payload)
-	case TypeData:
-		return st.receiveData(f.Payload)
+	case TypeData, TypeOwnData:
+		return st.receiveData(f)
 	case TypeEnd:
 		return st.receiveEnd(f.Payload)
+	case TypeReset:
+		c, err := parseCode(f.Payload)
+		if err == nil {
+			st.end(&ResetError{Code: c, Remote: true}, false)
+		}
+		return err
 	}
-	if len(f.Payload) != codeBytes {
-		return wireErrorf("malformed frame of type %d", f.Type)
-	}
-	v := binary.BigEndian.Uint32(f.Payload)
-	if f.Type == TypeReset {
-		st.end(&ResetError{Code: Code(v), Remote: true}, false)
-		return nil
+	return st.receiveWindow(f.Payload)
+}
+
+func (st *Stream) receiveWindow(p []byte) error {
+	n, own, err := parseWindow(p)
+	if err != nil {
+		return err
 	}
-	if v == 0 || st.credit+int(v) > st.s.peer.StreamWindow {
+	st.credit += n
+	st.own += own
+	if st.credit > st.s.peer.StreamWindow || st.own > allowance {
 		return wireErrorf("window of stream %d exceeded", st.id)
 	}
-	st.credit += int(v)
 	st.writable.Broadcast()
 	return nil
 }
 
 func (st *Stream) receiveHead(p []byte) error {
-	if !st.local || st.answered || st.room != st.s.opt.StreamWindow {
+	if !st.local || st.answered || st.begun {
 		return wireErrorf("head of stream %d is out of order", st.id)
 	}
 	st.answered = true
@@ -410,9 +469,19 @@
 	return nil
 }
 
-func (st *Stream) receiveData(p []byte) error {
+func (st *Stream) receiveData(f Frame) error {
+	p := f.Payload
+	if len(p) == 0 {
+		return wireErrorf("empty data frame")
+	}
+	st.begun = true
 	st.room -= len(p)
-	if st.room < 0 {
+	if f.Type == TypeOwnData {
+		st.roomOwn -= len(p)
+	} else {
+		st.shared += len(p)
+	}
+	if st.room < 0 || st.roomOwn < 0 {
 		return wireErrorf("peer exceeds the window of stream %d", st.id)
 	}
 	st.in.write(p)
--- a/core/frame/wire.go
+++ b/core/frame/wire.go
@@ -11,14 +11,15 @@
 
 // Types of frames.
 const (
-	TypeHello  Type = iota + 1 // handshake step, before any other frame
-	TypeOpen                   // first payload byte is the stream kind, the rest the head
-	TypeHead                   // head of the answer
-	TypeData                   // part of the body
-	TypeEnd                    // end of the body; the payload is the trailer
-	TypeReset                  // 4-byte code; on stream 0 the sender accepts no new streams
-	TypeWindow                 // 4-byte number of bytes that the receiver consumed; stream 0 is the session
-	TypePing                   // 8 bytes that the pong repeats
+	TypeHello   Type = iota + 1 // handshake step, before any other frame
+	TypeOpen                    // first payload byte is the stream kind, the rest the head
+	TypeHead                    // head of the answer
+	TypeData                    // part of the body, counted against the windows of the stream and the session
+	TypeOwnData                 // the same, counted against the stream's own allowance instead of the session
+	TypeEnd                     // end of the body; the payload is the trailer
+	TypeReset                   // 4-byte code; on stream 0 the sender accepts no new streams
+	TypeWindow                  // 4-byte number of bytes consumed, and how many of them were own data; stream 0 is the session
+	TypePing                    // 8 bytes that the pong repeats
 	TypePong
 )
 
@@ -30,8 +31,15 @@
 	dataBytes       = 32 << 10         // largest payload of a data frame that we send
 	pingBytes       = 8
 	codeBytes       = 4
+	windowBytes     = 8
 )
 
+// allowance is the number of unread bytes of each stream that need no room in
+// the window of the session. Without it, streams whose readers stopped could
+// use up that window, and handlers of both sides that wait to write before they
+// read on would wait for each other forever.
+const allowance = 4 << 10
+
 // WireError is a violation of the wire format. It ends the session.
 type WireError struct {
 	Detail string
--- a/core/frame/writer.go
+++ b/core/frame/writer.go
@@ -8,15 +8,13 @@
 const writeBuffer = 64 << 10 // bytes collected before a write to the connection
 
 // outFrame is a frame on its way to the writer. The payload is in block, or in
-// payload if it is larger than a block. With flushed set it isn't a frame: the
-// writer flushes and closes the channel.
+// payload if it is larger than a block.
 type outFrame struct {
 	typ     Type
 	stream  uint32
 	n       int // bytes used of block
 	block   *block
 	payload []byte
-	flushed chan struct{}
 }
 
 // newOutFrame copies a payload. The payload of an open frame begins with kind.
@@ -49,6 +47,14 @@
 	return f
 }
 
+// newWindowFrame returns consumed bytes of a stream to the peer.
+func newWindowFrame(stream uint32, n, own int) outFrame {
+	f := outFrame{typ: TypeWindow, stream: stream, n: windowBytes, block: getBlock(windowBytes)}
+	binary.BigEndian.PutUint32(f.block.b, uint32(n))
+	binary.BigEndian.PutUint32(f.block.b[codeBytes:], uint32(own))
+	return f
+}
+
 func (f *outFrame) bytes() []byte {
 	if f.block != nil {
 		return f.block.b[:f.n]
@@ -60,12 +66,13 @@
 // them may wait for room in a ring: two sessions whose readers wait for their
 // writers would block each other. The notes have bounded size.
 type notes struct {
-	ping   bool
-	pong   bool
-	echo   [pingBytes]byte
-	goAway bool
-	credit int
-	resets []resetNote // at most one for each stream, checked by the reader
+	ping    bool
+	pong    bool
+	echo    [pingBytes]byte
+	credit  int
+	goAway  bool        // no new streams are accepted
+	goneAck bool        // no more streams will be opened, as the peer accepts none
+	resets  []resetNote // at most one for each stream, checked by the reader
 }
 
 type resetNote struct {
@@ -94,6 +101,7 @@
 			if err := w.Flush(); err != nil {
 				return err
 			}
+			s.markFlushed()
 			select {
 			case <-s.kick.C():
 				continue
@@ -120,12 +128,27 @@
 
 // writeUrgent writes the notes and all queued control frames.
 func (s *Session) writeUrgent(w *bufio.Writer) error {
-	for {
-		if s.noted.Swap(false) {
-			if err := s.writeNotes(w); err != nil {
-				return err
-			}
+	for s.noted.Swap(false) {
+		s.mu.Lock()
+		n := s.notes
+		s.notes = notes{}
+		s.mu.Unlock()
+		if err := n.writeFirst(w); err != nil {
+			return err
 		}
+		if err := s.writeControl(w); err != nil {
+			return err
+		}
+		if err := n.writeLast(w); err != nil {
+			return err
+		}
+	}
+	return s.writeControl(w)
+}
+
+// writeControl writes all queued control frames.
+func (s *Session) writeControl(w *bufio.Writer) error {
+	for {
 		select {
 		case f := <-s.control.C():
 			if err := writeOut(w, f); err != nil {
@@ -137,12 +160,17 @@
 	}
 }
 
-func writeOut(w *bufio.Writer, f outFrame) error {
-	if f.flushed != nil {
-		err := w.Flush()
-		close(f.flushed)
-		return err
+// markFlushed tells Shutdown that all queues were empty and are flushed.
+func (s *Session) markFlushed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.flushed != nil && !s.noted.Load() {
+		close(s.flushed)
+		s.flushed = nil
 	}
+}
+
+func writeOut(w *bufio.Writer, f outFrame) error {
 	err := writeParts(w, f.typ, f.stream, f.bytes())
 	if f.block != nil {
 		f.block.put()
@@ -159,15 +187,10 @@
 	return err
 }
 
-func (s *Session) writeNotes(w *bufio.Writer) error {
-	s.mu.Lock()
-	n := s.notes
-	s.notes = notes{}
-	s.mu.Unlock()
+// writeFirst writes the notes that may overtake every other frame.
+func (n *notes) writeFirst(w *bufio.Writer) error {
 	if n.ping {
-		var b [pingBytes]byte
-		binary.BigEndian.PutUint64(b[:], uint64(s.sinceStart()))
-		if err := writeParts(w, TypePing, 0, b[:]); err != nil {
+		if err := writeParts(w, TypePing, 0, make([]byte, pingBytes)); err != nil {
 			return err
 		}
 	}
@@ -177,20 +200,29 @@
 		}
 	}
 	if n.credit > 0 {
-		if err := writeCode(w, TypeWindow, 0, uint32(n.credit)); err != nil {
+		var b [windowBytes]byte
+		binary.BigEndian.PutUint32(b[:], uint32(n.credit))
+		if err := writeParts(w, TypeWindow, 0, b[:]); err != nil {
 			return err
 		}
 	}
 	if n.goAway {
-		if err := writeCode(w, TypeReset, 0, uint32(CodeRefused)); err != nil {
-			return err
-		}
+		return writeCode(w, TypeReset, 0, uint32(CodeRefused))
 	}
+	return nil
+}
+
+// writeLast writes the notes that must not overtake an open frame that was
+// queued before.
+func (n *notes) writeLast(w *bufio.Writer) error {
 	for _, r := range n.resets {
 		if err := writeCode(w, TypeReset, r.stream, uint32(r.code)); err != nil {
 			return err
 		}
 	}
+	if n.goneAck {
+		return writeCode(w, TypeReset, 0, uint32(CodeDone))
+	}
 	return nil
 }
 
