--- /dev/null
+++ b/core/claim/history_test.go
@@ -0,0 +1,570 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+	"pgregory.net/rapid"
+)
+
+// fixed says that no flag changes the histories.
+var fixed = true
+
+// TestMain fixes the seed and the size of the histories unless a flag is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { fixed = fixed && !strings.HasPrefix(f.Name, "rapid.") })
+	if fixed {
+		for name, value := range map[string]string{"seed": "20261204", "steps": "250", "checks": "600", "nofailfile": "true"} {
+			_ = flag.Set("rapid."+name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	leaseTime = 2 * time.Second // section 6.1 of the design
+	attempts  = 3
+	fleet     = 3
+)
+
+// world is a fleet of nodes in one zone, its log and its callers, in virtual
+// time. Clocks are off by up to 1 s, so that two differ by at most Skew.
+type world struct {
+	*rapid.T
+	now      time.Time // true time
+	nodes    []*fakeNode
+	epochs   [][]int     // members by epoch
+	majority []time.Time // when a majority of an epoch had adopted a later one
+	log      [][]byte
+	logUp    bool
+	keys     []*fakeKey
+	calls    []*fakeCall // with a ticket
+	waits    []*fakeCall // joined another request
+	seq      int
+	reached  map[string]int // by what happened
+}
+
+type fakeNode struct {
+	id            int
+	offset        time.Duration
+	alive, paused bool
+	cut           bool // partitioned from the other nodes and the log
+	adopted       int
+	lease         time.Time // end, true time
+	incarnation   uint64
+	issuer        *Issuer
+	table         *Table
+	index         *Index
+	queue         *Queue
+	read          int
+}
+
+type fakeKey struct {
+	key        Key
+	runs       int     // requests that reached the upstream
+	dispatches int     // attempts, with those that were proven not to be run
+	sentBy     int     // sequence number of the request that was sent
+	refusedNo  int     // newest request that was told executed "no"
+	ranAt      *Issuer // of the incarnation that sent it
+	body       string  // response that was given to a caller
+}
+
+func (k *fakeKey) kind() string {
+	if k.key.Kind == KindIssued {
+		return "issued"
+	}
+	return "caller"
+}
+
+type fakeCall struct {
+	seq      int
+	k        *fakeKey
+	n        *fakeNode
+	inc      uint64
+	ticket   *Ticket
+	wait     *Wait
+	deadline time.Time
+	used     int
+	cleared  bool // Dispatch allowed it
+	sent     bool
+}
+
+func newWorld(t *rapid.T, reached map[string]int) *world {
+	w := &world{T: t, reached: reached, now: time.UnixMilli(1_800_000_000_000), logUp: true, epochs: [][]int{{0, 1, 2}}, majority: make([]time.Time, 1)}
+	for id := range fleet {
+		n := &fakeNode{id: id, offset: time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "clockMs")) * time.Millisecond}
+		w.nodes = append(w.nodes, n)
+		w.boot(n)
+	}
+	w.now = w.now.Add(10 * time.Second) // keys of the first epoch are newer than the start
+	return w
+}
+
+func (w *world) boot(n *fakeNode) {
+	n.alive, n.paused = true, false
+	n.incarnation++
+	n.lease = time.Time{}
+	now := w.clock(n)
+	n.issuer, _ = NewIssuer(fmt.Sprintf("node%d", n.id), n.incarnation, now, WithWindow(64))
+	n.index, n.read = NewIndex(1<<16), 0
+	n.queue = NewQueue(n.issuer.Instance, n.incarnation, WithQueueBytes(1<<11))
+	n.table = NewTable(n.issuer, now, WithIndex(n.index), WithQueue(n.queue), WithEntries(6), WithBodyBytes(20, 12))
+	w.adopt(n)
+}
+
+func (w *world) clock(n *fakeNode) time.Time { return w.now.Add(n.offset) }
+
+// adoptions notes which epochs a majority of their members has left.
+func (w *world) adoptions() {
+	for e, members := range w.epochs {
+		count := 0
+		for _, m := range members {
+			if m < len(w.nodes) && w.nodes[m].adopted > e {
+				count++
+			}
+		}
+		if w.majority[e].IsZero() && 2*count > len(members) {
+			w.majority[e] = w.now
+		}
+	}
+}
+
+// owner picks the owner of a key in an epoch by rendezvous hashing.
+func (w *world) owner(e int, k Key) int {
+	best, top := 0, uint64(0)
+	for _, m := range w.epochs[e] {
+		h := fnv.New64a()
+		_, _ = fmt.Fprintf(h, "%d %x", m, k.UUID)
+		if s := h.Sum64(); s >= top {
+			best, top = m, s
+		}
+	}
+	return best
+}
+
+func (w *world) ownership(n *fakeNode, k Key) Ownership {
+	own := Ownership{Owner: w.owner(n.adopted, k) == n.id, LeaseValid: w.now.Before(n.lease)}
+	for _, at := range w.majority[:n.adopted] {
+		retired := at.Add(leaseTime)
+		own.LeaseValid = own.LeaseValid && !at.IsZero() && !w.now.Before(retired)
+		if since := retired.Add(n.offset); since.After(own.Since) {
+			own.Since = since
+		}
+	}
+	return own
+}
+
+func (w *world) node(ok func(*fakeNode) bool) *fakeNode {
+	var fit []*fakeNode
+	for _, n := range w.nodes {
+		if ok(n) {
+			fit = append(fit, n)
+		}
+	}
+	if len(fit) == 0 {
+		w.Skip("no such node")
+	}
+	return rapid.SampledFrom(fit).Draw(w.T, "node")
+}
+
+func running(n *fakeNode) bool { return n.alive && !n.paused }
+
+// confirm renews the lease of a node if a majority of its epoch confirms.
+func (w *world) confirm(n *fakeNode) {
+	count := 0
+	for _, id := range w.epochs[n.adopted] {
+		m := w.nodes[id]
+		if running(m) && m.adopted == n.adopted && (m == n || !m.cut && !n.cut) {
+			count++
+		}
+	}
+	if 2*count > len(w.epochs[n.adopted]) {
+		n.lease = w.now.Add(leaseTime)
+	}
+}
+
+func (w *world) advance(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, n := range w.nodes {
+		if running(n) {
+			w.confirm(n)
+		}
+	}
+}
+
+func (w *world) newKey() {
+	k := &fakeKey{refusedNo: -1, sentBy: -1}
+	n := w.node(running)
+	if rapid.Bool().Draw(w.T, "issued") {
+		keys, err := n.issuer.Issue(w.clock(n), "c", 1)
+		if err != nil {
+			w.Skip("window is full")
+		}
+		k.key = keys[0]
+	} else {
+		ahead := rapid.SampledFrom([]int{-3900, -1000, 0, 0, 1000, 2000, 2100, 3900}).Draw(w.T, "aheadMs")
+		ms := uint64(w.clock(n).UnixMilli() + int64(ahead))
+		k.key = Key{Kind: KindCaller, UUID: [16]byte{byte(ms >> 40), byte(ms >> 32), byte(ms >> 24), byte(ms >> 16), byte(ms >> 8), byte(ms), 7 << 4, byte(len(w.keys)), 2 << 6}}
+	}
+	w.keys = append(w.keys, k)
+}
+
+// request sends a key to an entry node, which forwards it to the owner that it
+// knows.
+func (w *world) request() {
+	if len(w.keys) == 0 {
+		w.Skip("no keys")
+	}
+	recent := w.keys[max(0, len(w.keys)-6):]
+	k := rapid.SampledFrom(recent).Draw(w.T, "key")
+	entry := w.node(running)
+	n := w.nodes[w.owner(entry.adopted, k.key)]
+	if k.key.Kind == KindIssued {
+		n = w.nodes[int(k.key.Instance[4]-'0')]
+	}
+	if running(n) && rapid.Bool().Draw(w.T, "direct") {
+		entry = n
+	}
+	w.seq++
+	now := w.clock(n)
+	req := &Request{Key: k.key, Route: "r", Print: Fingerprint{Method: "POST", Path: "/p"}, Call: model.Call{Customer: "c", Root: "root", Attempts: attempts}}
+	req.Call.Deadline = now.Add(time.Duration(rapid.IntRange(0, 8).Draw(w.T, "deadline")) * time.Second)
+	if rapid.IntRange(0, 9).Draw(w.T, "other") == 0 {
+		req.Print.Path = "/other"
+	}
+	c := &fakeCall{seq: w.seq, k: k, n: n, inc: n.incarnation, deadline: req.Call.Deadline}
+	gone := k.key.Kind == KindIssued && k.key.Incarnation != n.incarnation
+	switch {
+	case !running(n) || gone || n != entry && (n.cut || entry.cut):
+		w.decided(c, entry.table.Resolve(w.clock(entry), req))
+	default:
+		own := w.ownership(n, k.key)
+		d := n.table.Claim(now, own, req)
+		if d.Verdict == Refuse && d.Refusal.Reason == refuse.OutcomeUnknown && own.LeaseValid && k.sentBy < 0 {
+			w.reached["successor refused"]++
+		}
+		w.decided(c, d)
+	}
+}
+
+func (w *world) decided(c *fakeCall, d Decision) {
+	switch d.Verdict {
+	case Run:
+		c.ticket = d.Ticket
+		w.calls = append(w.calls, c)
+	case Join:
+		w.reached[c.k.kind()+" joined"]++
+		c.wait = d.Wait
+		w.waits = append(w.waits, c)
+	case Answer:
+		if !running(c.n) || c.n.issuer != c.k.ranAt {
+			w.reached["answer from the log"]++
+		}
+		w.answered(c.k, d.Response)
+	case Refuse:
+		w.refused(c, d.Refusal)
+	}
+}
+
+// answered checks that every caller of a key gets the same response.
+func (w *world) answered(k *fakeKey, r *Response) {
+	if k.body == "" || string(r.Body) != k.body {
+		w.Fatalf("key %v: response %q differs from %q", k.key, r.Body, k.body)
+	}
+	w.reached[k.kind()+" answered"]++
+}
+
+// refused checks that executed "no" holds for this and all earlier requests.
+func (w *world) refused(c *fakeCall, err *refuse.Error) {
+	w.reached[c.k.kind()+" "+string(err.Executed)]++
+	if err.Executed != refuse.No {
+		return
+	}
+	if c.k.sentBy >= 0 && c.k.sentBy <= c.seq {
+		w.Fatalf("key %v: request %d was told %v, but request %d had been sent", c.k.key, c.seq, err, c.k.sentBy)
+	}
+	c.k.refusedNo = max(c.k.refusedNo, c.seq)
+}
+
+// call picks a call with a ticket whose node can act.
+func (w *world) call(ok func(*fakeCall) bool) *fakeCall {
+	var fit []*fakeCall
+	for _, c := range w.calls {
+		if running(c.n) && c.n.incarnation == c.inc && ok(c) {
+			fit = append(fit, c)
+		}
+	}
+	if len(fit) == 0 {
+		w.Skip("no such call")
+	}
+	return rapid.SampledFrom(fit).Draw(w.T, "call")
+}
+
+func (w *world) dispatch() {
+	c := w.call(func(c *fakeCall) bool { return !c.cleared })
+	now, own := w.clock(c.n), w.ownership(c.n, c.k.key)
+	if c.used == c.ticket.Attempts {
+		w.release(c, refuse.New(refuse.AttemptsSpent, "spent"))
+		return
+	}
+	if err := c.ticket.Dispatch(now, own); err != nil {
+		w.reached["late dispatch refused"]++
+		w.release(c, err)
+		return
+	}
+	if c.k.key.Kind == KindCaller && !(own.Owner && own.LeaseValid) || !now.Before(c.deadline) {
+		w.Fatalf("key %v: dispatched after the lease or the deadline", c.k.key)
+	}
+	c.cleared = true
+	c.used++
+	c.k.dispatches++
+	if c.k.dispatches > attempts {
+		w.Fatalf("key %v: %d attempts exceed the budget of its root", c.k.key, c.k.dispatches)
+	}
+}
+
+// send lets the upstream run the request. A node may pause between the last
+// check and this step.
+func (w *world) send(c *fakeCall) {
+	c.sent = true
+	w.reached[c.k.kind()+" run"]++
+	if c.n.adopted > 0 || c.inc > 1 {
+		w.reached[c.k.kind()+" run by a successor"]++
+	}
+	c.k.runs++
+	c.k.ranAt = c.n.issuer
+	c.k.sentBy = c.seq
+	if c.k.runs > 1 {
+		w.Fatalf("key %v: ran %d times", c.k.key, c.k.runs)
+	}
+	if c.seq <= c.k.refusedNo {
+		w.Fatalf("key %v: request %d ran after a request with the key was told no", c.k.key, c.seq)
+	}
+}
+
+func (w *world) release(c *fakeCall, why *refuse.Error) {
+	w.refused(c, c.ticket.Release(c.ticket.Attempts-c.used, why))
+	w.end(c)
+}
+
+func (w *world) end(c *fakeCall) {
+	w.calls = slices.DeleteFunc(w.calls, func(o *fakeCall) bool { return o == c })
+}
+
+func (w *world) finish() {
+	c := w.call(func(c *fakeCall) bool { return c.sent })
+	if rapid.IntRange(0, 3).Draw(w.T, "lost") == 0 {
+		w.refused(c, c.ticket.Lost(refuse.New(refuse.UpstreamFailed, "connection reset")))
+	} else {
+		c.k.body = fmt.Sprintf("response %02d", c.seq)[:rapid.IntRange(8, 11).Draw(w.T, "bytes")]
+		c.ticket.Finish(w.clock(c.n), &Response{Status: 201, Body: []byte(c.k.body)})
+	}
+	w.end(c)
+}
+
+// wake gives the callers that joined their results.
+func (w *world) wake() {
+	kept := w.waits[:0]
+	for _, c := range w.waits {
+		select {
+		case <-c.wait.Done():
+			w.decided(c, c.wait.Result())
+		default:
+			kept = append(kept, c)
+		}
+	}
+	w.waits = kept
+}
+
+// kill ends a node. Each request that was cleared for dispatch may or may not
+// have left it.
+func (w *world) kill(n *fakeNode) {
+	n.alive = false
+	for _, c := range slices.Clone(w.calls) {
+		if c.n != n {
+			continue
+		}
+		if c.cleared && !c.sent && rapid.Bool().Draw(w.T, "left") {
+			w.send(c)
+		}
+		w.end(c)
+	}
+}
+
+// flush appends the records of a node. The append may fail, or its response may
+// be lost.
+func (w *world) flush() {
+	n := w.node(func(n *fakeNode) bool {
+		at, ok := n.queue.Due()
+		return running(n) && ok && !w.clock(n).Before(at)
+	})
+	batch := n.queue.Take(w.clock(n))
+	if batch == nil {
+		return // all of its records were too old
+	}
+	up := w.logUp && !n.cut
+	if up {
+		w.log = append(w.log, batch)
+	}
+	if up && rapid.IntRange(0, 2).Draw(w.T, "acked") > 0 {
+		n.queue.Ack()
+	} else {
+		n.queue.Fail(w.clock(n))
+	}
+}
+
+// read brings the index of every node that reaches the log up to date.
+func (w *world) read() {
+	for _, n := range w.nodes {
+		if !w.logUp || !running(n) || n.cut {
+			continue
+		}
+		for _, batch := range w.log[n.read:] {
+			if skipped, err := n.index.Apply(w.clock(n), batch); err != nil || skipped > 0 {
+				w.Fatalf("batch %s: %d skipped, %v", batch, skipped, err)
+			}
+		}
+		n.read = len(w.log)
+	}
+}
+
+// order makes a key, sends it and takes its request some steps further.
+func (w *world) order() {
+	w.newKey()
+	w.request()
+	for _, step := range []func(*world){(*world).dispatch, (*world).sendOne, (*world).finish, (*world).tick, (*world).flush, (*world).read} {
+		if rapid.IntRange(0, 5).Draw(w.T, "stop") == 5 {
+			return
+		}
+		step(w)
+	}
+}
+
+func (w *world) sendOne() {
+	w.send(w.call(func(c *fakeCall) bool { return c.cleared && !c.sent }))
+}
+
+// restart boots a dead node. It needs the log to learn the newest epoch.
+func (w *world) restart() {
+	w.boot(w.node(func(n *fakeNode) bool { return !n.alive && !n.cut && w.logUp }))
+}
+
+// epoch replaces a node that may have been killed, paused or cut off: an epoch
+// without it is made, adopted by some and sometimes in force at once.
+func (w *world) epoch() {
+	n := w.node(running)
+	faults := []func(){func() {}, func() { w.kill(n) }, func() { n.paused = true }, func() { n.cut = true }}
+	rapid.SampledFrom(faults).Draw(w.T, "fault")()
+	var members []int
+	for _, m := range w.nodes {
+		if m != n && running(m) && !m.cut {
+			members = append(members, m.id)
+		}
+	}
+	if !w.logUp || len(members) == 0 {
+		return
+	}
+	w.epochs = append(w.epochs, members)
+	w.majority = append(w.majority, time.Time{})
+	for _, id := range members {
+		if rapid.IntRange(0, 5).Draw(w.T, "adopts") < 5 {
+			w.adopt(w.nodes[id])
+		}
+	}
+	if rapid.Bool().Draw(w.T, "wait") {
+		w.advance(leaseTime / 2)
+		w.advance(leaseTime / 2)
+	}
+}
+
+func (w *world) adopt(n *fakeNode) {
+	n.adopted = len(w.epochs) - 1
+	w.adoptions()
+}
+
+func (w *world) tick() { w.advance(rapid.SampledFrom(shortSteps).Draw(w.T, "short")) }
+
+// shortSteps are times within a lease.
+var shortSteps = []time.Duration{10 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond, 1900 * time.Millisecond}
+
+// actions lists the steps of a history with their weights. Requests outnumber
+// faults, so that keys live through several states before the next fault.
+var actions = []struct {
+	name   string
+	weight int
+	do     func(*world)
+}{
+	{"key", 10, (*world).newKey},
+	{"request", 30, (*world).request},
+	{"dispatch", 24, (*world).dispatch},
+	{"send", 16, (*world).sendOne},
+	{"order", 40, (*world).order},
+	{"finish", 10, (*world).finish},
+	{"undo", 2, func(w *world) {
+		c := w.call(func(c *fakeCall) bool { return c.cleared && !c.sent })
+		c.cleared = false
+		c.ticket.Undo()
+	}},
+	{"release", 2, func(w *world) {
+		w.release(w.call(func(c *fakeCall) bool { return !c.cleared }), refuse.New(refuse.Overloaded, "shed"))
+	}},
+	{"short", 14, (*world).tick},
+	{"long", 5, func(w *world) { w.advance(time.Duration(rapid.IntRange(1, 5).Draw(w.T, "s")) * time.Second) }},
+	{"age", 1, func(w *world) {
+		if rapid.IntRange(0, 4).Draw(w.T, "rare") == 0 {
+			w.advance(MaxAge - time.Second)
+			w.advance(time.Second)
+		}
+	}},
+	{"kill", 1, func(w *world) { w.kill(w.node(running)) }},
+	{"restart", 20, (*world).restart},
+	{"pause", 1, func(w *world) { w.node(running).paused = true }},
+	{"resume", 16, func(w *world) { w.node(func(n *fakeNode) bool { return n.paused }).paused = false }},
+	{"cut", 1, func(w *world) { w.node(running).cut = true }},
+	{"heal", 24, func(w *world) { w.node(func(n *fakeNode) bool { return n.cut }).cut = false }},
+	{"epoch", 2, (*world).epoch},
+	{"adopt", 20, func(w *world) { w.adopt(w.node(func(n *fakeNode) bool { return running(n) && !n.cut && w.logUp })) }},
+	{"logDown", 1, func(w *world) { w.logUp = false }},
+	{"logUp", 16, func(w *world) { w.logUp = true }},
+	{"flush", 20, (*world).flush},
+	{"read", 8, (*world).read},
+}
+
+// TestHistory runs random histories with the faults of section 1.5, any of them
+// together, and checks that each key runs at most once, that executed "no" is
+// never false, that a key has one response and that its root keeps its budget.
+func TestHistory(t *testing.T) {
+	reached := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, reached)
+		steps := map[string]func(*rapid.T){"": func(t *rapid.T) { w.T = t; w.wake() }}
+		for _, a := range actions {
+			for i := range a.weight {
+				steps[fmt.Sprint(a.name, i)] = func(t *rapid.T) { w.T = t; a.do(w) }
+			}
+		}
+		t.Repeat(steps)
+	})
+	t.Log(reached)
+	for _, want := range wanted {
+		if fixed && reached[want] < 20 {
+			t.Errorf("%q was reached %d times: the histories prove too little", want, reached[want])
+		}
+	}
+}
+
+// wanted lists what the histories must reach to mean anything.
+var wanted = []string{
+	"caller run", "issued run", "caller run by a successor", "caller joined", "issued joined", "caller answered",
+	"issued answered", "caller no", "issued no", "caller unknown", "issued unknown", "answer from the log",
+	"successor refused", "late dispatch refused",
+}
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -30,10 +30,8 @@
 	if !k.current() || k.entry.state != stateClaimed {
 		return unknown("the claim of this request is no longer valid")
 	}
-	// The claim proved that no other owner ever runs the key, so a refusal here
-	// is certain.
 	if err := k.recheck(now, own); err != nil {
-		return err.WithExecuted(refuse.No)
+		return err
 	}
 	if passed(now, k.run.deadline) {
 		return refuse.New(refuse.DeadlineExceeded, "the deadline passed before dispatch")
@@ -46,12 +44,23 @@
 	return nil
 }
 
-// recheck repeats the checks of the claim that depend on the time.
+// recheck repeats the checks of the claim that depend on the time. The claim
+// proved that no other owner ever runs the key, so a refusal here is certain.
 func (k *Ticket) recheck(now time.Time, own Ownership) *refuse.Error {
 	if k.entry.issued {
-		return k.table.issuer.check(now, k.key)
+		if err := k.table.issuer.check(now, k.key); err != nil {
+			return err.WithExecuted(refuse.No)
+		}
+		return nil
+	}
+	err := k.table.mayRunCaller(now, own, k.key)
+	switch {
+	case err == nil:
+		return nil
+	case err.Reason == refuse.IdempotencyKey:
+		return err.WithExecuted(refuse.No)
 	}
-	return k.table.mayRunCaller(now, own, k.key)
+	return refuse.New(refuse.NotReady, "this node's right to run the key ended before dispatch").WithRetry(time.Second)
 }
 
 // Undo takes a dispatch back after the other side proved that no upstream
