--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -15,6 +15,7 @@
 	"dogwoodsill.org/core/keys"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/report"
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/agent"
 )
@@ -131,7 +132,7 @@
 	}
 	return r.Await(ctx, func() bool {
 		for _, n := range r.Nodes {
-			if knownTargets(n) < len(r.Nodes) {
+			if !r.settled(n.Status()) {
 				return false
 			}
 		}
@@ -139,14 +140,15 @@
 	})
 }
 
-func knownTargets(n *Node) int {
+// settled reports whether a node knows all targets and its zone holds leases.
+func (r *Running) settled(s report.Status) bool {
 	known := 0
-	for _, m := range n.Status().Members {
+	for _, m := range s.Members {
 		if m.Service != "" {
 			known++
 		}
 	}
-	return known
+	return known >= len(r.Nodes) && s.Lease
 }
 
 // pollEvery is the time between two looks at a condition.
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -30,24 +30,6 @@
 	Refused                 // it is among the dropped items
 )
 
-// Feedback is what a target returns with each response.
-type Feedback struct {
-	Level    uint32  `msgpack:"level"`    // requests with a higher rank should not be sent
-	InFlight int     `msgpack:"inFlight"` // running and waiting
-	Limit    int     `msgpack:"limit"`    // concurrency limit
-	Demand   float64 `msgpack:"demand"`   // of the calling customer as a multiple of its fair share
-}
-
-// Join returns f with the stricter level and the greater demand of f and that
-// of a service below. A target joins its own feedback with that of the chain
-// calls that the request made, so that entries learn about overload at any
-// depth.
-func (f Feedback) Join(below Feedback) Feedback {
-	f.Level = min(f.Level, below.Level)
-	f.Demand = max(f.Demand, below.Demand)
-	return f
-}
-
 // Gate admits requests to one target within a concurrency limit. The methods
 // take the current limit (limit.Limit.Value), so that it can change at any
 // time.
@@ -142,6 +124,7 @@
 	}
 	return Feedback{
 		Level:    level,
+		Path:     level,
 		InFlight: g.running + g.queue.Len(),
 		Limit:    limit,
 		Demand:   g.Shares.Demand(now, customer, capacity),
--- a/core/chain/table.go
+++ b/core/chain/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/retry"
 )
 
 // Header carries the call token between a node and its own upstream.
@@ -18,29 +19,23 @@
 // Table holds the calls that the local upstream is serving. It is safe for
 // concurrent use.
 type Table struct {
-	mu    sync.Mutex
-	calls map[string]*Active
-}
-
-// Active is a call that the local upstream is serving.
-type Active struct {
-	Token string
-	Call  model.Call
-	ctx   context.Context
-
-	mu       sync.Mutex
-	attempts int
+	mu      sync.Mutex
+	calls   map[string]*Active
+	fanouts map[string]*retry.Fanout // by route
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{calls: map[string]*Active{}}
+	return &Table{calls: map[string]*Active{}, fanouts: map[string]*retry.Fanout{}}
 }
 
-// Begin registers a call and returns it with a new token. Calls further down
-// the chain end with ctx.
-func (t *Table) Begin(ctx context.Context, c model.Call) *Active {
-	a := &Active{Token: rand.Text(), Call: c, ctx: ctx, attempts: c.Attempts}
+// Begin registers a call of a route and returns it with a new token. Calls
+// further down the chain end with ctx.
+func (t *Table) Begin(ctx context.Context, route string, c model.Call) *Active {
+	a := &Active{
+		Token: rand.Text(), Call: c, table: t, route: route, ctx: ctx,
+		attempts: c.Attempts, children: map[string]bool{},
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls[a.Token] = a
@@ -49,9 +44,31 @@
 
 // End removes a call. Later uses of its token are refused.
 func (t *Table) End(a *Active) {
+	a.mu.Lock()
+	widest := a.widest
+	a.mu.Unlock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.calls, a.Token)
+	t.fanout(a.route).Observe(widest)
+}
+
+// fanout returns the estimate of a route. The caller holds mu.
+func (t *Table) fanout(route string) *retry.Fanout {
+	f, ok := t.fanouts[route]
+	if !ok {
+		f = &retry.Fanout{}
+		t.fanouts[route] = f
+	}
+	return f
+}
+
+// open returns the number of children that still need tokens when a call of a
+// route has some.
+func (t *Table) open(route string, active int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fanout(route).Open(active)
 }
 
 // Lookup returns the call of a token unless the token is unknown, the call has
@@ -72,32 +89,3 @@
 	defer t.mu.Unlock()
 	return len(t.calls)
 }
-
-// Context returns the context of the call.
-func (a *Active) Context() context.Context {
-	return a.ctx
-}
-
-// Take moves up to n attempts from the call to a child and returns their
-// number.
-func (a *Active) Take(n int) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	n = max(0, min(n, a.attempts))
-	a.attempts -= n
-	return n
-}
-
-// Return gives unused attempts of a child back to the call.
-func (a *Active) Return(n int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.attempts += n
-}
-
-// Left returns the attempts that the call has not used or lent to children.
-func (a *Active) Left() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.attempts
-}
--- a/core/config/record.go
+++ b/core/config/record.go
@@ -26,6 +26,7 @@
 type Object struct {
 	Kind     model.Kind      `json:"kind"`
 	Name     string          `json:"name"`
+	Created  uint64          `json:"created"`  // revision of the change that created it
 	Revision uint64          `json:"revision"` // offset of the accepted change plus one
 	Body     json.RawMessage `json:"body"`
 }
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -73,7 +73,11 @@
 	if c.Delete {
 		delete(s.Objects, id)
 	} else {
-		s.Objects[id] = Object{Kind: c.Kind, Name: c.Name, Revision: rev, Body: c.Body}
+		created := cur.Created
+		if c.Base == 0 {
+			created = rev
+		}
+		s.Objects[id] = Object{Kind: c.Kind, Name: c.Name, Created: created, Revision: rev, Body: c.Body}
 	}
 	return Outcome{ID: c.ID, Accepted: true, Revision: rev}
 }
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -19,6 +19,7 @@
 	Importance map[string]model.Importance
 	Fleet      model.Fleet
 	Revisions  map[ObjectID]uint64
+	Created    map[ObjectID]uint64 // revision of the change that created an object
 }
 
 // View decodes the state. Bodies were checked when they were folded, so a body
@@ -33,9 +34,11 @@
 		Routes:     map[string]model.Route{},
 		Importance: map[string]model.Importance{},
 		Revisions:  make(map[ObjectID]uint64, len(s.Objects)),
+		Created:    make(map[ObjectID]uint64, len(s.Objects)),
 	}
 	for id, o := range s.Objects {
 		v.Revisions[id] = o.Revision
+		v.Created[id] = o.Created
 		v.add(o)
 	}
 	v.indexDigests()
--- a/core/model/call.go
+++ b/core/model/call.go
@@ -13,6 +13,7 @@
 	// Deadline is the local time at which the answer is due. Between nodes it
 	// travels as a remaining duration, so that clocks need not agree.
 	Deadline time.Time `msgpack:"-"`
+	Weight   float64   `msgpack:"weight"`   // offered requests that this one stands for, at least 1
 	Attempts int       `msgpack:"attempts"` // attempts that this call and those below it may still use
 	Depth    int       `msgpack:"depth"`
 }
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -12,6 +12,8 @@
 	ConfigOffset uint64         `json:"configOffset"` // offset after the last folded record
 	ConfigAgeMS  int64          `json:"configAgeMs"`  // since the configuration was confirmed to be the newest; -1 before
 	Epoch        uint64         `json:"epoch"`        // adopted member list epoch of the own zone
+	Lease        bool           `json:"lease"`        // the zone lease is valid
+	Shares       int            `json:"shares"`       // rate shares that the node holds
 	Upstream     *Upstream      `json:"upstream,omitempty"`
 	Members      []Member       `json:"members"`
 	Duties       []super.Status `json:"duties"`
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -11,9 +11,9 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/metric"
-	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/entry"
@@ -21,6 +21,8 @@
 	"dogwoodsill.org/node/opsapi"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
+	"dogwoodsill.org/node/tokens"
+	"dogwoodsill.org/node/zones"
 )
 
 // Agent is a running node.
@@ -33,6 +35,8 @@
 	tree        *super.Tree
 
 	store  *store.Store
+	zones  *zones.Zones
+	tokens *tokens.Tokens
 	calls  *chain.Table
 	target *relay.Target
 	caller *relay.Caller
@@ -138,25 +142,35 @@
 		return err
 	}
 	a.links = newLinks(auth)
-	a.target = relay.NewTarget(a.store, a.calls, a.metrics, a.announce)
 	a.fleet = newFleet(a)
-	a.caller = relay.NewCaller(a.fleet, a.links, a.metrics, a.cfg.Instance.Zone)
+	a.zones = zones.New(a.self(), a.platform, a.fleet, a.cfg.Log.Retention.D(), func(err error) {
+		a.log.Warn("epochs log unreachable", "error", err)
+	})
+	a.tokens = tokens.New(a.zones, a.store, a.links, a.metrics)
+	balancer := relay.NewBalancer(a.fleet, a.cfg.Instance.Zone, a.incarnation)
+	a.target = relay.NewTarget(a.store, a.calls, balancer, a.metrics, a.announce)
+	a.caller = relay.NewCaller(balancer, a.links, a.metrics)
 	a.peers = newPeerServer(a, auth)
-	a.entry = entry.New(a.store, a.caller, noLimit{}, a.metrics, a.cfg.Limits)
+	a.entry = entry.New(a.store, a.caller, a.caller, a.tokens, a.metrics, a.cfg.Limits)
 	a.local = local.New(a.store, a.calls, a.target, a.caller, a.metrics, a.cfg.Limits.HeaderBytes)
 	a.ops = opsapi.New(a.Status, a.metrics)
 	return nil
 }
 
-// noLimit admits everything.
-type noLimit struct{}
+// self returns the member that this process is.
+func (a *Agent) self() epoch.Member {
+	return epoch.Member{Name: a.cfg.Instance.Name, Incarnation: a.incarnation, Address: a.advertised(), Zone: a.cfg.Instance.Zone}
+}
 
 // start runs every duty of the node. The tree is:
 //
 //	node
 //	├── listeners: callers, local, peers, operations
-//	├── config: follow
-//	└── members: gossip, announce
+//	├── config: follow, pull, snapshot
+//	├── members: gossip
+//	├── epochs: follow, renew, propose
+//	├── tokens: watch, sweep
+//	└── target: poll
 func (a *Agent) start() {
 	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(func(duty string, err error) {
 		a.log.Error("duty failed", "duty", duty, "error", err)
@@ -167,11 +181,20 @@
 	ls.Start("operations", serveHTTP(a.ops, a.lns.ops))
 	ls.Start("peers", a.peers.serve(a.lns.peers))
 	cs := a.tree.Sub("config")
-	cs.Start("follow", a.store.Follow(a.platform, func(err error) {
+	cs.Start("follow", a.store.Follow(a.platform, a.readsLog, func(err error) {
 		a.log.Warn("configuration log unreachable", "error", err)
 	}))
-	ms := a.tree.Sub("members")
-	ms.Start("gossip", a.fleet.gossip)
+	cs.Start("pull", a.pullConfig)
+	cs.Start("snapshot", a.snapshotConfig)
+	a.tree.Sub("members").Start("gossip", a.fleet.gossip)
+	es := a.tree.Sub("epochs")
+	es.Start("follow", a.zones.Follow)
+	es.Start("renew", a.zones.Renew)
+	es.Start("propose", a.zones.Propose)
+	ts := a.tree.Sub("tokens")
+	ts.Start("watch", a.tokens.Watch)
+	ts.Start("sweep", a.tokens.Sweep)
+	a.tree.Sub("target").Start("poll", a.target.Poll)
 }
 
 // Addrs returns the addresses on which the agent listens.
@@ -219,9 +242,3 @@
 	a.tree.Stop()
 	a.target.Close()
 }
-
-// Take implements entry.Limiter.
-func (noLimit) Take(context.Context, string, time.Time) *refuse.Error { return nil }
-
-// GiveBack implements entry.Limiter.
-func (noLimit) GiveBack(string, time.Time) {}
--- /dev/null
+++ b/node/agent/config.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/node/relay"
+	"dogwoodsill.org/node/store"
+)
+
+const (
+	// logReaders is the number of nodes of a zone that read the log. Three
+	// survive the loss of two, and 45 readers at 15 zones spare the log.
+	logReaders = 3
+	// pullEvery is how often another node asks a reader for records.
+	pullEvery = time.Second
+	// staleAfter is the age of the configuration from which a node reads the log
+	// itself.
+	staleAfter = 5 * time.Second
+	// joinTime is how long a node that starts during an outage of the log asks
+	// its peers before it serves by the newest configuration that they had.
+	joinTime = 3 * time.Second
+
+	snapshotEvery = 5 * time.Second
+)
+
+// readsLog reports whether this node reads the configuration from the log.
+func (a *Agent) readsLog() bool {
+	return a.store.Age(time.Now()) > staleAfter || slices.Contains(a.logReaders(), a.cfg.Instance.Name)
+}
+
+// logReaders returns the nodes of the own zone that read the log.
+func (a *Agent) logReaders() []string {
+	alive := a.fleet.alive(a.cfg.Instance.Zone)
+	members := make([]epoch.Member, 0, len(alive))
+	for _, name := range alive {
+		members = append(members, epoch.Member{Name: name})
+	}
+	var names []string
+	for _, m := range epoch.Top(members, "log readers", logReaders) {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// pullConfig is the duty that asks peers for configuration records: a reader of
+// the own zone regularly, and any node of any zone while the log is
+// unreachable.
+func (a *Agent) pullConfig(ctx context.Context) error {
+	tick := time.NewTicker(pullEvery)
+	defer tick.Stop()
+	started := time.Now()
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if addr, ok := a.recordSource(turn); ok {
+			a.pullFrom(ctx, addr, time.Since(started) > joinTime)
+		}
+	}
+}
+
+// recordSource returns the peer to ask, or false if there is nothing to ask
+// for.
+func (a *Agent) recordSource(turn int) (string, bool) {
+	readers := a.logReaders()
+	stale := a.store.Age(time.Now()) > store.ReadWait+pullEvery
+	if !stale && slices.Contains(readers, a.cfg.Instance.Name) {
+		return "", false
+	}
+	if stale {
+		return a.fleet.peerAddr(turn, nil)
+	}
+	return a.fleet.peerAddr(turn, readers)
+}
+
+func (a *Agent) pullFrom(ctx context.Context, addr string, complete bool) {
+	ctx, cancel := context.WithTimeout(ctx, pullEvery)
+	defer cancel()
+	sent := time.Now()
+	reply, err := call[store.RecordsRequest, store.RecordsReply](ctx, a.links, addr, relay.KindRecords, store.RecordsRequest{From: a.store.Offset()})
+	if err == nil {
+		a.store.Merge(reply, complete, sent, time.Now())
+	}
+}
+
+// snapshotConfig is the duty that appends snapshots of the configuration
+// before the log drops the records that they cover.
+func (a *Agent) snapshotConfig(ctx context.Context) error {
+	tick := time.NewTicker(snapshotEvery)
+	defer tick.Stop()
+	policy := config.DefaultSnapshotPolicy(a.cfg.Log.Retention.D())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		records, err := a.store.Snapshot(time.Now(), policy, a.cfg.Instance.Name, a.logReaders(), uuid.NewString())
+		if err == nil && len(records) > 0 {
+			_, err = a.platform.Append(ctx, logsvc.StreamConfig, records...)
+		}
+		if err != nil && ctx.Err() == nil {
+			a.log.Warn("configuration snapshot not appended", "error", err)
+		}
+	}
+}
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/member"
 	"dogwoodsill.org/core/metric"
@@ -75,7 +78,7 @@
 	}
 	f.step(context.Background(), func() []member.Send {
 		out := f.machine.Announce(now, t)
-		return append(out, f.machine.SetProgress(now, f.agent.store.Next(), 0)...)
+		return append(out, f.machine.SetProgress(now, f.agent.store.Offset(), f.agent.zones.Adopted())...)
 	})
 }
 
@@ -185,16 +188,17 @@
 }
 
 // Candidates implements relay.Directory.
-func (f *fleet) Candidates(service string) []relay.Candidate {
+func (f *fleet) Candidates(service string) ([]relay.Candidate, uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	gen := f.machine.ServiceGeneration(service)
 	if c, ok := f.cache[service]; ok && c.gen == gen {
-		return c.list
+		return c.list, gen
 	}
 	var list []relay.Candidate
 	for _, e := range f.machine.Targets(service) {
 		list = append(list, relay.Candidate{
+			ID:          fmt.Sprintf("%s#%d", e.Name, e.Incarnation),
 			Instance:    e.Name,
 			Incarnation: e.Incarnation,
 			Addr:        e.Addr,
@@ -204,7 +208,7 @@
 		})
 	}
 	f.cache[service] = candidates{gen: gen, list: list}
-	return list
+	return list, gen
 }
 
 // members returns the nodes that this one knows.
@@ -233,3 +237,61 @@
 	}
 	return m
 }
+
+// Members implements zones.Peers.
+func (f *fleet) Members(zone string) []member.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []member.Entry
+	for _, name := range f.machine.Alive(zone) {
+		if e, ok := f.machine.Lookup(name); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Retire implements zones.Peers.
+func (f *fleet) Retire(zone string, through uint64) {
+	f.locked(func() { f.machine.Retire(zone, through) })
+}
+
+// Retired implements zones.Peers.
+func (f *fleet) Retired() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Retired()
+}
+
+// Confirm implements zones.Peers.
+func (f *fleet) Confirm(ctx context.Context, addr string, req epoch.ConfirmRequest) (epoch.ConfirmReply, error) {
+	return call[epoch.ConfirmRequest, epoch.ConfirmReply](ctx, f.agent.links, addr, relay.KindConfirm, req)
+}
+
+// alive returns the names of the alive instances of a zone.
+func (f *fleet) alive(zone string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Alive(zone)
+}
+
+// peerAddr returns the address of another node, a different one each turn. With
+// names given it is one of these.
+func (f *fleet) peerAddr(turn int, names []string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addrs []string
+	for _, zone := range f.machine.Zones() {
+		for _, name := range f.machine.Alive(zone) {
+			e, ok := f.machine.Lookup(name)
+			if !ok || name == f.agent.cfg.Instance.Name || names != nil && !slices.Contains(names, name) {
+				continue
+			}
+			addrs = append(addrs, e.Addr)
+		}
+	}
+	if len(addrs) == 0 {
+		return "", false
+	}
+	return addrs[turn%len(addrs)], true
+}
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/quota"
 	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/node/relay"
 )
 
 // dialTimeout bounds the time to open a link to a peer, handshake included.
@@ -128,3 +130,18 @@
 		<-p.mu
 	}
 }
+
+// call performs a control exchange with the node at an address.
+func call[Req, Resp any](ctx context.Context, l *links, addr string, kind uint8, req Req) (Resp, error) {
+	session, err := l.Session(ctx, addr)
+	if err != nil {
+		var none Resp
+		return none, err
+	}
+	return frame.Call[Req, Resp](ctx, session, kind, req)
+}
+
+// Borrow implements tokens.Peers.
+func (l *links) Borrow(ctx context.Context, addr string, req quota.BorrowRequest) (quota.BorrowReply, error) {
+	return call[quota.BorrowRequest, quota.BorrowReply](ctx, l, addr, relay.KindBorrow, req)
+}
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -4,9 +4,13 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
+	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/quota"
 	"dogwoodsill.org/node/relay"
+	"dogwoodsill.org/node/store"
 )
 
 // peerServer accepts links from other nodes.
@@ -95,6 +99,18 @@
 		err = frame.Answer(s, a.fleet.receive)
 	case relay.KindProbe:
 		err = frame.Answer(s, a.fleet.probe)
+	case relay.KindConfirm:
+		err = frame.Answer(s, func(_ context.Context, req epoch.ConfirmRequest) (epoch.ConfirmReply, error) {
+			return a.zones.Confirm(req), nil
+		})
+	case relay.KindBorrow:
+		err = frame.Answer(s, func(_ context.Context, req quota.BorrowRequest) (quota.BorrowReply, error) {
+			return a.tokens.Borrow(req), nil
+		})
+	case relay.KindRecords:
+		err = frame.Answer(s, func(_ context.Context, req store.RecordsRequest) (store.RecordsReply, error) {
+			return a.store.Records(req, time.Now()), nil
+		})
 	default:
 		s.Reset(frame.CodeRefused)
 	}
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -9,6 +9,7 @@
 
 	"dogwoodsill.org/core/report"
 	"dogwoodsill.org/node/relay"
+	"dogwoodsill.org/node/zones"
 )
 
 // Status returns the state of the node.
@@ -19,11 +20,14 @@
 		Zone:         a.cfg.Instance.Zone,
 		Incarnation:  a.incarnation,
 		Draining:     a.stopping.Load(),
-		ConfigOffset: a.store.Next(),
+		ConfigOffset: a.store.Offset(),
 		ConfigAgeMS:  -1,
+		Epoch:        a.zones.Adopted(),
+		Shares:       a.tokens.Shares(),
 		Members:      a.fleet.members(),
 		Duties:       a.tree.Status(),
 	}
+	a.zones.With(func(v zones.View) { s.Lease = v.Lease.Valid(now) })
 	if cur := a.store.Current(); cur != nil {
 		s.Ready = true
 		s.ConfigAgeMS = a.store.Age(now).Milliseconds()
@@ -31,7 +35,7 @@
 	}
 	if up, ok := a.target.Upstream(now); ok {
 		s.Upstream = upstreamReport(up)
-		s.Upstream.InFlight = a.calls.Len()
+		s.Upstream.InFlight, s.Upstream.Limit = a.target.Load()
 	}
 	return s
 }
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -19,6 +19,7 @@
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
+	"dogwoodsill.org/node/tokens"
 )
 
 // Defaults of a route.
@@ -36,18 +37,27 @@
 	Do(ctx context.Context, req *relay.Request) (*relay.Response, int, *refuse.Error)
 }
 
-// Limiter charges requests to the rate of a customer.
+// Limiter charges requests to the rate of an account.
 type Limiter interface {
-	// Take charges one request. It returns nil or a refusal.
-	Take(ctx context.Context, customer string, now time.Time) *refuse.Error
-	// GiveBack undoes a charge for a request that was not run.
-	GiveBack(customer string, now time.Time)
+	// Take charges one request. It returns a function that undoes the charge of a
+	// request that was not run, or a refusal.
+	Take(ctx context.Context, account string, now time.Time) (giveBack func(now time.Time), e *refuse.Error)
+}
+
+// Ranker orders requests under overload.
+type Ranker interface {
+	// Rank returns the rank of a root request to a service.
+	Rank(service, customer string, importance int, root string, now time.Time) uint32
+	// Admit records a request and reports whether the service admits its rank,
+	// with the number of offered requests that it stands for.
+	Admit(service, customer string, rank uint32, now time.Time) (weight float64, ok bool)
 }
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
 	store   *store.Store
 	sender  Sender
+	ranker  Ranker
 	limiter Limiter
 	metrics *metric.Set
 	limits  setup.Limits
@@ -56,8 +66,8 @@
 }
 
 // New returns a server that is not listening yet.
-func New(st *store.Store, sender Sender, lim Limiter, m *metric.Set, limits setup.Limits) *Server {
-	s := &Server{store: st, sender: sender, limiter: lim, metrics: m, limits: limits, active: newActive(limits.RevokeGrace.D())}
+func New(st *store.Store, sender Sender, ranker Ranker, lim Limiter, m *metric.Set, limits setup.Limits) *Server {
+	s := &Server{store: st, sender: sender, ranker: ranker, limiter: lim, metrics: m, limits: limits, active: newActive(limits.RevokeGrace.D())}
 	st.OnChange(s.active.revoke)
 	e := echo.New()
 	e.Any("/*", s.serve)
@@ -173,30 +183,33 @@
 	}, nil
 }
 
-// admit charges the request to its customer, or to the open route, and sends
-// it.
+// admit ranks the request, charges it to its customer or to the open route, and
+// sends it.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, m route.Match, id identity, call model.Call, now time.Time) *refuse.Error {
 	account := id.customer
 	if account == "" {
-		account = OpenAccount(m.Name)
+		account = tokens.OpenAccount(m.Name)
+	}
+	service := m.Route.Service
+	call.Rank = s.ranker.Rank(service, call.Customer, call.Importance, call.Root, now)
+	weight, ok := s.ranker.Admit(service, call.Customer, call.Rank, now)
+	if !ok {
+		s.metrics.Add(metric.RefusedInside, 1)
+		return refuse.New(refuse.Overloaded, "service %q admits only more important requests", service).WithRetry(time.Second)
 	}
-	if e := s.limiter.Take(r.Context(), account, now); e != nil {
+	call.Weight = weight
+	giveBack, e := s.limiter.Take(r.Context(), account, now)
+	if e != nil {
 		return e
 	}
 	s.metrics.Add(metric.Admitted, 1)
-	e := s.send(w, r, m, id, call)
+	e = s.send(w, r, m, id, call)
 	if e != nil && e.Executed == refuse.No {
-		s.limiter.GiveBack(account, time.Now())
+		giveBack(time.Now())
 	}
 	return e
 }
 
-// OpenAccount names the account of an open route's requests without a key. The
-// slash keeps it apart from the names of customers.
-func OpenAccount(route string) string {
-	return "open/" + route
-}
-
 func (s *Server) send(w http.ResponseWriter, r *http.Request, m route.Match, id identity, call model.Call) *refuse.Error {
 	ctx, done := s.active.begin(r.Context(), id.keyID)
 	defer done()
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -37,14 +37,14 @@
 	store   *store.Store
 	calls   *chain.Table
 	target  *relay.Target
-	sender  entry.Sender
+	caller  *relay.Caller
 	metrics *metric.Set
 	http    *http.Server
 }
 
 // New returns a server that is not listening yet.
-func New(st *store.Store, calls *chain.Table, target *relay.Target, sender entry.Sender, m *metric.Set, headerBytes int) *Server {
-	s := &Server{store: st, calls: calls, target: target, sender: sender, metrics: m}
+func New(st *store.Store, calls *chain.Table, target *relay.Target, caller *relay.Caller, m *metric.Set, headerBytes int) *Server {
+	s := &Server{store: st, calls: calls, target: target, caller: caller, metrics: m}
 	e := echo.New()
 	e.POST(AnnouncePath, s.announce)
 	e.DELETE(AnnouncePath, s.withdraw)
@@ -138,18 +138,26 @@
 	defer cancel()
 	call := parent.Call
 	call.Deadline = deadline(parent.Call.Deadline, m.Route, r.Header, now)
-	call.Attempts = parent.Take(parent.Left())
-	if call.Attempts == 0 {
+	attempts, first := parent.StartChild(m.Route.Service, now)
+	unused := attempts
+	defer func() { parent.EndChild(unused, time.Now()) }()
+	if attempts == 0 {
 		return refuse.New(refuse.AttemptsSpent, "the attempts of the root request are spent")
 	}
+	call.Attempts = attempts
+	if up, ok := s.target.Upstream(now); ok && first {
+		s.caller.StartChild(up.Service, m.Route.Service, now)
+	}
+	if _, ok := s.caller.Admit(m.Route.Service, call.Customer, call.Rank, now); !ok {
+		return refuse.New(refuse.Overloaded, "service %q admits only more important requests", m.Route.Service).WithRetry(time.Second)
+	}
 	body, err := relay.NewBody(r.Body, r.ContentLength, func() http.Header { return relay.CleanHeader(r.Trailer) })
 	if err != nil {
-		parent.Return(call.Attempts)
 		return refuse.New(refuse.BadRequest, "the body is incomplete")
 	}
 	header := relay.CleanHeader(r.Header)
 	keys.Strip(header, "")
-	resp, left, e := s.sender.Do(ctx, &relay.Request{
+	resp, left, e := s.caller.Do(ctx, &relay.Request{
 		Call:          call,
 		Service:       m.Route.Service,
 		Route:         m.Name,
@@ -160,12 +168,12 @@
 		Body:          body,
 		Repeatable:    entry.Repeatable(r.Method, m.Route),
 	})
+	unused = left
 	if e != nil {
-		parent.Return(left)
 		return e
 	}
 	defer func() { _ = resp.Body.Close() }()
-	defer func() { parent.Return(resp.Trailer().AttemptsLeft) }()
+	defer func() { unused = resp.Trailer().AttemptsLeft }()
 	entry.Reply(w, resp)
 	return nil
 }
--- /dev/null
+++ b/node/relay/balance.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dogwoodsill.org/core/admit"
+	"dogwoodsill.org/core/picker"
+	"dogwoodsill.org/core/retry"
+)
+
+// Balancer holds what a node learned about the targets of all services. It
+// chooses targets, refuses calls early and limits retries. It is safe for
+// concurrent use.
+type Balancer struct {
+	dir  Directory
+	zone string
+
+	mu     sync.Mutex
+	sets   map[string]*targetSet
+	reader *admit.Reader
+	retry  *retry.Policy
+	rng    *rand.Rand
+}
+
+// targetSet is the targets of one service.
+type targetSet struct {
+	picker *picker.Set
+	gen    uint64
+	byID   map[string]Candidate
+}
+
+// NewBalancer returns a balancer for a node in a zone. The seed is the source
+// of its random choices.
+func NewBalancer(dir Directory, zone string, seed uint64) *Balancer {
+	return &Balancer{
+		dir: dir, zone: zone, sets: map[string]*targetSet{}, reader: admit.NewReader(),
+		retry: retry.NewPolicy(), rng: rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Rank returns the rank of a root request to a service.
+func (b *Balancer) Rank(service, customer string, importance int, root string, now time.Time) uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return admit.Rank(importance, b.reader.Demand(now, service, customer), root)
+}
+
+// Admit records a call and reports whether the service admits its rank. It
+// returns the number of offered requests that the call stands for.
+func (b *Balancer) Admit(service, customer string, rank uint32, now time.Time) (weight float64, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ok = b.reader.Admit(now, service, customer, rank)
+	return b.reader.Weight(now, service, customer), ok
+}
+
+// StartCall records that the local upstream runs a call of a service, and
+// StartChild that such a call calls another service for the first time.
+func (b *Balancer) StartCall(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reader.Call(now, service)
+}
+
+// StartChild records the first call to another service that a call makes.
+func (b *Balancer) StartChild(service, child string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reader.Child(now, service, child)
+}
+
+// Join adds to the feedback of the local target what is known about the
+// services that it calls.
+func (b *Balancer) Join(service, customer string, f admit.Feedback, now time.Time) admit.Feedback {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reader.Join(now, service, customer, f)
+}
+
+// pick chooses a target that was not tried. The caller reports its end by done.
+func (b *Balancer) pick(req *Request, tried []string, now time.Time) (Candidate, bool) {
+	list, gen := b.dir.Candidates(req.Service)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	set := b.set(req.Service, list, gen)
+	id, ok := set.picker.Pick(now, picker.Query{Rank: req.Call.Rank, Tried: tried, NoProbe: !req.Repeatable}, b.rng)
+	if !ok {
+		return Candidate{}, false
+	}
+	return set.byID[id], true
+}
+
+// set returns the targets of a service, brought up to date. The caller holds
+// mu.
+func (b *Balancer) set(service string, list []Candidate, gen uint64) *targetSet {
+	s, ok := b.sets[service]
+	if !ok {
+		s = &targetSet{picker: picker.NewSet(b.zone)}
+		b.sets[service] = s
+	}
+	if ok && s.gen == gen {
+		return s
+	}
+	s.gen, s.byID = gen, make(map[string]Candidate, len(list))
+	targets := make([]picker.Target, 0, len(list))
+	for _, c := range list {
+		s.byID[c.ID] = c
+		targets = append(targets, picker.Target{ID: c.ID, Zone: c.Zone, Draining: c.State == Draining})
+	}
+	s.picker.Update(targets)
+	return s
+}
+
+// done records the end of an attempt. The feedback is nil if the target sent
+// none.
+func (b *Balancer) done(req *Request, id string, r picker.Result, f *Feedback, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	set := b.sets[req.Service].picker
+	if f == nil {
+		set.Done(now, id, r, nil)
+		return
+	}
+	set.Done(now, id, r, &f.Feedback)
+	b.reader.Report(now, req.Service, id, req.Call.Customer, f.Feedback)
+	if f.Draining {
+		set.Drain(id)
+	}
+}
+
+// first records the first attempt of a call.
+func (b *Balancer) first(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retry.Ratio.First(now)
+}
+
+// next decides whether a call is attempted again.
+func (b *Balancer) next(a retry.Attempt, now time.Time) retry.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.retry.Next(now, a, b.rng)
+}
+
+// excluded reports whether the service no longer admits a rank.
+func (b *Balancer) excluded(service string, rank uint32, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return rank > b.reader.Level(now, service)
+}
--- a/node/relay/body.go
+++ b/node/relay/body.go
@@ -35,8 +35,8 @@
 	return b, err
 }
 
-// open returns a reader over the body, or false if the body was used up by an
-// earlier attempt.
+// open returns a reader over the body for one attempt, or false if the body was
+// used up by an earlier one.
 func (b *Body) open() (io.Reader, bool) {
 	if b.whole {
 		return bytes.NewReader(b.kept), true
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -12,11 +12,14 @@
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/picker"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/retry"
 )
 
 // Candidate is a target that can serve a call.
 type Candidate struct {
+	ID          string // instance and incarnation
 	Instance    string
 	Incarnation uint64
 	Addr        string // peer address of its node
@@ -25,9 +28,9 @@
 	State       State
 }
 
-// Directory lists the targets of a service.
+// Directory lists the targets of a service. The number changes with the list.
 type Directory interface {
-	Candidates(service string) []Candidate
+	Candidates(service string) ([]Candidate, uint64)
 }
 
 // Links opens sessions to peer addresses.
@@ -70,130 +73,175 @@
 
 // Caller sends calls to targets. It is safe for concurrent use.
 type Caller struct {
-	dir     Directory
+	*Balancer
 	links   Links
 	metrics *metric.Set
-	zone    string
 }
 
-// NewCaller returns a caller in an availability zone.
-func NewCaller(dir Directory, links Links, m *metric.Set, zone string) *Caller {
-	return &Caller{dir: dir, links: links, metrics: m, zone: zone}
+// NewCaller returns a caller that uses a balancer.
+func NewCaller(b *Balancer, links Links, m *metric.Set) *Caller {
+	return &Caller{Balancer: b, links: links, metrics: m}
 }
 
 // attemptError is the failure of one attempt.
 type attemptError struct {
 	refusal  *refuse.Error
-	left     int  // attempts that came back unused
-	consumed bool // the request body can't be sent again
+	outcome  retry.Outcome
+	result   picker.Result
+	left     int // attempts that came back unused
+	feedback *Feedback
+}
+
+// delivery is the state of a call over its attempts.
+type delivery struct {
+	req      *Request
+	budget   *retry.Budget
+	tried    []string
+	executed refuse.Executed
+	last     *refuse.Error
 }
 
 // Do sends a call and returns the answer, or a refusal together with the
 // number of attempts that were not used.
 func (c *Caller) Do(ctx context.Context, req *Request) (*Response, int, *refuse.Error) {
-	left := req.Call.Attempts
-	executed := refuse.No
-	tried := map[string]bool{}
-	var last *refuse.Error
-	for left > 0 {
-		if !time.Now().Before(req.Call.Deadline) {
-			last = refuse.New(refuse.DeadlineExceeded, "the deadline passed")
-			break
-		}
-		target, ok := c.choose(req.Service, tried)
-		if !ok {
-			if last == nil {
-				last = refuse.New(refuse.NoUpstream, "no target of service %q", req.Service)
-			}
-			break
-		}
-		tried[target.Instance] = true
-		if len(tried) > 1 {
-			c.metrics.Add(metric.Retries, 1)
-		}
-		resp, fail := c.attempt(ctx, req, target, left-1)
-		if fail == nil {
+	d := &delivery{req: req, budget: retry.NewBudget(req.Call.Attempts), executed: refuse.No}
+	for {
+		resp, again := c.try(ctx, d)
+		if resp != nil {
 			return resp, 0, nil
 		}
-		left = fail.left
-		last = fail.refusal
-		if last.Executed == refuse.Unknown {
-			executed = refuse.Unknown
+		if !again {
+			return nil, d.budget.Left(), d.last.WithExecuted(d.executed)
 		}
-		if !c.again(req, fail) {
-			break
+	}
+}
+
+// try makes one attempt. It returns the answer or whether to try again.
+func (c *Caller) try(ctx context.Context, d *delivery) (resp *Response, again bool) {
+	now := time.Now()
+	if !now.Before(d.req.Call.Deadline) {
+		d.fail(refuse.New(refuse.DeadlineExceeded, "the deadline passed"))
+		return nil, false
+	}
+	target, ok := c.pick(d.req, d.tried, now)
+	if !ok {
+		if d.last == nil {
+			d.fail(refuse.New(refuse.NoUpstream, "no target of service %q is available", d.req.Service).WithRetry(time.Second))
 		}
+		return nil, false
+	}
+	below, ok := d.budget.Begin()
+	if !ok {
+		c.done(d.req, target.ID, picker.Unknown, nil, now)
+		d.fail(refuse.New(refuse.AttemptsSpent, "the attempts of the request are spent"))
+		return nil, false
 	}
-	if last == nil {
-		last = refuse.New(refuse.AttemptsSpent, "the attempts of the request are spent")
+	c.count(d, now)
+	resp, fail := c.attempt(ctx, d.req, target, below)
+	if fail == nil {
+		return resp, false
 	}
-	return nil, left, last.WithExecuted(executed)
+	return nil, c.failed(ctx, d, target, fail)
 }
 
-// again reports whether another attempt may follow a failed one.
-func (c *Caller) again(req *Request, fail *attemptError) bool {
-	if fail.refusal.Executed == refuse.Unknown && !req.Repeatable {
-		return false
+func (d *delivery) fail(e *refuse.Error) {
+	d.last = e
+	if e.Executed == refuse.Unknown {
+		d.executed = refuse.Unknown
+	}
+}
+
+func (c *Caller) count(d *delivery, now time.Time) {
+	c.metrics.Add(metric.Attempts, 1)
+	if len(d.tried) == 0 {
+		c.first(now)
+		return
 	}
-	switch fail.refusal.Reason {
-	case refuse.KeyRevoked, refuse.DeadlineExceeded, refuse.Cancelled, refuse.BadRequest:
+	c.metrics.Add(metric.Retries, 1)
+}
+
+// failed records a failed attempt, decides whether another one follows and
+// waits until then.
+func (c *Caller) failed(ctx context.Context, d *delivery, target Candidate, fail *attemptError) bool {
+	now := time.Now()
+	c.done(d.req, target.ID, fail.result, fail.feedback, now)
+	d.budget.End(fail.left)
+	d.fail(fail.refusal)
+	retries := len(d.tried)
+	d.tried = append(d.tried, target.ID)
+	if !d.req.Body.repeatable() {
 		return false
 	}
-	return !fail.consumed
+	v := c.next(retry.Attempt{
+		Outcome:    c.outcome(d.req, fail, now),
+		Idempotent: d.req.Repeatable,
+		Number:     retries,
+		Left:       d.budget.Left(),
+		Deadline:   d.req.Call.Deadline,
+	}, now)
+	return v.Retry() && wait(ctx, v.Delay)
 }
 
-// choose returns a target that was not tried, from the own zone if possible.
-func (c *Caller) choose(service string, tried map[string]bool) (Candidate, bool) {
-	var best Candidate
-	found := false
-	for _, cand := range c.dir.Candidates(service) {
-		if tried[cand.Instance] || cand.State == Draining {
-			continue
-		}
-		if !found || cand.Zone == c.zone && best.Zone != c.zone {
-			best, found = cand, true
-		}
+// outcome refines the outcome of an attempt: when the service excludes the
+// rank of the call, other targets would refuse it as well.
+func (c *Caller) outcome(req *Request, fail *attemptError, now time.Time) retry.Outcome {
+	if fail.outcome == retry.Refused && c.excluded(req.Service, req.Call.Rank, now) {
+		return retry.Excluded
+	}
+	return fail.outcome
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return best, found
 }
 
 // attempt sends the call to one target with a number of attempts for the calls
 // below it.
 func (c *Caller) attempt(ctx context.Context, req *Request, to Candidate, below int) (*Response, *attemptError) {
-	c.metrics.Add(metric.Attempts, 1)
-	session, err := c.links.Session(ctx, to.Addr)
-	if err != nil {
-		return nil, c.notSent(ctx, req, below, "the node of the target is unreachable")
-	}
-	head := c.head(req, to, below)
-	data, err := pack(head)
-	if err != nil {
-		return nil, &attemptError{refusal: refuse.New(refuse.BadRequest, "request head: %v", err), left: below}
-	}
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
-	s, err := session.Open(ctx, KindCall, data)
-	if err != nil {
+	s, fail := c.open(ctx, req, to, below)
+	if fail != nil {
 		cancel()
-		return nil, c.notSent(ctx, req, below, "the link to the target failed")
-	}
-	body, ok := req.Body.open()
-	if !ok {
-		s.Reset(frame.CodeCanceled)
-		cancel()
-		return nil, &attemptError{refusal: refuse.New(refuse.UpstreamFailed, "the request body was used up"), consumed: true}
+		return nil, fail
 	}
+	body, _ := req.Body.open()
 	go send(s, body, req.Body)
 	reply, err := receiveHead(ctx, s)
 	if err != nil {
 		s.Reset(frame.CodeCanceled)
-		cancel()
-		return nil, &attemptError{refusal: lost(ctx, err), consumed: !req.Body.repeatable()}
+		defer cancel()
+		return nil, lost(ctx, err)
 	}
 	if reply.Refusal != nil {
+		s.Reset(frame.CodeDone)
 		cancel()
-		return nil, &attemptError{refusal: reply.Refusal, left: reply.AttemptsLeft, consumed: !req.Body.repeatable()}
+		return nil, refused(&reply)
 	}
-	return newResponse(req, s, reply, cancel), nil
+	return c.newResponse(req, to, s, reply, cancel), nil
+}
+
+// open opens the stream of an attempt.
+func (c *Caller) open(ctx context.Context, req *Request, to Candidate, below int) (*frame.Stream, *attemptError) {
+	session, err := c.links.Session(ctx, to.Addr)
+	if err != nil {
+		return nil, notSent(ctx, below, "the node of the target is unreachable")
+	}
+	data, err := pack(c.head(req, to, below))
+	if err != nil {
+		return nil, &attemptError{refusal: refuse.New(refuse.BadRequest, "request head: %v", err), outcome: retry.Rejected, result: picker.Unknown, left: below}
+	}
+	s, err := session.Open(ctx, KindCall, data)
+	if err != nil {
+		return nil, notSent(ctx, below, "the link to the target failed")
+	}
+	return s, nil
 }
 
 func (c *Caller) head(req *Request, to Candidate, below int) CallHead {
@@ -214,27 +262,64 @@
 	}
 }
 
-func (c *Caller) notSent(ctx context.Context, req *Request, left int, detail string) *attemptError {
-	e := refuse.New(refuse.UpstreamFailed, "%s", detail)
+// notSent describes an attempt that surely reached no upstream.
+func notSent(ctx context.Context, left int, detail string) *attemptError {
 	if ctx.Err() != nil {
-		e = lost(ctx, ctx.Err()).WithExecuted(refuse.No)
+		return &attemptError{refusal: contextRefusal(ctx), outcome: retry.Rejected, result: picker.Unknown, left: left}
+	}
+	return &attemptError{
+		refusal: refuse.New(refuse.UpstreamFailed, "%s", detail),
+		outcome: retry.NotDispatched, result: picker.Failed, left: left,
 	}
-	return &attemptError{refusal: e, left: left, consumed: !req.Body.repeatable()}
 }
 
-// lost describes an attempt that ended without an answer.
-func lost(ctx context.Context, err error) *refuse.Error {
-	var silent *frame.SessionError
+// lost describes an attempt that ended without an answer. A stream that the
+// far node refused was never given to a handler there.
+func lost(ctx context.Context, err error) *attemptError {
+	var reset *frame.ResetError
+	if errors.As(err, &reset) && reset.Remote && reset.Code == frame.CodeRefused {
+		return notSent(ctx, 0, "the target's node refused the stream")
+	}
+	if ctx.Err() != nil {
+		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.Unknown), outcome: retry.Rejected, result: ended(ctx)}
+	}
 	e := refuse.New(refuse.UpstreamFailed, "the target's node gave no answer")
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		e = refuse.New(refuse.DeadlineExceeded, "no answer before the deadline")
-	case ctx.Err() != nil:
-		e = refuse.New(refuse.Cancelled, "the request was cancelled")
-	case errors.As(err, &silent) && silent.Silent:
-		e = refuse.New(refuse.UpstreamFailed, "the link to the target's node went silent")
+	return &attemptError{refusal: e.WithExecuted(refuse.Unknown), outcome: retry.Failed, result: picker.Failed}
+}
+
+// ended says what the end of a context tells about the target: a missed
+// deadline speaks against it, a caller that left doesn't.
+func ended(ctx context.Context) picker.Result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return picker.Failed
+	}
+	return picker.Unknown
+}
+
+func contextRefusal(ctx context.Context) *refuse.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuse.New(refuse.DeadlineExceeded, "no answer before the deadline")
+	}
+	return refuse.New(refuse.Cancelled, "the request was cancelled")
+}
+
+// refused describes an attempt that the target's node refused.
+func refused(r *ReplyHead) *attemptError {
+	fail := &attemptError{refusal: r.Refusal, outcome: retry.Rejected, result: picker.Refused, left: r.AttemptsLeft, feedback: &r.Feedback}
+	switch r.Refusal.Reason {
+	case refuse.Overloaded:
+		fail.outcome = retry.Refused
+	case refuse.NoUpstream, refuse.NotReady:
+		fail.outcome = retry.NotDispatched
+	case refuse.UpstreamFailed:
+		fail.outcome, fail.result = retry.Failed, picker.Failed
+		if r.Refusal.Executed == refuse.No {
+			fail.outcome = retry.NotDispatched
+		}
+	case refuse.DeadlineExceeded:
+		fail.outcome = retry.Expired
 	}
-	return e.WithExecuted(refuse.Unknown)
+	return fail
 }
 
 func send(s *frame.Stream, body io.Reader, b *Body) {
@@ -257,14 +342,17 @@
 // responseBody reads the body of an answer and checks at its end that the
 // answer is complete.
 type responseBody struct {
+	caller  *Caller
+	req     *Request
+	target  string
 	s       *frame.Stream
-	service string
 	cancel  context.CancelFunc
 	trailer ReplyTrailer
+	ended   bool
 }
 
-func newResponse(req *Request, s *frame.Stream, h ReplyHead, cancel context.CancelFunc) *Response {
-	b := &responseBody{s: s, service: req.Service, cancel: cancel}
+func (c *Caller) newResponse(req *Request, to Candidate, s *frame.Stream, h ReplyHead, cancel context.CancelFunc) *Response {
+	b := &responseBody{caller: c, req: req, target: to.ID, s: s, cancel: cancel}
 	return &Response{
 		Status:        h.Status,
 		Header:        h.Header,
@@ -278,19 +366,35 @@
 // if the upstream's answer ended early.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.s.Read(p)
+	if err == nil {
+		return n, nil
+	}
 	if !errors.Is(err, io.EOF) {
+		b.end(picker.Failed, nil)
 		return n, err
 	}
 	trailer, uerr := unpack[ReplyTrailer](b.s.Trailer())
 	if uerr != nil || !trailer.Complete {
-		return n, &TruncatedError{Service: b.service}
+		b.end(picker.Failed, nil)
+		return n, &TruncatedError{Service: b.req.Service}
 	}
 	b.trailer = trailer
+	b.end(picker.OK, &trailer.Feedback)
 	return n, io.EOF
 }
 
+// end reports the end of the attempt once.
+func (b *responseBody) end(r picker.Result, f *Feedback) {
+	if b.ended {
+		return
+	}
+	b.ended = true
+	b.caller.done(b.req, b.target, r, f, time.Now())
+}
+
 // Close implements io.Closer. It cancels what is left of the call.
 func (b *responseBody) Close() error {
+	b.end(picker.Unknown, nil)
 	b.s.Reset(frame.CodeCanceled)
 	b.cancel()
 	return nil
--- /dev/null
+++ b/node/relay/gate.go
@@ -0,0 +1,168 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"dogwoodsill.org/core/admit"
+	"dogwoodsill.org/core/limit"
+	"dogwoodsill.org/core/refuse"
+)
+
+// pollEvery is how often queued calls are looked at for missed deadlines.
+const pollEvery = 20 * time.Millisecond
+
+// overloadRetry is the time after which a refused caller may try again. Levels
+// at the entries expire after the same time.
+const overloadRetry = time.Second
+
+// gate admits calls to the local upstream. It is safe for concurrent use.
+type gate struct {
+	mu    sync.Mutex
+	admit *admit.Gate[*waiter]
+	limit *limit.Limit
+}
+
+// waiter is a call that arrived at the gate. The gate sends nil when the call
+// may run.
+type waiter struct {
+	verdict   chan *refuse.Error
+	abandoned bool
+}
+
+func newGate() *gate {
+	return &gate{admit: admit.NewGate[*waiter](admit.DefaultMaxWait), limit: limit.New()}
+}
+
+// enter waits until the call may run. After nil the caller must call leave.
+func (g *gate) enter(ctx context.Context, h *CallHead, now time.Time) *refuse.Error {
+	w := &waiter{verdict: make(chan *refuse.Error, 1)}
+	g.mu.Lock()
+	d, dropped := g.admit.Arrive(now, g.limit.Value(), admit.Item[*waiter]{
+		Rank: h.Call.Rank, Customer: h.Call.Customer, Weight: h.Call.Weight, Deadline: h.Call.Deadline, Value: w,
+	})
+	refuseDropped(dropped)
+	g.mu.Unlock()
+	if d == admit.Run {
+		return nil
+	}
+	select {
+	case e := <-w.verdict:
+		return e
+	case <-ctx.Done():
+		return g.abandon(ctx, w)
+	}
+}
+
+// abandon ends the wait of a call whose caller is gone.
+func (g *gate) abandon(ctx context.Context, w *waiter) *refuse.Error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case e := <-w.verdict:
+		if e == nil {
+			g.finish(time.Now(), 0)
+		}
+	default:
+		w.abandoned = true
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuse.New(refuse.DeadlineExceeded, "the deadline passed in the queue of the target")
+	}
+	return refuse.New(refuse.Cancelled, "the request was cancelled")
+}
+
+// leave ends a call that entered. took is its whole time, or 0 if it failed.
+func (g *gate) leave(s limit.Sample, took time.Duration, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit.Observe(now, s, g.admit.Running())
+	g.finish(now, took)
+}
+
+// finish frees a place. The caller holds mu.
+func (g *gate) finish(now time.Time, took time.Duration) {
+	run, dropped := g.admit.Finish(now, g.limit.Value(), took)
+	refuseDropped(dropped)
+	g.start(run, now)
+}
+
+// start lets queued calls run. A call whose caller is gone frees its place at
+// once. The caller holds mu.
+func (g *gate) start(run []admit.Item[*waiter], now time.Time) {
+	for _, it := range run {
+		if it.Value.abandoned {
+			g.finish(now, 0)
+			continue
+		}
+		it.Value.verdict <- nil
+	}
+}
+
+func refuseDropped(dropped []admit.Dropped[*waiter]) {
+	for _, d := range dropped {
+		if !d.Item.Value.abandoned {
+			d.Item.Value.verdict <- causeRefusal(d.Cause)
+		}
+	}
+}
+
+func causeRefusal(c admit.Cause) *refuse.Error {
+	if c == admit.Late {
+		return refuse.New(refuse.DeadlineExceeded, "the target can't answer before the deadline")
+	}
+	return refuse.New(refuse.Overloaded, "the target is overloaded").WithRetry(overloadRetry)
+}
+
+// poll is the duty that drops queued calls that can't meet their deadline.
+func (g *gate) poll(ctx context.Context) error {
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			g.pollOnce(now)
+		}
+	}
+}
+
+func (g *gate) pollOnce(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.admit.Waiting() == 0 {
+		return
+	}
+	run, dropped := g.admit.Poll(now, g.limit.Value())
+	refuseDropped(dropped)
+	g.start(run, now)
+}
+
+// hint passes on what the upstream says about itself.
+func (g *gate) hint(u Upstream, restart bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if restart {
+		g.limit.Restart()
+	}
+	g.limit.HintSlots(u.Slots)
+	if u.Load > 0 {
+		g.limit.HintLoad(now, u.Load)
+	}
+}
+
+func (g *gate) feedback(customer string, now time.Time) admit.Feedback {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admit.Feedback(now, g.limit.Value(), customer)
+}
+
+// load returns the running calls and the concurrency limit.
+func (g *gate) load() (running, limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admit.Running(), g.limit.Value()
+}
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -15,6 +15,7 @@
 
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/limit"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/node/store"
@@ -45,13 +46,14 @@
 // Target serves the calls for the local upstream. It is safe for concurrent
 // use.
 type Target struct {
-	store   *store.Store
-	calls   *chain.Table
-	metrics *metric.Set
-	client  *http.Transport
-	onState func()
+	store    *store.Store
+	calls    *chain.Table
+	balancer *Balancer
+	metrics  *metric.Set
+	client   *http.Transport
+	onState  func()
+	gate     *gate
 
-	inFlight atomic.Int64
 	draining atomic.Bool
 	running  sync.WaitGroup
 
@@ -71,12 +73,14 @@
 
 // NewTarget returns a target without an upstream. It calls onState after each
 // change of the announced state.
-func NewTarget(st *store.Store, calls *chain.Table, m *metric.Set, onState func()) *Target {
+func NewTarget(st *store.Store, calls *chain.Table, b *Balancer, m *metric.Set, onState func()) *Target {
 	return &Target{
-		store:   st,
-		calls:   calls,
-		metrics: m,
-		onState: onState,
+		store:    st,
+		calls:    calls,
+		balancer: b,
+		metrics:  m,
+		onState:  onState,
+		gate:     newGate(),
 		client: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableCompression:  true,
@@ -89,10 +93,12 @@
 // Announce sets the local upstream until its time to live ends.
 func (t *Target) Announce(u Upstream, now time.Time) {
 	t.mu.Lock()
+	restart := t.up == nil || t.up.Addr != u.Addr || u.State == Cold && t.up.State != Cold
 	changed := t.up == nil || t.up.State != u.State || t.up.Service != u.Service
 	t.up = &u
 	t.expires = now.Add(time.Duration(u.TTLMS) * time.Millisecond)
 	t.mu.Unlock()
+	t.gate.hint(u, restart, now)
 	if changed {
 		t.onState()
 	}
@@ -143,6 +149,16 @@
 	t.client.CloseIdleConnections()
 }
 
+// Poll is the duty that drops queued calls that can't meet their deadline.
+func (t *Target) Poll(ctx context.Context) error {
+	return t.gate.poll(ctx)
+}
+
+// Load returns the calls at the upstream and the concurrency limit.
+func (t *Target) Load() (running, limit int) {
+	return t.gate.load()
+}
+
 // Serve handles a call stream from another node.
 func (t *Target) Serve(s *frame.Stream) {
 	now := time.Now()
@@ -152,16 +168,20 @@
 		return
 	}
 	head.Call.Deadline = head.deadline(now)
+	ctx, cancel := context.WithDeadline(s.Context(), head.Call.Deadline)
+	defer cancel()
+	t.balancer.StartCall(head.Service, now)
 	up, refusal := t.check(&head, now)
+	if refusal == nil {
+		refusal = t.gate.enter(ctx, &head, now)
+	}
 	if refusal != nil {
-		t.refuse(s, refusal, head.Call.Attempts)
+		t.refuse(s, &head, refusal, head.Call.Attempts)
 		return
 	}
 	t.running.Add(1)
 	defer t.running.Done()
-	t.inFlight.Add(1)
-	defer t.inFlight.Add(-1)
-	t.dispatch(s, &head, up)
+	t.dispatch(ctx, s, &head, up)
 }
 
 // check decides whether a call may start.
@@ -186,9 +206,9 @@
 	return up, nil
 }
 
-func (t *Target) refuse(s *frame.Stream, e *refuse.Error, attempts int) {
+func (t *Target) refuse(s *frame.Stream, h *CallHead, e *refuse.Error, attempts int) {
 	t.metrics.Add(metric.Refused+string(e.Reason), 1)
-	data, err := pack(ReplyHead{Refusal: e, AttemptsLeft: attempts, Feedback: t.feedback()})
+	data, err := pack(ReplyHead{Refusal: e, AttemptsLeft: attempts, Feedback: t.feedback(h)})
 	if err == nil {
 		err = s.SendHead(data)
 	}
@@ -200,48 +220,87 @@
 	}
 }
 
-func (t *Target) feedback() Feedback {
-	return Feedback{Level: ^uint32(0), InFlight: int(t.inFlight.Load()), Draining: t.draining.Load()}
+func (t *Target) feedback(h *CallHead) Feedback {
+	now := time.Now()
+	f := t.balancer.Join(h.Service, h.Call.Customer, t.gate.feedback(h.Call.Customer, now), now)
+	return Feedback{Feedback: f, Draining: t.draining.Load()}
 }
 
-// dispatch sends the call to the upstream and its answer to the stream.
-func (t *Target) dispatch(s *frame.Stream, h *CallHead, up Upstream) {
-	ctx, cancel := context.WithDeadline(s.Context(), h.Call.Deadline)
-	defer cancel()
-	active := t.calls.Begin(ctx, h.Call)
-	defer t.calls.End(active)
+// exchange is one call at the upstream.
+type exchange struct {
+	target *Target
+	stream *frame.Stream
+	head   *CallHead
+	active *chain.Active
+	body   *requestBody
+	began  time.Time
+	wrote  atomic.Bool // a connection to the upstream was used
+}
+
+// dispatch sends an admitted call to the upstream and its answer to the stream.
+func (t *Target) dispatch(ctx context.Context, s *frame.Stream, h *CallHead, up Upstream) {
+	x := &exchange{target: t, stream: s, head: h, active: t.calls.Begin(ctx, h.Route, h.Call), began: time.Now()}
+	defer t.calls.End(x.active)
 	t.metrics.Add(metric.Served, 1)
+	resp, refusal := x.roundTrip(ctx, up)
+	sample := x.sample(resp, time.Now())
+	if refusal != nil {
+		t.gate.leave(sample, 0, time.Now())
+		t.refuse(s, h, refusal, x.active.Left())
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	ok := x.reply(resp)
+	t.gate.leave(sample, x.took(ok && !sample.Shed), time.Now())
+}
 
-	var wrote atomic.Bool
-	req, err := t.request(ctx, s, h, up, active, &wrote)
+func (x *exchange) roundTrip(ctx context.Context, up Upstream) (*http.Response, *refuse.Error) {
+	req, err := x.request(ctx, up)
 	if err != nil {
-		t.refuse(s, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err), active.Left())
-		return
+		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
-	resp, err := t.client.RoundTrip(req)
+	resp, err := x.target.client.RoundTrip(req)
 	if err != nil {
-		t.refuse(s, t.failure(err, wrote.Load()), active.Left())
-		return
+		return nil, x.target.failure(err, x.wrote.Load())
+	}
+	return resp, nil
+}
+
+// sample describes the exchange for the concurrency limit. Its latency leaves
+// out the time in which the upstream waited for chain calls or for the body.
+func (x *exchange) sample(resp *http.Response, now time.Time) limit.Sample {
+	if resp == nil {
+		return limit.Sample{Failed: true}
+	}
+	return limit.Sample{
+		Latency: now.Sub(x.began) - x.active.Waited(now) - x.body.waited(),
+		Shed:    resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests,
 	}
-	defer func() { _ = resp.Body.Close() }()
-	t.reply(s, resp, active)
+}
+
+func (x *exchange) took(ok bool) time.Duration {
+	if !ok {
+		return 0
+	}
+	return time.Since(x.began)
 }
 
 // request builds the request to the upstream. Its body hides the type of the
 // reader, so that net/http never repeats the request on another connection.
-func (t *Target) request(ctx context.Context, s *frame.Stream, h *CallHead, up Upstream, a *chain.Active, wrote *atomic.Bool) (*http.Request, error) {
+func (x *exchange) request(ctx context.Context, up Upstream) (*http.Request, error) {
+	h := x.head
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { x.wrote.Store(true) },
 	})
-	body := &requestBody{stream: s}
-	req, err := http.NewRequestWithContext(ctx, h.Method, "http://"+up.Addr+h.URI, io.NopCloser(body))
+	x.body = &requestBody{stream: x.stream}
+	req, err := http.NewRequestWithContext(ctx, h.Method, "http://"+up.Addr+h.URI, io.NopCloser(x.body))
 	if err != nil {
 		return nil, err
 	}
-	body.req = req
+	x.body.req = req
 	req.ContentLength = h.ContentLength
 	req.Header = CleanHeader(h.Header)
-	req.Header.Set(chain.Header, a.Token)
+	req.Header.Set(chain.Header, x.active.Token)
 	req.Header.Set(chain.DeadlineHeader, strconv.FormatInt(time.Until(h.Call.Deadline).Milliseconds(), 10))
 	if h.ContentLength < 0 {
 		req.Trailer = http.Header{}
@@ -253,11 +312,19 @@
 type requestBody struct {
 	stream *frame.Stream
 	req    *http.Request
+	wait   atomic.Int64 // nanoseconds spent waiting for the body
+}
+
+// waited returns the time spent waiting for the body.
+func (b *requestBody) waited() time.Duration {
+	return time.Duration(b.wait.Load())
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
+	began := time.Now()
 	n, err := b.stream.Read(p)
+	b.wait.Add(int64(time.Since(began)))
 	if errors.Is(err, io.EOF) && b.req.Trailer != nil {
 		if trailer, uerr := unpack[http.Header](b.stream.Trailer()); uerr == nil {
 			for name, values := range CleanHeader(trailer) {
@@ -286,29 +353,31 @@
 	return e
 }
 
-// reply streams the answer of the upstream.
-func (t *Target) reply(s *frame.Stream, resp *http.Response, a *chain.Active) {
+// reply streams the answer of the upstream and reports whether it was complete.
+func (x *exchange) reply(resp *http.Response) bool {
+	s := x.stream
 	data, err := pack(ReplyHead{
 		Status:        resp.StatusCode,
 		Header:        CleanHeader(resp.Header),
 		ContentLength: resp.ContentLength,
-		Feedback:      t.feedback(),
 	})
 	if err != nil {
 		s.Reset(frame.CodeInternal)
-		return
+		return false
 	}
 	if s.SendHead(data) != nil {
-		return
+		return false
 	}
 	_, err = io.CopyBuffer(s, struct{ io.Reader }{resp.Body}, make([]byte, copyBytes))
 	trailer, perr := pack(ReplyTrailer{
 		Complete:     err == nil,
 		Trailer:      CleanHeader(resp.Trailer),
-		AttemptsLeft: a.Left(),
-		Feedback:     t.feedback(),
+		AttemptsLeft: x.active.Left(),
+		Feedback:     x.target.feedback(x.head),
 	})
 	if perr != nil || s.CloseWrite(trailer) != nil {
 		s.Reset(frame.CodeInternal)
+		return false
 	}
+	return err == nil
 }
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -6,6 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dogwoodsill.org/core/admit"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
 )
@@ -58,9 +59,8 @@
 
 // Feedback tells the calling side about the load of a target.
 type Feedback struct {
-	Level    uint32 `msgpack:"level"`    // highest rank that is admitted
-	InFlight int    `msgpack:"inFlight"` // calls at the upstream
-	Draining bool   `msgpack:"draining"`
+	admit.Feedback
+	Draining bool `msgpack:"draining"`
 }
 
 // deadline converts the remaining time of the head to a local deadline.
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/logsvc"
 )
 
@@ -15,45 +16,76 @@
 const (
 	readBatch = 500                    // records in one read
 	retryWait = 200 * time.Millisecond // after a failed read
+	roleWait  = time.Second            // between two looks at whether this node reads the log
 )
 
-// Follow returns the duty that reads the configuration stream until its context
-// ends. Errors of the log are passed to onErr and retried.
-func (s *Store) Follow(log logsvc.Log, onErr func(error)) func(context.Context) error {
+// Follow returns the duty that reads the configuration stream while reads
+// reports that it is this node's task. Errors of the log are passed to onErr
+// and the read is repeated.
+func (s *Store) Follow(log logsvc.Log, reads func() bool, onErr func(error)) func(context.Context) error {
 	return func(ctx context.Context) error {
 		for ctx.Err() == nil {
-			sent := time.Now()
-			b, err := log.Read(ctx, logsvc.StreamConfig, s.Next(), readBatch, s.wait())
-			if err == nil {
-				s.Apply(b, sent)
+			if !reads() {
+				pause(ctx, roleWait)
 				continue
 			}
-			var expired *logsvc.ExpiredError
-			if errors.As(err, &expired) {
-				s.skip(expired.First)
-			}
-			if ctx.Err() == nil {
+			if err := s.readOnce(ctx, log); err != nil && ctx.Err() == nil {
 				onErr(err)
+				pause(ctx, retryWait)
 			}
-			pause(ctx, retryWait)
 		}
 		return nil
 	}
 }
 
-// wait returns the long poll time: none before the first complete read.
-func (s *Store) wait() time.Duration {
+// readOnce reads one batch from the log.
+func (s *Store) readOnce(ctx context.Context, log logsvc.Log) error {
+	s.mu.Lock()
+	next := s.reader.Next()
+	s.mu.Unlock()
+	wait := ReadWait
 	if s.Current() == nil {
-		return 0
+		wait = 0
+	}
+	sent := time.Now()
+	b, err := log.Read(ctx, logsvc.StreamConfig, next, readBatch, wait)
+	var expired *logsvc.ExpiredError
+	if errors.As(err, &expired) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.reader.Expired(expired.First)
+		return nil
+	}
+	if err != nil {
+		return err
 	}
-	return ReadWait
+	s.take(b, sent, time.Now())
+	return nil
 }
 
-// skip continues after records that the log no longer keeps.
-func (s *Store) skip(first uint64) {
+func (s *Store) take(b logsvc.Batch, sent, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.state.Next = max(s.state.Next, first)
+	// An empty batch comes at the end of a long poll and is true of the time of
+	// the answer only as far as the service says so; the time of the request is
+	// the safe bound.
+	s.reader.Log(now, config.Batch{First: b.First, End: b.End, Records: b.Records, Age: now.Sub(sent)})
+	for i, rec := range b.Records {
+		s.recent.add(b.First+uint64(i), rec)
+	}
+	s.end = max(s.end, b.End)
+	s.publish(now, false)
+}
+
+// Snapshot is the duty's decision and encoding: it returns the records of a
+// snapshot if this node should append one now.
+func (s *Store) Snapshot(now time.Time, p config.SnapshotPolicy, self string, candidates []string, id string) ([][]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.reader.SnapshotDue(now, p, self, candidates) {
+		return nil, nil
+	}
+	return s.reader.Snapshot().Encode(id)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/node/store/store.go
+++ b/node/store/store.go
@@ -1,12 +1,12 @@
 package store
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"dogwoodsill.org/core/config"
-	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/route"
 )
 
@@ -18,19 +18,20 @@
 
 // Store is the configuration of a node. It is safe for concurrent use.
 type Store struct {
-	cur       atomic.Pointer[Current]
-	confirmed atomic.Int64 // Unix nanoseconds of the last confirmation that nothing newer exists
-	ready     chan struct{}
-	once      sync.Once
+	cur   atomic.Pointer[Current]
+	ready chan struct{}
+	once  sync.Once
 
-	mu    sync.Mutex
-	state *config.State
-	hooks []func(*Current)
+	mu     sync.Mutex
+	reader *config.Reader
+	recent *recent
+	end    uint64 // end of the stream as last read from the log
+	hooks  []func(*Current)
 }
 
 // New returns an empty store that is not ready.
 func New() *Store {
-	return &Store{state: config.NewState(), ready: make(chan struct{})}
+	return &Store{reader: config.NewReader(time.Now()), recent: newRecent(), ready: make(chan struct{})}
 }
 
 // Current returns the configuration in force, or nil before the store is
@@ -40,62 +41,58 @@
 }
 
 // Ready is closed once the store holds a configuration that was complete when
-// the node started.
+// the node started, or the newest one of its peers if the log is down.
 func (s *Store) Ready() <-chan struct{} {
 	return s.ready
 }
 
-// Next returns the offset of the next record to fold.
-func (s *Store) Next() uint64 {
+// Offset returns the offset after the last folded record.
+func (s *Store) Offset() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Next
+	return s.reader.Offset()
 }
 
-// Age returns how long ago the configuration was confirmed to be the newest.
+// End returns the end of the stream as it was last read from the log or told by
+// a peer.
+func (s *Store) End() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.end
+}
+
+// Age returns how long ago the configuration was known to be the newest. It is
+// the largest duration if it never was.
 func (s *Store) Age(now time.Time) time.Duration {
-	at := s.confirmed.Load()
-	if at == 0 {
-		return 1<<63 - 1
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age, ok := s.reader.Age(now)
+	if !ok {
+		return math.MaxInt64
 	}
-	return now.Sub(time.Unix(0, at))
+	return age
 }
 
 // OnChange calls f after each change of the configuration, in order. It must
-// be called before the first Apply.
+// be called before the duties start.
 func (s *Store) OnChange(f func(*Current)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.hooks = append(s.hooks, f)
 }
 
-// Apply folds a batch of the log. A batch that reaches the end of the stream
-// makes the store ready and confirms the configuration at now, the time when
-// the read was sent.
-func (s *Store) Apply(b logsvc.Batch, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before := s.state.Next
-	for i, rec := range b.Records {
-		s.state.Apply(b.First+uint64(i), rec)
-	}
-	atEnd := s.state.Next >= b.End
-	if atEnd {
-		s.confirmed.Store(now.UnixNano())
-	}
-	if s.state.Next != before || atEnd && s.cur.Load() == nil {
-		s.publish(atEnd)
+// publish puts the folded state in force if it changed. The caller holds mu.
+// Before the state was once at the end of the log, or complete says that no
+// newer one can be had, it stays out of force, so that a restarted node never
+// serves by an old configuration.
+func (s *Store) publish(now time.Time, complete bool) {
+	_, confirmed := s.reader.Age(now)
+	old := s.cur.Load()
+	if old == nil && !confirmed && !complete {
+		return
 	}
-}
-
-// publish puts the folded state in force. Before the first complete read it
-// stays out of force, so that a restarted node never serves by an old
-// configuration.
-func (s *Store) publish(atEnd bool) {
-	if s.cur.Load() == nil && !atEnd {
+	view := s.reader.View()
+	if old != nil && old.View == view {
 		return
 	}
-	view := s.state.View()
 	cur := &Current{View: view, Table: route.NewTable(view)}
 	s.cur.Store(cur)
 	s.once.Do(func() { close(s.ready) })
--- /dev/null
+++ b/node/tokens/holder.go
@@ -0,0 +1,154 @@
+package tokens
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/quota"
+	"dogwoodsill.org/node/store"
+	"dogwoodsill.org/node/zones"
+)
+
+// syncEvery is how often shares that wait for the retirement of an epoch are
+// looked at again.
+const syncEvery = 500 * time.Millisecond
+
+// holder lends the tokens of the shares that the node holds.
+type holder struct {
+	zones   *zones.Zones
+	store   *store.Store
+	metrics *metric.Set
+
+	// The fields below are guarded by the lock of zones.
+	quota  *quota.Holder
+	waits  bool
+	marked bool   // owned counts
+	owned  uint64 // end of the configuration stream as read after the last adopted epoch
+	at     time.Time
+}
+
+func newHolder(z *zones.Zones, st *store.Store, m *metric.Set) *holder {
+	h := &holder{zones: z, store: st, metrics: m}
+	z.With(func(v zones.View) { h.quota = quota.NewHolder(z.Self(), v.State, v.Tracker) })
+	z.OnChange(func(_ zones.View, now time.Time) {
+		h.marked, h.at = false, now
+		h.sync(now)
+	})
+	st.OnChange(func(*store.Current) {
+		z.With(func(zones.View) { h.sync(time.Now()) })
+	})
+	return h
+}
+
+// sync brings the buckets in line with the configuration and the epoch. The
+// caller holds the lock of zones.
+func (h *holder) sync(now time.Time) {
+	cur := h.store.Current()
+	if cur == nil {
+		return
+	}
+	h.waits = h.quota.Sync(allShares(cur.View), h.fresh(cur.View), now)
+}
+
+// fresh returns the function that tells whether an account was created after
+// the end of the stream as it was read since the node adopted its epoch. The
+// holder of such an account can't have had a predecessor.
+func (h *holder) fresh(v *config.View) func(string) bool {
+	if !h.marked {
+		return nil
+	}
+	return func(account string) bool {
+		return v.Created[objectOf(account)] > h.owned
+	}
+}
+
+// watch is the duty that looks again at waiting shares.
+func (h *holder) watch(ctx context.Context) error {
+	tick := time.NewTicker(syncEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			age := h.store.Age(now)
+			end := h.store.End()
+			h.zones.With(func(zones.View) { h.look(now, age, end) })
+		}
+	}
+}
+
+// look marks the end of the stream once it was read after the last adopted
+// epoch, and starts the shares that waited.
+func (h *holder) look(now time.Time, age time.Duration, end uint64) {
+	if !h.marked && !h.at.IsZero() && now.Add(-age).After(h.at) {
+		h.marked, h.owned = true, end
+	}
+	if h.waits {
+		h.sync(now)
+	}
+}
+
+// borrow answers a borrow request.
+func (h *holder) borrow(req quota.BorrowRequest, now time.Time) quota.BorrowReply {
+	var reply quota.BorrowReply
+	h.zones.With(func(v zones.View) {
+		reply = h.quota.Borrow(req, v.Lease.Until(now), now)
+	})
+	h.metrics.Add(metric.TokensLent, milli(reply.Grant))
+	return reply
+}
+
+func milli(a quota.Amount) int64 {
+	return int64(a / (quota.Token / 1000))
+}
+
+// openPrefix starts the names of the accounts of open routes. Names of customers
+// can't contain it, as the slash is not allowed there.
+const openPrefix = "open/"
+
+// OpenAccount names the account of an open route's requests without a key.
+func OpenAccount(route string) string {
+	return openPrefix + route
+}
+
+func objectOf(account string) config.ObjectID {
+	if route, ok := strings.CutPrefix(account, openPrefix); ok {
+		return config.ObjectID{Kind: model.KindRoute, Name: route}
+	}
+	return config.ObjectID{Kind: model.KindCustomer, Name: account}
+}
+
+// sharesOf returns the shares of one account, none if it doesn't exist.
+func sharesOf(v *config.View, account string) []quota.Share {
+	id := objectOf(account)
+	if id.Kind == model.KindRoute {
+		r, ok := v.Routes[id.Name]
+		if !ok || !r.Open {
+			return nil
+		}
+		return quota.SplitCustomer(account, model.Customer{Rate: r.OpenRate, Burst: r.OpenBurst}, v.Fleet)
+	}
+	c, ok := v.Customers[account]
+	if !ok {
+		return nil
+	}
+	return quota.SplitCustomer(account, c, v.Fleet)
+}
+
+func allShares(v *config.View) []quota.Share {
+	var out []quota.Share
+	for name := range v.Customers {
+		out = append(out, sharesOf(v, name)...)
+	}
+	for name, r := range v.Routes {
+		if r.Open {
+			out = append(out, sharesOf(v, OpenAccount(name))...)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/tokens/tokens.go
@@ -0,0 +1,294 @@
+package tokens
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/quota"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/node/store"
+	"dogwoodsill.org/node/zones"
+)
+
+// Peers sends borrow requests to peer addresses.
+type Peers interface {
+	Borrow(ctx context.Context, addr string, req quota.BorrowRequest) (quota.BorrowReply, error)
+}
+
+const (
+	// sweepEvery is how often pools report use and return tokens that they don't
+	// need.
+	sweepEvery = 25 * time.Millisecond
+	// sendTimeout bounds an exchange. A later grant would have expired.
+	sendTimeout = quota.LoanTime
+)
+
+// Tokens admits requests by the rate and burst of their account, which is a
+// customer or an open route. It is safe for concurrent use.
+type Tokens struct {
+	zones   *zones.Zones
+	store   *store.Store
+	peers   Peers
+	metrics *metric.Set
+	holder  *holder
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	seqs  map[string]uint64 // last numbers of dropped pools
+}
+
+// pool is the stock of one account.
+type pool struct {
+	account string
+
+	mu      sync.Mutex
+	quota   *quota.Pool
+	dropped bool
+	waiting int
+	wake    chan struct{} // closed and replaced after each answer
+	view    *store.Current
+	shares  []quota.ShareID
+}
+
+// New returns the limiter of a node. It must be called before the duties of
+// the store and of zones start.
+func New(z *zones.Zones, st *store.Store, peers Peers, m *metric.Set) *Tokens {
+	return &Tokens{
+		zones: z, store: st, peers: peers, metrics: m, holder: newHolder(z, st, m),
+		pools: map[string]*pool{}, seqs: map[string]uint64{},
+	}
+}
+
+// Watch is the duty that starts shares after the retirement of earlier epochs.
+func (t *Tokens) Watch(ctx context.Context) error {
+	return t.holder.watch(ctx)
+}
+
+// Shares returns the number of shares that the node holds.
+func (t *Tokens) Shares() int {
+	n := 0
+	t.zones.With(func(zones.View) { n = len(t.holder.quota.Shares()) })
+	return n
+}
+
+// Borrow answers a borrow request of a peer.
+func (t *Tokens) Borrow(req quota.BorrowRequest) quota.BorrowReply {
+	return t.holder.borrow(req, time.Now())
+}
+
+// Take charges one request to an account. It waits up to quota.WaitTime for
+// borrowed tokens. It returns a function that gives the token back, for a
+// request that was not run, or a refusal.
+func (t *Tokens) Take(ctx context.Context, account string, now time.Time) (func(time.Time), *refuse.Error) {
+	p := t.locked(account)
+	charge, ok := p.quota.Take(now)
+	t.send(ctx, p, now)
+	p.mu.Unlock()
+	if !ok {
+		charge, ok = t.await(ctx, p, now.Add(quota.WaitTime))
+	}
+	if !ok {
+		return nil, refuse.New(refuse.RateLimited, "the rate of %q is used up", account).WithRetry(time.Second)
+	}
+	return func(now time.Time) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.quota.GiveBack(&charge, now)
+	}, nil
+}
+
+// await borrows until a token is there, no holder can give one, or the time is
+// over.
+func (t *Tokens) await(ctx context.Context, p *pool, until time.Time) (quota.Charge, bool) {
+	p.mu.Lock()
+	p.waiting++
+	defer func() {
+		p.waiting--
+		p.mu.Unlock()
+	}()
+	for {
+		now := time.Now()
+		t.send(ctx, p, now)
+		if charge, ok := p.quota.Retake(now); ok {
+			return charge, true
+		}
+		if p.quota.InFlight(now) == 0 || !now.Before(until) {
+			return quota.Charge{}, false
+		}
+		wake := p.wake
+		p.mu.Unlock()
+		ended := sleep(ctx, wake, min(quota.HedgeTime, until.Sub(now)))
+		p.mu.Lock()
+		if ended {
+			return quota.Charge{}, false
+		}
+	}
+}
+
+// sleep waits for a wake-up or a time. It reports whether ctx ended.
+func sleep(ctx context.Context, wake <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-wake:
+	case <-timer.C:
+	case <-ctx.Done():
+		return true
+	}
+	return false
+}
+
+// locked returns the pool of an account with its lock held. A pool that was
+// dropped meanwhile must not be used, as its successor uses the next numbers.
+func (t *Tokens) locked(account string) *pool {
+	for {
+		p := t.pool(account)
+		p.mu.Lock()
+		if !p.dropped {
+			return p
+		}
+		p.mu.Unlock()
+	}
+}
+
+func (t *Tokens) pool(account string) *pool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.pools[account]
+	if !ok {
+		self := t.zones.Self()
+		p = &pool{account: account, wake: make(chan struct{}), quota: quota.NewPool(quota.PoolOptions{
+			Customer: account, Node: self.Name, Incarnation: self.Incarnation, Zone: self.Zone,
+		})}
+		p.quota.SetSeq(t.seqs[account])
+		t.pools[account] = p
+	}
+	return p
+}
+
+// shareIDs returns the shares of the account in force. The caller holds the
+// lock of the pool.
+func (t *Tokens) shareIDs(p *pool) []quota.ShareID {
+	cur := t.store.Current()
+	if cur == nil || cur == p.view {
+		return p.shares
+	}
+	p.view, p.shares = cur, nil
+	for _, s := range sharesOf(cur.View, p.account) {
+		p.shares = append(p.shares, s.ShareID)
+	}
+	return p.shares
+}
+
+// send delivers what the pool wants to tell holders. The caller holds the lock
+// of the pool.
+func (t *Tokens) send(ctx context.Context, p *pool, now time.Time) {
+	ids := t.shareIDs(p)
+	for {
+		req, ok := p.quota.Next(ids, p.waiting, now)
+		if !ok {
+			return
+		}
+		m, ok := t.owner(req.ShareID)
+		switch {
+		case !ok:
+			p.quota.Fail(req.Seq, now)
+		case m.Same(t.zones.Self()):
+			p.answer(t.holder.borrow(req, now), now)
+		default:
+			go t.exchange(context.WithoutCancel(ctx), p, m.Address, req)
+		}
+	}
+}
+
+// owner returns the holder of a share.
+func (t *Tokens) owner(id quota.ShareID) (epoch.Member, bool) {
+	var m epoch.Member
+	found := false
+	t.zones.With(func(v zones.View) {
+		if e, ok := v.State.Current(id.Zone); ok {
+			m, found = quota.OwnerOf(id)(e), true
+		}
+	})
+	return m, found
+}
+
+func (t *Tokens) exchange(ctx context.Context, p *pool, addr string, req quota.BorrowRequest) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	reply, err := t.peers.Borrow(ctx, addr, req)
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.quota.Fail(req.Seq, now)
+		p.signal()
+		return
+	}
+	t.metrics.Add(metric.TokensBorrowed, milli(reply.Grant))
+	p.answer(reply, now)
+}
+
+func (p *pool) answer(reply quota.BorrowReply, now time.Time) {
+	p.quota.Answer(reply, now)
+	p.signal()
+}
+
+func (p *pool) signal() {
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+// Sweep is the duty that lets pools report use, return tokens and go away when
+// they are idle.
+func (t *Tokens) Sweep(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			for _, p := range t.all() {
+				t.sweep(ctx, p, now)
+			}
+		}
+	}
+}
+
+func (t *Tokens) all() []*pool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*pool, 0, len(t.pools))
+	for _, p := range t.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (t *Tokens) sweep(ctx context.Context, p *pool, now time.Time) {
+	p.mu.Lock()
+	t.send(ctx, p, now)
+	idle := p.waiting == 0 && p.quota.Idle(now)
+	p.mu.Unlock()
+	if idle {
+		t.drop(p, now)
+	}
+}
+
+// drop removes an idle pool. The next pool of the account continues its
+// numbers, since holders ignore numbers that they saw.
+func (t *Tokens) drop(p *pool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting == 0 && p.quota.Idle(now) && t.pools[p.account] == p {
+		p.dropped = true
+		t.seqs[p.account] = p.quota.Seq()
+		delete(t.pools, p.account)
+	}
+}
--- /dev/null
+++ b/node/zones/duties.go
@@ -0,0 +1,209 @@
+package zones
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/member"
+)
+
+const (
+	readBatch   = 500
+	readWait    = 2 * time.Second
+	retryWait   = 200 * time.Millisecond
+	proposeWait = 250 * time.Millisecond
+)
+
+// Follow is the duty that folds the log stream "epochs".
+func (z *Zones) Follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		z.mu.Lock()
+		next := z.state.Next
+		z.mu.Unlock()
+		b, err := z.log.Read(ctx, logsvc.StreamEpochs, next, readBatch, readWait)
+		if err == nil {
+			z.apply(b, time.Now())
+			continue
+		}
+		var expired *logsvc.ExpiredError
+		if errors.As(err, &expired) {
+			z.mu.Lock()
+			z.state.Skip(expired.First)
+			z.mu.Unlock()
+			continue
+		}
+		if ctx.Err() == nil {
+			z.onErr(err)
+		}
+		pause(ctx, retryWait)
+	}
+	return nil
+}
+
+func (z *Zones) apply(b logsvc.Batch, now time.Time) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for i, rec := range b.Records {
+		if zone := z.state.Apply(b.First+uint64(i), rec); zone != "" {
+			z.adopt(zone, now)
+		}
+	}
+	if z.state.Next >= b.End {
+		z.state.End()
+	}
+}
+
+// Renew is the duty that asks the other members of the zone to confirm the
+// epoch.
+func (z *Zones) Renew(ctx context.Context) error {
+	tick := time.NewTicker(epoch.ConfirmInterval)
+	defer tick.Stop()
+	for {
+		z.renewOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (z *Zones) renewOnce(ctx context.Context) {
+	z.mu.Lock()
+	e := z.lease.Epoch()
+	req := z.lease.Request()
+	z.mu.Unlock()
+	if !e.Has(z.self) {
+		return
+	}
+	// A round doesn't wait for the answers: a member that gives none must not
+	// delay the requests to the others.
+	for _, m := range e.Members {
+		if !m.Same(z.self) {
+			go z.ask(ctx, m, req)
+		}
+	}
+}
+
+func (z *Zones) ask(ctx context.Context, m epoch.Member, req epoch.ConfirmRequest) {
+	ctx, cancel := context.WithTimeout(ctx, epoch.LeaseTime)
+	defer cancel()
+	sent := time.Now()
+	reply, err := z.peers.Confirm(ctx, m.Address, req)
+	if err != nil {
+		return
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.lease.Confirmed(reply, sent)
+	z.tracker.Observe(reply.Member, reply.Adopted, time.Now())
+	z.tracker.Learn(reply.Zone, reply.RetiredThrough)
+}
+
+// Propose is the duty that appends new epochs and snapshots.
+func (z *Zones) Propose(ctx context.Context) error {
+	tick := time.NewTicker(proposeWait)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			z.proposeOnce(ctx, time.Now())
+		}
+	}
+}
+
+func (z *Zones) proposeOnce(ctx context.Context, now time.Time) {
+	rec, ok := z.due(z.peers.Members(z.self.Zone), z.peers.Retired(), now)
+	if !ok {
+		return
+	}
+	data, err := epoch.Encode(rec)
+	if err == nil {
+		_, err = z.log.Append(ctx, logsvc.StreamEpochs, data)
+	}
+	if err != nil && ctx.Err() == nil {
+		z.onErr(err)
+	}
+}
+
+// due returns the record that this node should append now.
+func (z *Zones) due(entries []member.Entry, retired map[string]uint64, now time.Time) (epoch.Record, bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.observe(entries, retired, now)
+	if z.state.Lost(z.self.Zone) || now.Sub(z.append) < epoch.TurnTime {
+		return epoch.Record{}, false
+	}
+	if e, ok := epoch.Propose(z.view(now), now); ok {
+		z.append = now
+		return epoch.Record{Epoch: &e}, true
+	}
+	for _, zone := range z.state.Zones() {
+		if snap, ok := z.keeper.Due(zone, z.self, z.alive(), z.hold, now); ok {
+			z.append = now
+			return epoch.Record{Snapshot: &snap}, true
+		}
+	}
+	return epoch.Record{}, false
+}
+
+// observe takes over what gossip knows. The caller holds mu.
+func (z *Zones) observe(entries []member.Entry, retired map[string]uint64, now time.Time) {
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		m := epoch.Member{Name: e.Name, Incarnation: e.Incarnation, Address: e.Addr, Zone: e.Zone}
+		present[e.Name] = true
+		if old, ok := z.seen[e.Name]; !ok || !old.Same(m) || !old.Alive {
+			z.seen[e.Name] = epoch.Seen{Member: m, Alive: true, Since: now}
+		}
+		z.tracker.Observe(m, e.Epoch, now)
+	}
+	for name, s := range z.seen {
+		if s.Alive && !present[name] {
+			z.seen[name] = epoch.Seen{Member: s.Member, Since: now}
+		}
+	}
+	z.tracker.Observe(z.self, z.lease.Epoch().Number, now)
+	for zone, through := range retired {
+		z.tracker.Learn(zone, through)
+	}
+	if n := z.tracker.Retired(z.self.Zone, now); n > retired[z.self.Zone] {
+		z.peers.Retire(z.self.Zone, n)
+	}
+}
+
+func (z *Zones) view(now time.Time) epoch.View {
+	v := epoch.View{
+		Zone: z.self.Zone, Self: z.self, Started: z.started, Adopted: z.adopted,
+		Earlier: z.tracker.Unretired(z.self.Zone, now), Retired: z.tracker.Retired(z.self.Zone, now),
+	}
+	v.Current, _ = z.state.Current(z.self.Zone)
+	for _, s := range z.seen {
+		v.Seen = append(v.Seen, s)
+	}
+	return v
+}
+
+func (z *Zones) alive() []epoch.Member {
+	var out []epoch.Member
+	for _, s := range z.seen {
+		if s.Alive {
+			out = append(out, s.Member)
+		}
+	}
+	return out
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
