Run requests with an idempotency key at most once over the fleet

Cause: a repeated order ran again. Change: node/claims finds the owner of a key (the issuing incarnation, or the owner of a UUIDv7 under the member list), forwards to it, dispatches under a ticket, stores responses and writes claims and outcomes to the log. A dispatched request no longer ends with its caller, so that a repeat gets the outcome. Idempotency keys are issued at /.dogwoodsill/idempotency-keys. Ruled out: cancelling a dispatched order when its caller leaves; the outcome would be unknown to the caller that repeats it. Conclusion: callers' keys still need a test over a change of owner.

--- a/bench/site/path_test.go
+++ b/bench/site/path_test.go
@@ -126,3 +126,57 @@
 		assert.Assert(t, !n.Upstream.Saw(key), n.Service)
 	}
 }
+
+func order(ctx context.Context, t *testing.T, n *site.Node, key, idem string) (answer, bool) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.Addrs().Callers+"/orders", strings.NewReader("200 stubs"))
+	assert.NilError(t, err)
+	req.Header.Set("X-Api-Key", key)
+	req.Header.Set("Idempotency-Key", idem)
+	req.Header.Set(fakes.RequestID, idem)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	a := answer{status: resp.StatusCode}
+	if resp.StatusCode == http.StatusOK {
+		assert.NilError(t, json.Unmarshal(data, &a.body))
+	} else {
+		_ = json.Unmarshal(data, &a.problem)
+	}
+	return a, resp.Header.Get("Idempotency-Replayed") == "true"
+}
+
+// Guards against an order that runs again when its key is repeated at another
+// node.
+func TestIssuedKeyRunsOnce(t *testing.T) {
+	ctx, r := start(t)
+	key := r.Keys["theatre"]
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.Nodes[0].Addrs().Callers+"/.dogwoodsill/idempotency-keys", nil)
+	assert.NilError(t, err)
+	req.Header.Set("X-Api-Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var issued struct{ Keys []string }
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&issued))
+	idem := issued.Keys[0]
+	for i, n := range r.Nodes {
+		got, replayed := order(ctx, t, n, key, idem)
+		assert.Equal(t, got.status, 200, "%v", got.problem)
+		assert.Equal(t, replayed, i > 0)
+	}
+	assert.Equal(t, runs(r, idem), 1)
+}
+
+// runs counts how often the upstreams of the order service ran a request.
+func runs(r *site.Running, id string) int {
+	n := 0
+	for _, node := range r.Nodes {
+		if node.Service == "orders" {
+			n += node.Upstream.Runs(id)
+		}
+	}
+	return n
+}
--- a/core/super/tree.go
+++ b/core/super/tree.go
@@ -137,7 +137,7 @@
 		if !errors.Is(err, context.Canceled) {
 			t.onErr(d.Name, err)
 		}
-		if !wait(t.ctx, delay) {
+		if !Pause(t.ctx, delay) {
 			return
 		}
 		delay = min(2*delay, maxDelay)
@@ -164,7 +164,8 @@
 	return run(ctx)
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
+// Pause waits for a duration. It reports false if ctx ended before.
+func Pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -16,6 +16,7 @@
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/core/super"
+	"dogwoodsill.org/node/claims"
 	"dogwoodsill.org/node/entry"
 	"dogwoodsill.org/node/local"
 	"dogwoodsill.org/node/opsapi"
@@ -37,6 +38,7 @@
 	store  *store.Store
 	zones  *zones.Zones
 	tokens *tokens.Tokens
+	claims *claims.Claims
 	calls  *chain.Table
 	target *relay.Target
 	caller *relay.Caller
@@ -150,9 +152,15 @@
 	balancer := relay.NewBalancer(a.fleet, a.cfg.Instance.Zone, a.incarnation)
 	a.target = relay.NewTarget(a.store, a.calls, balancer, a.metrics, a.announce)
 	a.caller = relay.NewCaller(balancer, a.links, a.metrics)
+	a.claims, err = claims.New(a.zones, a.store, a.caller, a.fleet, a.platform, a.metrics, func(err error) {
+		a.log.Warn("claims log unreachable", "error", err)
+	})
+	if err != nil {
+		return err
+	}
 	a.peers = newPeerServer(a, auth)
-	a.entry = entry.New(a.store, a.caller, a.caller, a.tokens, a.metrics, a.cfg.Limits)
-	a.local = local.New(a.store, a.calls, a.target, a.caller, a.metrics, a.cfg.Limits.HeaderBytes)
+	a.entry = entry.New(a.store, entry.Parts{Sender: a.caller, Claimer: a.claims, Ranker: a.caller, Limiter: a.tokens}, a.metrics, a.cfg.Limits)
+	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes)
 	a.ops = opsapi.New(a.Status, a.metrics)
 	return nil
 }
@@ -170,6 +178,7 @@
 //	├── members: gossip
 //	├── epochs: follow, renew, propose
 //	├── tokens: watch, sweep
+//	├── claims: flush, follow, watch
 //	└── target: poll
 func (a *Agent) start() {
 	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(func(duty string, err error) {
@@ -194,6 +203,10 @@
 	ts := a.tree.Sub("tokens")
 	ts.Start("watch", a.tokens.Watch)
 	ts.Start("sweep", a.tokens.Sweep)
+	ks := a.tree.Sub("claims")
+	ks.Start("flush", a.claims.Flush)
+	ks.Start("follow", a.claims.Follow)
+	ks.Start("watch", a.claims.Watch)
 	a.tree.Sub("target").Start("poll", a.target.Poll)
 }
 
@@ -220,6 +233,7 @@
 		a.target.Drain(ctx),
 		a.entry.HTTP().Shutdown(ctx),
 		a.local.HTTP().Shutdown(ctx),
+		a.claims.Drain(ctx),
 	)
 	a.fleet.leave(ctx)
 	a.close()
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -295,3 +295,25 @@
 	}
 	return addrs[turn%len(addrs)], true
 }
+
+// Process implements claims.Peers.
+func (f *fleet) Process(instance string) (incarnation uint64, addr string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.machine.Lookup(instance)
+	if !ok || e.State.Gone() {
+		return 0, "", false
+	}
+	return e.Incarnation, e.Addr, true
+}
+
+// Size implements claims.Peers.
+func (f *fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, zone := range f.machine.Zones() {
+		n += len(f.machine.Alive(zone))
+	}
+	return n
+}
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -95,6 +95,8 @@
 	switch s.Kind() {
 	case relay.KindCall:
 		a.target.Serve(s)
+	case relay.KindClaim:
+		a.claims.Serve(s)
 	case relay.KindGossip:
 		err = frame.Answer(s, a.fleet.receive)
 	case relay.KindProbe:
--- /dev/null
+++ b/node/claims/duties.go
@@ -0,0 +1,100 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/super"
+)
+
+const (
+	flushEvery   = 20 * time.Millisecond
+	observeEvery = 250 * time.Millisecond
+	sizeEvery    = 5 * time.Second
+	readBatch    = 200
+	readWait     = 2 * time.Second
+	retryWait    = 500 * time.Millisecond
+)
+
+// Flush is the duty that appends claims and outcomes to the log.
+func (c *Claims) Flush(ctx context.Context) error {
+	tick := time.NewTicker(flushEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			c.flushOnce(ctx, now)
+		}
+	}
+}
+
+func (c *Claims) flushOnce(ctx context.Context, now time.Time) {
+	batch := c.queue.Take(now)
+	if batch == nil {
+		return
+	}
+	if _, err := c.log.Append(ctx, logsvc.StreamClaims, batch); err != nil {
+		c.queue.Fail(time.Now())
+		if ctx.Err() == nil {
+			c.onErr(err)
+		}
+		return
+	}
+	c.queue.Ack()
+}
+
+// Follow is the duty that reads the outcomes of other nodes.
+func (c *Claims) Follow(ctx context.Context) error {
+	var next uint64
+	for ctx.Err() == nil {
+		b, err := c.log.Read(ctx, logsvc.StreamClaims, next, readBatch, readWait)
+		if err == nil {
+			c.apply(b)
+			next = b.Next
+			continue
+		}
+		var expired *logsvc.ExpiredError
+		if errors.As(err, &expired) {
+			next = expired.First
+			continue
+		}
+		if ctx.Err() == nil {
+			c.onErr(err)
+		}
+		super.Pause(ctx, retryWait)
+	}
+	return nil
+}
+
+func (c *Claims) apply(b logsvc.Batch) {
+	now := time.Now()
+	for _, rec := range b.Records {
+		if _, err := c.index.Apply(now, rec); err != nil {
+			c.onErr(err)
+		}
+	}
+}
+
+// Watch is the duty that notes retired epochs, drops old keys and follows the
+// size of the fleet.
+func (c *Claims) Watch(ctx context.Context) error {
+	observe := time.NewTicker(observeEvery)
+	defer observe.Stop()
+	size := time.NewTicker(sizeEvery)
+	defer size.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-observe.C:
+			c.Observe(now)
+			c.table.Sweep(now)
+		case <-size.C:
+			c.queue.SetNodes(max(1, c.peers.Size()))
+		}
+	}
+}
--- /dev/null
+++ b/node/entry/claim.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"dogwoodsill.org/core/claim"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/node/relay"
+)
+
+// IdempotencyHeader carries the idempotency key of a request.
+const IdempotencyHeader = "Idempotency-Key"
+
+// KeysPath issues idempotency keys. The query parameter count is the number of
+// keys, 1 by default.
+const KeysPath = "/.dogwoodsill/idempotency-keys"
+
+// IssuedKeys is the answer of KeysPath.
+type IssuedKeys struct {
+	Keys        []string `json:"keys"`
+	ExpiresInMS int64    `json:"expiresInMs"`
+}
+
+// Dispatch sends an admitted request. One that must not run twice and carries
+// an idempotency key goes to the owner of the key.
+func Dispatch(ctx context.Context, sender Sender, claimer Claimer, r model.Route, req *relay.Request) (*relay.Response, int, *refuse.Error) {
+	key := req.Header.Get(IdempotencyHeader)
+	switch {
+	case key == "" && r.AtMostOnce:
+		return nil, req.Call.Attempts, refuse.New(refuse.IdempotencyKey, "this route needs the header %s", IdempotencyHeader)
+	case key == "" || req.Repeatable:
+		return sender.Do(ctx, req)
+	default:
+		return claimer.Do(ctx, key, req)
+	}
+}
+
+// issue answers requests for idempotency keys.
+func (s *Server) issue(c echo.Context) error {
+	keys, e := s.newKeys(c.Request(), c.QueryParam("count"), time.Now())
+	if e != nil {
+		return e.Write(c.Response())
+	}
+	return c.JSON(http.StatusOK, IssuedKeys{Keys: keys, ExpiresInMS: claim.MaxAge.Milliseconds()})
+}
+
+func (s *Server) newKeys(r *http.Request, count string, now time.Time) ([]string, *refuse.Error) {
+	cur := s.store.Current()
+	if cur == nil {
+		return nil, refuse.New(refuse.NotReady, "the node has no configuration yet").WithRetry(time.Second)
+	}
+	id, e := identify(cur, r.Header)
+	if e != nil {
+		return nil, e
+	}
+	if id.customer == "" {
+		return nil, refuse.New(refuse.KeyMissing, "idempotency keys are issued to customers only")
+	}
+	n := 1
+	if count != "" {
+		var err error
+		if n, err = strconv.Atoi(count); err != nil {
+			return nil, refuse.New(refuse.BadRequest, "count must be a number")
+		}
+	}
+	return s.claimer.Issue(id.customer, n, now)
+}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -37,6 +37,13 @@
 	Do(ctx context.Context, req *relay.Request) (*relay.Response, int, *refuse.Error)
 }
 
+// Claimer sends an admitted request with an idempotency key.
+type Claimer interface {
+	Do(ctx context.Context, key string, req *relay.Request) (*relay.Response, int, *refuse.Error)
+	// Issue returns new idempotency keys for a customer.
+	Issue(customer string, n int, now time.Time) ([]string, *refuse.Error)
+}
+
 // Limiter charges requests to the rate of an account.
 type Limiter interface {
 	// Take charges one request. It returns a function that undoes the charge of a
@@ -57,6 +64,7 @@
 type Server struct {
 	store   *store.Store
 	sender  Sender
+	claimer Claimer
 	ranker  Ranker
 	limiter Limiter
 	metrics *metric.Set
@@ -65,11 +73,20 @@
 	http    *http.Server
 }
 
+// Parts are what a server passes admitted requests to.
+type Parts struct {
+	Sender  Sender
+	Claimer Claimer
+	Ranker  Ranker
+	Limiter Limiter
+}
+
 // New returns a server that is not listening yet.
-func New(st *store.Store, sender Sender, ranker Ranker, lim Limiter, m *metric.Set, limits setup.Limits) *Server {
-	s := &Server{store: st, sender: sender, ranker: ranker, limiter: lim, metrics: m, limits: limits, active: newActive(limits.RevokeGrace.D())}
+func New(st *store.Store, p Parts, m *metric.Set, limits setup.Limits) *Server {
+	s := &Server{store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, metrics: m, limits: limits, active: newActive(limits.RevokeGrace.D())}
 	st.OnChange(s.active.revoke)
 	e := echo.New()
+	e.POST(KeysPath, s.issue)
 	e.Any("/*", s.serve)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -219,7 +236,7 @@
 	}
 	header := relay.CleanHeader(r.Header)
 	keys.Strip(header, id.key)
-	resp, _, e := s.sender.Do(ctx, &relay.Request{
+	resp, _, e := Dispatch(ctx, s.sender, s.claimer, m.Route, &relay.Request{
 		Call:          call,
 		Service:       m.Route.Service,
 		Route:         m.Name,
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -38,13 +38,14 @@
 	calls   *chain.Table
 	target  *relay.Target
 	caller  *relay.Caller
+	claimer entry.Claimer
 	metrics *metric.Set
 	http    *http.Server
 }
 
 // New returns a server that is not listening yet.
-func New(st *store.Store, calls *chain.Table, target *relay.Target, caller *relay.Caller, m *metric.Set, headerBytes int) *Server {
-	s := &Server{store: st, calls: calls, target: target, caller: caller, metrics: m}
+func New(st *store.Store, calls *chain.Table, target *relay.Target, caller *relay.Caller, claimer entry.Claimer, m *metric.Set, headerBytes int) *Server {
+	s := &Server{store: st, calls: calls, target: target, caller: caller, claimer: claimer, metrics: m}
 	e := echo.New()
 	e.POST(AnnouncePath, s.announce)
 	e.DELETE(AnnouncePath, s.withdraw)
@@ -157,7 +158,7 @@
 	}
 	header := relay.CleanHeader(r.Header)
 	keys.Strip(header, "")
-	resp, left, e := s.caller.Do(ctx, &relay.Request{
+	resp, left, e := entry.Dispatch(ctx, s.caller, s.claimer, m.Route, &relay.Request{
 		Call:          call,
 		Service:       m.Route.Service,
 		Route:         m.Name,
--- a/node/relay/body.go
+++ b/node/relay/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"io"
 	"net/http"
 )
@@ -67,3 +68,12 @@
 	}
 	return data
 }
+
+// Digest returns the SHA-256 digest of the body, or nil if the body is not kept.
+func (b *Body) Digest() []byte {
+	if !b.whole {
+		return nil
+	}
+	sum := sha256.Sum256(b.kept)
+	return sum[:]
+}
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -15,6 +15,7 @@
 	"dogwoodsill.org/core/picker"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/retry"
+	"dogwoodsill.org/core/super"
 )
 
 // Candidate is a target that can serve a call.
@@ -49,6 +50,10 @@
 	ContentLength int64
 	Body          *Body
 	Repeatable    bool // may be sent again after it may have run
+	// Start is called right before each attempt is sent and may refuse it. Undo
+	// is called after an attempt that surely was not run. Both may be nil.
+	Start func(now time.Time) *refuse.Error
+	Undo  func()
 }
 
 // Response is the answer of an upstream. Its body must be read to the end or
@@ -164,6 +169,9 @@
 // waits until then.
 func (c *Caller) failed(ctx context.Context, d *delivery, target Candidate, fail *attemptError) bool {
 	now := time.Now()
+	if fail.refusal.Executed == refuse.No && d.req.Undo != nil {
+		d.req.Undo()
+	}
 	c.done(d.req, target.ID, fail.result, fail.feedback, now)
 	d.budget.End(fail.left)
 	d.fail(fail.refusal)
@@ -179,7 +187,7 @@
 		Left:       d.budget.Left(),
 		Deadline:   d.req.Call.Deadline,
 	}, now)
-	return v.Retry() && wait(ctx, v.Delay)
+	return v.Retry() && super.Pause(ctx, v.Delay)
 }
 
 // outcome refines the outcome of an attempt: when the service excludes the
@@ -191,17 +199,6 @@
 	return fail.outcome
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt sends the call to one target with a number of attempts for the calls
 // below it.
 func (c *Caller) attempt(ctx context.Context, req *Request, to Candidate, below int) (*Response, *attemptError) {
@@ -233,9 +230,14 @@
 	if err != nil {
 		return nil, notSent(ctx, below, "the node of the target is unreachable")
 	}
-	data, err := pack(c.head(req, to, below))
+	data, err := pack(head(req, to, below))
 	if err != nil {
-		return nil, &attemptError{refusal: refuse.New(refuse.BadRequest, "request head: %v", err), outcome: retry.Rejected, result: picker.Unknown, left: below}
+		return nil, rejected(refuse.New(refuse.BadRequest, "request head: %v", err), below)
+	}
+	if req.Start != nil {
+		if e := req.Start(time.Now()); e != nil {
+			return nil, rejected(e, below)
+		}
 	}
 	s, err := session.Open(ctx, KindCall, data)
 	if err != nil {
@@ -244,7 +246,7 @@
 	return s, nil
 }
 
-func (c *Caller) head(req *Request, to Candidate, below int) CallHead {
+func head(req *Request, to Candidate, below int) CallHead {
 	call := req.Call
 	call.Attempts = below
 	call.Depth++
@@ -262,10 +264,15 @@
 	}
 }
 
+// rejected describes an attempt that was not sent and that no repeat can help.
+func rejected(e *refuse.Error, left int) *attemptError {
+	return &attemptError{refusal: e, outcome: retry.Rejected, result: picker.Unknown, left: left}
+}
+
 // notSent describes an attempt that surely reached no upstream.
 func notSent(ctx context.Context, left int, detail string) *attemptError {
 	if ctx.Err() != nil {
-		return &attemptError{refusal: contextRefusal(ctx), outcome: retry.Rejected, result: picker.Unknown, left: left}
+		return rejected(contextRefusal(ctx), left)
 	}
 	return &attemptError{
 		refusal: refuse.New(refuse.UpstreamFailed, "%s", detail),
@@ -389,6 +396,9 @@
 		return
 	}
 	b.ended = true
+	if b.target == "" {
+		return // a claim stream, which no target was picked for
+	}
 	b.caller.done(b.req, b.target, r, f, time.Now())
 }
 
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -36,6 +36,7 @@
 	Header        http.Header `msgpack:"header"`
 	ContentLength int64       `msgpack:"contentLength"` // -1 if unknown
 	Key           string      `msgpack:"key,omitempty"` // idempotency key, on claim streams only
+	Repeatable    bool        `msgpack:"repeatable"`    // may be sent again, on claim streams only
 }
 
 // ReplyHead is the head of the answer to a call. With Refusal set there is no
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -7,6 +7,7 @@
 
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/super"
 )
 
 // ReadWait is the long poll time of a read. It bounds the age of the
@@ -26,12 +27,12 @@
 	return func(ctx context.Context) error {
 		for ctx.Err() == nil {
 			if !reads() {
-				pause(ctx, roleWait)
+				super.Pause(ctx, roleWait)
 				continue
 			}
 			if err := s.readOnce(ctx, log); err != nil && ctx.Err() == nil {
 				onErr(err)
-				pause(ctx, retryWait)
+				super.Pause(ctx, retryWait)
 			}
 		}
 		return nil
@@ -87,12 +88,3 @@
 	}
 	return s.reader.Snapshot().Encode(id)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/zones/duties.go
+++ b/node/zones/duties.go
@@ -8,6 +8,7 @@
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/member"
+	"dogwoodsill.org/core/super"
 )
 
 const (
@@ -38,7 +39,7 @@
 		if ctx.Err() == nil {
 			z.onErr(err)
 		}
-		pause(ctx, retryWait)
+		super.Pause(ctx, retryWait)
 	}
 	return nil
 }
@@ -198,12 +199,3 @@
 	}
 	return out
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
