Add the demo and the load tool; refusals before the owner of a key are unknown

Cause: the demo's first run counted one refusal with executed "no" of an order that had run: the second request with the key was refused by the rate at its entry, which can't know of the first. Change: a refusal of a request with an idempotency key that was decided before the owner of the key says "unknown".

--- /dev/null
+++ b/bench/demo/print.go
@@ -0,0 +1,31 @@
+package demo
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"dogwoodsill.org/bench/load"
+)
+
+func (d *demo) print(name string, rep load.Report, rows []row) {
+	d.table(fmt.Sprintf("%s (%.1f s)", name, rep.Ended.Sub(rep.Began).Round(100*time.Millisecond).Seconds()), rows)
+}
+
+// table writes the rows and counts the promises that did not hold.
+func (d *demo) table(title string, rows []row) {
+	_, _ = fmt.Fprintf(d.w, "\n%s\n", title)
+	t := tabwriter.NewWriter(d.w, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		verdict := ""
+		switch {
+		case r.limit != "" && r.ok:
+			verdict = "kept"
+		case r.limit != "":
+			verdict = "BROKEN"
+			d.broken++
+		}
+		_, _ = fmt.Fprintf(t, "  %s\t%s\t%s\t%s\n", r.what, r.value, r.limit, verdict)
+	}
+	_ = t.Flush()
+}
--- /dev/null
+++ b/bench/load/doc.go
@@ -0,0 +1,3 @@
+// Package load sends requests to nodes at fixed rates and records what came
+// back.
+package load
--- /dev/null
+++ b/bench/load/load.go
@@ -0,0 +1,184 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dogwoodsill.org/bench/fakes"
+	"dogwoodsill.org/core/refuse"
+)
+
+// Request is one request to send.
+type Request struct {
+	ID     string // sent in fakes.RequestID; unique
+	Method string
+	Path   string
+	Body   string
+	Idem   string // idempotency key; empty for none
+}
+
+// Stream is a caller that sends requests at a rate.
+type Stream struct {
+	Name     string // customer, or another name for the report
+	Key      string // empty for none
+	Rate     float64
+	Kind     string // kind of the requests, for the report
+	Make     func(i int) Request
+	BaseURLs []string // of the nodes, used in turn
+}
+
+// Outcome is what became of a request.
+type Outcome struct {
+	Request
+	Stream   string
+	Kind     string
+	Sent     time.Time
+	Took     time.Duration
+	Status   int             // 0 if there was no whole answer
+	Reason   string          // type of the problem, without its prefix
+	Executed refuse.Executed // of a refusal
+	Answer   fakes.Answer    // of a success
+	Replayed bool
+	Err      error
+}
+
+// OK reports whether the request got a whole answer of an upstream.
+func (o Outcome) OK() bool {
+	return o.Status == http.StatusOK
+}
+
+// maxInFlight bounds the open requests of a run. Requests beyond it are not
+// sent and counted in Report.Skipped.
+const maxInFlight = 4000
+
+// Report is the result of a run.
+type Report struct {
+	Began, Ended time.Time
+	Outcomes     []Outcome
+	Skipped      int64
+}
+
+// Client returns an HTTP client for many callers.
+func Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, MaxIdleConns: 4096, IdleConnTimeout: 30 * time.Second}}
+}
+
+// Run sends the requests of all streams for a time and waits for the answers.
+func Run(ctx context.Context, client *http.Client, streams []Stream, d time.Duration) Report {
+	r := &runner{client: client}
+	rep := Report{Began: time.Now()}
+	var wg sync.WaitGroup
+	for _, s := range streams {
+		if s.Rate > 0 {
+			wg.Go(func() { r.stream(ctx, s, d) })
+		}
+	}
+	wg.Wait()
+	r.open.Wait()
+	rep.Ended, rep.Outcomes, rep.Skipped = time.Now(), r.outcomes, r.skipped.Load()
+	return rep
+}
+
+type runner struct {
+	client   *http.Client
+	open     sync.WaitGroup
+	inFlight atomic.Int64
+	skipped  atomic.Int64
+
+	mu       sync.Mutex
+	outcomes []Outcome
+}
+
+// stream sends at the rate of a stream, independently of the answers.
+func (r *runner) stream(ctx context.Context, s Stream, d time.Duration) {
+	began := time.Now()
+	every := time.Duration(float64(time.Second) / s.Rate)
+	tick := time.NewTicker(max(every, time.Millisecond))
+	defer tick.Stop()
+	for i := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		elapsed := min(time.Since(began), d)
+		for ; float64(i) < elapsed.Seconds()*s.Rate; i++ {
+			r.start(ctx, s, i)
+		}
+		if elapsed >= d {
+			return
+		}
+	}
+}
+
+func (r *runner) start(ctx context.Context, s Stream, i int) {
+	if r.inFlight.Add(1) > maxInFlight {
+		r.inFlight.Add(-1)
+		r.skipped.Add(1)
+		return
+	}
+	r.open.Go(func() {
+		defer r.inFlight.Add(-1)
+		o := Send(ctx, r.client, s.BaseURLs[i%len(s.BaseURLs)], s.Key, s.Make(i))
+		o.Stream, o.Kind = s.Name, s.Kind
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.outcomes = append(r.outcomes, o)
+	})
+}
+
+// Send sends one request and reads the whole answer.
+func Send(ctx context.Context, client *http.Client, base, key string, q Request) Outcome {
+	o := Outcome{Request: q, Sent: time.Now()}
+	defer func() { o.Took = time.Since(o.Sent) }()
+	req, err := http.NewRequestWithContext(ctx, q.Method, base+q.Path, strings.NewReader(q.Body))
+	if err != nil {
+		o.Err = err
+		return o
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	if q.Idem != "" {
+		req.Header.Set("Idempotency-Key", q.Idem)
+	}
+	req.Header.Set(fakes.RequestID, q.ID)
+	resp, err := client.Do(req)
+	if err != nil {
+		o.Err = err
+		return o
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		o.Err = err
+		return o
+	}
+	o.Status, o.Replayed = resp.StatusCode, resp.Header.Get("Idempotency-Replayed") == "true"
+	o.decode(resp.Header.Get("Content-Type"), data)
+	return o
+}
+
+func (o *Outcome) decode(contentType string, data []byte) {
+	switch {
+	case strings.HasPrefix(contentType, refuse.ContentType):
+		var p refuse.Problem
+		if o.Err = json.Unmarshal(data, &p); o.Err == nil {
+			o.Reason, o.Executed = strings.TrimPrefix(p.Type, refuse.TypePrefix), p.Executed
+		}
+	case o.Status == http.StatusOK:
+		if o.Err = json.Unmarshal(data, &o.Answer); o.Err == nil && o.Answer.ID != o.ID {
+			o.Err = fmt.Errorf("answer to request %q came for %q", o.Answer.ID, o.ID)
+		}
+	default:
+		o.Err = errors.New(http.StatusText(o.Status))
+	}
+}
--- a/bench/site/path_test.go
+++ b/bench/site/path_test.go
@@ -180,3 +180,18 @@
 	}
 	return n
 }
+
+// Guards against a refusal before the owner of an idempotency key is asked that
+// claims the order was not run, although an earlier request with the key ran.
+func TestRepeatRefusedAtEntryIsUnknown(t *testing.T) {
+	ctx, r := start(t)
+	idem, err := r.IssueIdempotencyKeys(ctx, http.DefaultClient, r.Nodes[0], "theatre", 1)
+	assert.NilError(t, err)
+	got, _ := order(ctx, t, r.Nodes[0], r.Keys["theatre"], idem[0])
+	assert.Equal(t, got.status, 200, "%v", got.problem)
+	assert.NilError(t, r.RevokeKey(ctx, "theatre"))
+	assert.NilError(t, r.InForce(ctx))
+	got, _ = order(ctx, t, r.Nodes[1], r.Keys["theatre"], idem[0])
+	assert.Equal(t, got.problem.Type, refuse.TypePrefix+string(refuse.KeyRevoked))
+	assert.Equal(t, got.problem.Executed, refuse.Unknown)
+}
--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -18,6 +19,7 @@
 	"dogwoodsill.org/core/report"
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/agent"
+	"dogwoodsill.org/node/entry"
 )
 
 // Secret is the fleet secret of the deployments.
@@ -31,6 +33,7 @@
 	Nodes     []*Node
 	Keys      map[string]string // key by customer
 	KeyIDs    map[string]string // key identifier by customer
+	AllKeys   []string          // every key that was issued
 	revisions map[config.ObjectID]uint64
 }
 
@@ -235,6 +238,7 @@
 	key := keys.New()
 	id := uuid.NewString()
 	r.Keys[customer], r.KeyIDs[customer] = key, id
+	r.AllKeys = append(r.AllKeys, key)
 	return r.Publish(ctx, model.KindKey, id, model.Key{Customer: customer, Digest: keys.Digest(key)})
 }
 
@@ -264,3 +268,36 @@
 	r.revisions[id] = off + 1
 	return nil
 }
+
+// IssueIdempotencyKeys returns new idempotency keys from a node.
+func (r *Running) IssueIdempotencyKeys(ctx context.Context, client *http.Client, n *Node, customer string, count int) ([]string, error) {
+	url := fmt.Sprintf("http://%s%s?count=%d", n.Addrs().Callers, entry.KeysPath, count)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(keys.HeaderAPIKey, r.Keys[customer])
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusUnauthorized {
+		return make([]string, count), nil // the key of the customer was revoked
+	}
+	var issued entry.IssuedKeys
+	if err := json.NewDecoder(resp.Body).Decode(&issued); err != nil {
+		return nil, err
+	}
+	if len(issued.Keys) != count {
+		return nil, fmt.Errorf("%d idempotency keys of %d issued, status %d", len(issued.Keys), count, resp.StatusCode)
+	}
+	return issued.Keys, nil
+}
+
+// MethodPath returns the method of a route and its path up to a wildcard.
+func MethodPath(r model.Route) (method, path string) {
+	method, path, _ = strings.Cut(r.Pattern, " ")
+	path, _, _ = strings.Cut(path, "{")
+	return method, path
+}
--- /dev/null
+++ b/node/entry/request.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwoodsill.org/core/claim"
+	"dogwoodsill.org/core/keys"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/route"
+	"dogwoodsill.org/node/relay"
+	"dogwoodsill.org/node/store"
+	"dogwoodsill.org/node/tokens"
+)
+
+// request is one request of a caller on its way through the node.
+type request struct {
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	now    time.Time // of the arrival
+
+	id    identity
+	route route.Match
+	call  model.Call
+}
+
+// handle serves the request. It returns a refusal if no answer was begun.
+func (q *request) handle() *refuse.Error {
+	cur := q.server.store.Current()
+	if cur == nil {
+		return q.unproven(refuse.New(refuse.NotReady, "the node has no configuration yet").WithRetry(time.Second))
+	}
+	if e := q.resolve(cur); e != nil {
+		return e
+	}
+	if e := q.newCall(cur); e != nil {
+		return q.unproven(e)
+	}
+	giveBack, e := q.admit()
+	if e != nil {
+		return q.unproven(e)
+	}
+	e = q.send()
+	if e != nil && e.Executed == refuse.No {
+		giveBack(time.Now())
+	}
+	return e
+}
+
+// unproven returns the refusal of a request that did not get as far as the
+// node that owns its idempotency key. An earlier request with the key may have
+// run, which this node can't know.
+func (q *request) unproven(e *refuse.Error) *refuse.Error {
+	if q.r.Header.Get(IdempotencyHeader) == "" || Repeatable(q.r.Method, q.route.Route) {
+		return e
+	}
+	return claim.Unproven(e)
+}
+
+// resolve finds the customer and the route of the request.
+func (q *request) resolve(cur *store.Current) (e *refuse.Error) {
+	if q.id, e = identify(cur, q.r.Header); e != nil {
+		return q.unproven(e)
+	}
+	m, ok := cur.Table.Lookup(q.r, false)
+	if !ok {
+		return refuse.New(refuse.RouteUnknown, "no route for %s %s", q.r.Method, q.r.URL.Path)
+	}
+	q.route = m
+	if q.id.customer == "" && !m.Route.Open {
+		return refuse.New(refuse.KeyMissing, "route %q needs a key", m.Name)
+	}
+	limit := time.Duration(m.Route.MaxConfigAgeMS) * time.Millisecond
+	if limit > 0 && q.server.store.Age(q.now) > limit {
+		return q.unproven(refuse.New(refuse.ConfigStale, "the configuration is older than route %q permits", m.Name))
+	}
+	return nil
+}
+
+// newCall builds the context of the call.
+func (q *request) newCall(cur *store.Current) *refuse.Error {
+	timeout, e := q.timeout()
+	if e != nil {
+		return e
+	}
+	attempts := DefaultAttempts
+	if q.route.Route.Attempts > 0 {
+		attempts = q.route.Route.Attempts
+	}
+	q.call = model.Call{
+		Root:       uuid.NewString(),
+		Customer:   q.id.customer,
+		KeyID:      q.id.keyID,
+		Importance: cur.Table.Importance(q.route, q.id.customer),
+		Deadline:   q.now.Add(timeout),
+		Attempts:   attempts,
+	}
+	return nil
+}
+
+// timeout returns the shorter of the route's and the caller's time-out.
+func (q *request) timeout() (time.Duration, *refuse.Error) {
+	timeout := DefaultTimeout
+	if ms := q.route.Route.TimeoutMS; ms > 0 {
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	text := q.r.Header.Get(TimeoutHeader)
+	if text == "" {
+		return timeout, nil
+	}
+	sec, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(sec > 0) {
+		return 0, refuse.New(refuse.BadRequest, "%s must be a number of seconds above 0", TimeoutHeader)
+	}
+	return time.Duration(min(sec, timeout.Seconds()) * float64(time.Second)), nil
+}
+
+// admit ranks the request and charges it to its customer or to the open route.
+func (q *request) admit() (giveBack func(time.Time), e *refuse.Error) {
+	s, service := q.server, q.route.Route.Service
+	q.call.Rank = s.ranker.Rank(service, q.call.Customer, q.call.Importance, q.call.Root, q.now)
+	weight, ok := s.ranker.Admit(service, q.call.Customer, q.call.Rank, q.now)
+	if !ok {
+		return nil, refuse.New(refuse.Overloaded, "service %q admits only more important requests", service).WithRetry(time.Second)
+	}
+	q.call.Weight = weight
+	account := q.id.customer
+	if account == "" {
+		account = tokens.OpenAccount(q.route.Name)
+	}
+	if giveBack, e = s.limiter.Take(q.r.Context(), account, q.now); e != nil {
+		return nil, e
+	}
+	s.metrics.Add(metric.Admitted, 1)
+	return giveBack, nil
+}
+
+// send passes the admitted request on and answers it.
+func (q *request) send() *refuse.Error {
+	s := q.server
+	ctx, done := s.active.begin(q.r.Context(), q.id.keyID)
+	defer done()
+	body, err := relay.NewBody(s.progress(ctx, q.w, q.r), q.r.ContentLength, q.trailer)
+	if err != nil {
+		return q.unproven(bodyError(ctx, err))
+	}
+	resp, _, e := Dispatch(ctx, s.sender, s.claimer, q.route.Route, q.outbound(body))
+	if e != nil {
+		if errors.Is(context.Cause(ctx), errRevoked) {
+			return refuse.New(refuse.KeyRevoked, "the key was revoked while the request was running").WithExecuted(e.Executed)
+		}
+		return e
+	}
+	defer func() { _ = resp.Body.Close() }()
+	Reply(q.w, resp)
+	return nil
+}
+
+// outbound returns the request as it leaves this node, without the key.
+func (q *request) outbound(body *relay.Body) *relay.Request {
+	header := relay.CleanHeader(q.r.Header)
+	keys.Strip(header, q.id.key)
+	uri := q.r.URL.EscapedPath()
+	if query := keys.StripQuery(q.r.URL.RawQuery, q.id.key); query != "" {
+		uri += "?" + query
+	}
+	return &relay.Request{
+		Call:          q.call,
+		Service:       q.route.Route.Service,
+		Route:         q.route.Name,
+		Method:        q.r.Method,
+		URI:           uri,
+		Header:        header,
+		ContentLength: q.r.ContentLength,
+		Body:          body,
+		Repeatable:    Repeatable(q.r.Method, q.route.Route),
+	}
+}
+
+// trailer returns the trailer of the request without the key. It is valid after
+// the end of the body.
+func (q *request) trailer() http.Header {
+	h := relay.CleanHeader(q.r.Trailer)
+	keys.Strip(h, q.id.key)
+	return h
+}
+
+// bodyError describes a body that could not be read before the dispatch.
+func bodyError(ctx context.Context, err error) *refuse.Error {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(context.Cause(ctx), errRevoked):
+		return refuse.New(refuse.KeyRevoked, "the key was revoked while the body arrived")
+	case errors.As(err, &tooLarge):
+		return refuse.New(refuse.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	default:
+		return refuse.New(refuse.BadRequest, "the body is incomplete")
+	}
+}
