frame: test the failures of sessions and fix two of them

CloseWrite could report the loss of the session for an exchange that had completed, when the peer closed right after its answer; 1 of 1500 shutdowns with 32 crossing streams failed that way. Change: the cause is io.ErrUnexpectedEOF; a stream is marked before its end frame is queued.

--- a/core/frame/frame_test.go
+++ b/core/frame/frame_test.go
@@ -82,6 +82,10 @@
 	if err != nil {
 		return err
 	}
+	return exchangeOn(st, head, body)
+}
+
+func exchangeOn(st *Stream, head, body []byte) error {
 	defer st.Reset(CodeCanceled)
 	sent := make(chan error, 1)
 	go func() {
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -272,7 +272,8 @@
 		case errors.As(err, &we):
 			se.Reason = "violated by peer"
 		case errors.Is(err, io.EOF):
-			se.Reason = "closed by peer"
+			// io.EOF as a cause would make errors.Is take a cut body for a complete one.
+			se.Reason, se.Cause = "closed by peer", io.ErrUnexpectedEOF
 		}
 	}
 	s.mu.Lock()
--- a/core/frame/stream.go
+++ b/core/frame/stream.go
@@ -40,6 +40,7 @@
 	credit   int // bytes that may be sent
 	own      int // own data that may be sent
 	headSent bool
+	closing  bool // CloseWrite was called
 	closed   bool // the end frame is queued
 	writeErr error
 	starving bool // in the list of streams that wait for the window of the session
@@ -148,7 +149,7 @@
 	if st.finished {
 		return
 	}
-	if st.writeErr == nil && !st.closed {
+	if st.writeErr == nil && !st.closing {
 		st.writeErr = err
 	}
 	if !st.ended || drop {
@@ -312,7 +313,7 @@
 	}
 	st.s.mu.Lock()
 	err := st.writeErr
-	if err == nil && (st.local || st.headSent || st.closed) {
+	if err == nil && (st.local || st.headSent || st.closing) {
 		err = wireErrorf("head is out of order")
 	}
 	st.headSent = true
@@ -351,7 +352,7 @@
 		if st.writeErr != nil {
 			return 0, 0, st.writeErr
 		}
-		if st.closed {
+		if st.closing {
 			return 0, 0, wireErrorf("write after the end")
 		}
 		if st.credit > 0 && (s.credit > 0 || st.own > 0) {
@@ -386,9 +387,10 @@
 	s := st.s
 	s.mu.Lock()
 	err := st.writeErr
-	if err == nil && st.closed {
+	if err == nil && st.closing {
 		err = wireErrorf("end is out of order")
 	}
+	st.closing = true
 	s.mu.Unlock()
 	if err != nil {
 		return err
@@ -398,9 +400,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st.writeErr != nil {
-		return st.writeErr
-	}
 	st.closed = true
 	st.settle()
 	return nil
