--- a/core/frame/hello.go
+++ b/core/frame/hello.go
@@ -237,6 +237,9 @@
 	case p.StreamWindow < minWindow || p.SessionWindow < p.StreamWindow || p.SessionWindow > maxWindow || p.MaxStreams < 1:
 		return h.reject(&HandshakeError{Reason: "limits out of range"})
 	}
+	if h.opt.Peer != "" && p.Name != h.opt.Peer {
+		return h.reject(&HandshakeError{Reason: "another instance was expected", Auth: true})
+	}
 	if c, ok := h.conn.(*tls.Conn); ok && h.opt.TLS != nil {
 		if name := certName(c.ConnectionState()); name != p.Name {
 			return h.reject(&HandshakeError{Reason: "instance name is not that of the certificate", Auth: true})
@@ -248,7 +251,10 @@
 // proof binds the role and both hello messages, and with them the protocol
 // version, the instance names and both nonces.
 func (h *shaker) proof(role string, clientHello, serverHello []byte) []byte {
-	m := hmac.New(sha256.New, h.opt.Secret)
+	// HMAC pads its key with zeros, so a secret and the same one followed by
+	// zero bytes would be equal without the digest.
+	key := sha256.Sum256(h.opt.Secret)
+	m := hmac.New(sha256.New, key[:])
 	for _, part := range [][]byte{[]byte(role), clientHello, serverHello} {
 		var n [4]byte
 		binary.BigEndian.PutUint32(n[:], uint32(len(part)))
--- a/core/frame/option.go
+++ b/core/frame/option.go
@@ -21,6 +21,7 @@
 	Name             string // instance name that the peer sees; required
 	Secret           []byte // fleet secret; required without TLS
 	TLS              *tls.Config
+	Peer             string  // expected instance name of the peer; empty for any
 	Handler          Handler // serves streams that the peer opens
 	StreamWindow     int     // unread bytes buffered for one stream
 	SessionWindow    int     // unread bytes buffered for all streams
@@ -46,6 +47,9 @@
 // certificate must be the instance name. See TLSConfigs.
 func WithTLS(cfg *tls.Config) Option { return func(o *Options) { o.TLS = cfg } }
 
+// WithPeer fails the handshake with any instance but the named one.
+func WithPeer(name string) Option { return func(o *Options) { o.Peer = name } }
+
 // WithHandler serves streams that the peer opens. Without a handler they are
 // refused.
 func WithHandler(h Handler) Option { return func(o *Options) { o.Handler = h } }
