agent: use the session pool for peer links and close idle links

Cause: links kept one session for each address for ever, and gossip meets every peer. Change: frame.Pool dials, spreads and replaces sessions; a duty closes links that were unused for a minute. Conclusion: the number of links follows the traffic.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -173,7 +173,7 @@
 // start runs every duty of the node. The tree is:
 //
 //	node
-//	├── listeners: callers, local, peers, operations
+//	├── listeners: callers, local, operations, peers, links
 //	├── config: follow, pull, snapshot
 //	├── members: gossip
 //	├── epochs: follow, renew, propose
@@ -189,6 +189,7 @@
 	ls.Start("local", serveHTTP(a.local.HTTP(), a.lns.local))
 	ls.Start("operations", serveHTTP(a.ops, a.lns.ops))
 	ls.Start("peers", a.peers.serve(a.lns.peers))
+	ls.Start("links", a.links.sweep)
 	cs := a.tree.Sub("config")
 	cs.Start("follow", a.store.Follow(a.platform, a.readsLog, func(err error) {
 		a.log.Warn("configuration log unreachable", "error", err)
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -13,8 +13,13 @@
 	"dogwoodsill.org/node/relay"
 )
 
-// dialTimeout bounds the time to open a link to a peer, handshake included.
-const dialTimeout = 2 * time.Second
+const (
+	// linkIdle is how long an unused link is kept. Gossip meets every peer of a
+	// zone of the target size within 5 minutes; keeping all these links would take
+	// more memory than opening them again.
+	linkIdle      = time.Minute
+	linkSweepEach = 10 * time.Second
+)
 
 // auth holds what a node needs to prove its identity to peers.
 type auth struct {
@@ -38,96 +43,99 @@
 	return append(base[:len(base):len(base)], frame.WithTLS(cfg))
 }
 
-// links holds one session to each peer address. It is safe for concurrent use.
+// links holds the sessions to peers by address. It is safe for concurrent use.
 type links struct {
 	auth *auth
 
 	mu     sync.Mutex
-	peers  map[string]*link
+	pools  map[string]*link
 	closed bool
 }
 
-// link is the session to one address. Its mutex is held while dialling, so
-// that concurrent callers share one dial.
+// link is the pool of sessions to one address.
 type link struct {
-	mu      chan struct{}
-	session *frame.Session
+	*frame.Pool
+	used time.Time
 }
 
 func newLinks(a *auth) *links {
-	return &links{auth: a, peers: map[string]*link{}}
+	return &links{auth: a, pools: map[string]*link{}}
 }
 
 // Session returns a usable session to an address. It dials if there is none.
 func (l *links) Session(ctx context.Context, addr string) (*frame.Session, error) {
-	p := l.peer(addr)
-	select {
-	case p.mu <- struct{}{}:
-		defer func() { <-p.mu }()
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	if p.session != nil && p.session.Usable() {
-		return p.session, nil
-	}
-	s, err := l.dial(ctx, addr)
+	p, err := l.link(addr, time.Now())
 	if err != nil {
 		return nil, err
 	}
-	p.session = s
-	if l.isClosed() {
-		_ = s.Close()
-		return nil, net.ErrClosed
-	}
-	return s, nil
+	return p.Session(ctx)
 }
 
-func (l *links) peer(addr string) *link {
+func (l *links) link(addr string, now time.Time) (*link, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p, ok := l.peers[addr]
-	if !ok {
-		p = &link{mu: make(chan struct{}, 1)}
-		l.peers[addr] = p
+	if l.closed {
+		return nil, net.ErrClosed
 	}
-	return p
+	if p, ok := l.pools[addr]; ok {
+		p.used = now
+		return p, nil
+	}
+	pool, err := frame.NewPool(frame.WithDial(dialer(addr)), frame.WithSession(l.auth.client...))
+	if err != nil {
+		return nil, err
+	}
+	p := &link{Pool: pool, used: now}
+	l.pools[addr] = p
+	return p, nil
 }
 
-func (l *links) isClosed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.closed
+func dialer(addr string) frame.Dial {
+	return func(ctx context.Context) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}
 }
 
-func (l *links) dial(ctx context.Context, addr string) (*frame.Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
+// sweep is the duty that closes links that were not used for a while.
+func (l *links) sweep(ctx context.Context) error {
+	tick := time.NewTicker(linkSweepEach)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			for _, p := range l.idle(now) {
+				_ = p.Close()
+			}
+		}
 	}
-	s, err := frame.Client(ctx, conn, l.auth.client...)
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
+}
+
+// idle removes the links that were not used for a while and returns them.
+func (l *links) idle(now time.Time) []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*link
+	for addr, p := range l.pools {
+		if now.Sub(p.used) > linkIdle && p.InFlight() == 0 {
+			out = append(out, p)
+			delete(l.pools, addr)
+		}
 	}
-	return s, nil
+	return out
 }
 
 // close ends all sessions.
 func (l *links) close() {
 	l.mu.Lock()
 	l.closed = true
-	peers := l.peers
-	l.peers = map[string]*link{}
+	pools := l.pools
+	l.pools = map[string]*link{}
 	l.mu.Unlock()
-	for _, p := range peers {
-		p.mu <- struct{}{}
-		if p.session != nil {
-			_ = p.session.Close()
-		}
-		<-p.mu
+	for _, p := range pools {
+		_ = p.Close()
 	}
 }
 
