relay: resume attempts on a new link when theirs goes silent

Cause: a request in flight on a connection that a network device lost track of ended as unknown after 3 s, although its order had run. When a link is lost before the answer, the calling side resumes the same attempt on a new link: it joins the running attempt or gets its reply, or runs it if it never arrived. Another incarnation of the node refuses to resume. fakes.Wire is the network in front of a node; it can silence open connections and cut zones, told apart by the address that nodes dial from. Ruled out: a plain retry, which is not safe for orders. Conclusion: a silent link no longer costs an order.

--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -164,6 +164,11 @@
 	return u.started.Load()
 }
 
+// InService returns the number of requests that run now.
+func (u *Upstream) InService() int64 {
+	return int64(len(u.slots))
+}
+
 // Runs returns how often a request with an identifier began to run.
 func (u *Upstream) Runs(id string) int {
 	u.mu.Lock()
--- /dev/null
+++ b/bench/fakes/wire.go
@@ -0,0 +1,177 @@
+package fakes
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// Wire is the network in front of a node's peer listener. It can lose track of
+// open connections, which then stay open and silent, and it can be cut for
+// callers by their IP address. It is safe for concurrent use.
+type Wire struct {
+	ln net.Listener
+
+	mu     sync.Mutex
+	target string
+	conns  map[*wireConn]struct{}
+	cut    func(from netip.Addr) bool
+	closed bool
+}
+
+// wireConn is a connection through the wire.
+type wireConn struct {
+	near, far net.Conn
+	from      netip.Addr
+
+	mu     sync.Mutex
+	silent bool
+}
+
+// StartWire starts a wire on an address. SetTarget must follow.
+func StartWire(addr string) (*Wire, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	w := &Wire{ln: ln, conns: map[*wireConn]struct{}{}, cut: func(netip.Addr) bool { return false }}
+	go w.accept()
+	return w, nil
+}
+
+// Addr returns the address at which the wire listens.
+func (w *Wire) Addr() string {
+	return w.ln.Addr().String()
+}
+
+// SetTarget sets the address of the node.
+func (w *Wire) SetTarget(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.target = addr
+}
+
+// Silence loses all bytes on the connections that are open now. New
+// connections work.
+func (w *Wire) Silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		c.silence()
+	}
+}
+
+// Cut loses the bytes of open connections from addresses that match and refuses
+// new ones, until it is called again.
+func (w *Wire) Cut(match func(from netip.Addr) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = match
+	for c := range w.conns {
+		if match(c.from) {
+			c.silence()
+		}
+	}
+}
+
+// Close ends the wire and its connections.
+func (w *Wire) Close() error {
+	err := w.ln.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	for c := range w.conns {
+		c.close()
+	}
+	return err
+}
+
+func (w *Wire) accept() {
+	for {
+		conn, err := w.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go w.serve(conn)
+		}
+	}
+}
+
+func (w *Wire) serve(near net.Conn) {
+	c := &wireConn{near: near, from: remoteAddr(near)}
+	w.mu.Lock()
+	target, refused := w.target, w.closed || w.cut(c.from)
+	w.mu.Unlock()
+	if refused {
+		_ = near.Close()
+		return
+	}
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	c.far = far
+	w.mu.Lock()
+	w.conns[c] = struct{}{}
+	w.mu.Unlock()
+	c.run()
+	w.mu.Lock()
+	delete(w.conns, c)
+	w.mu.Unlock()
+}
+
+func remoteAddr(c net.Conn) netip.Addr {
+	ap, err := netip.ParseAddrPort(c.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return ap.Addr()
+}
+
+// run copies in both directions until the connection ends. A silent connection
+// stays open until both ends have closed it.
+func (c *wireConn) run() {
+	var wg sync.WaitGroup
+	wg.Go(func() { c.copy(c.far, c.near) })
+	wg.Go(func() { c.copy(c.near, c.far) })
+	wg.Wait()
+	c.close()
+}
+
+func (c *wireConn) copy(to, from net.Conn) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !c.isSilent() {
+			_, werr := to.Write(buf[:n])
+			err = errors.Join(err, werr)
+		}
+		if err != nil {
+			if !c.isSilent() || !errors.Is(err, io.EOF) {
+				c.close()
+			}
+			return
+		}
+	}
+}
+
+func (c *wireConn) silence() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = true
+}
+
+func (c *wireConn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+func (c *wireConn) close() {
+	_ = c.near.Close()
+	_ = c.far.Close()
+}
--- /dev/null
+++ b/bench/site/fault_test.go
@@ -0,0 +1,62 @@
+package site_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dogwoodsill.org/bench/site"
+	"dogwoodsill.org/core/metric"
+)
+
+// running returns the requests that run at the upstreams of a service.
+func running(r *site.Running, service string) int64 {
+	var n int64
+	for _, node := range r.Nodes {
+		if node.Service == service {
+			n += node.Upstream.InService()
+		}
+	}
+	return n
+}
+
+func awaitRunning(t *testing.T, r *site.Running, service string, n int64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if running(r, service) >= n {
+			return poll.Success()
+		}
+		return poll.Continue("%d requests run at %s", running(r, service), service)
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// Guards against an order that is lost or run twice when a network device loses
+// track of the connection that carries it.
+func TestSilentLinkResumesOrder(t *testing.T) {
+	ctx, r := start(t)
+	idem, err := r.IssueIdempotencyKeys(ctx, http.DefaultClient, r.Nodes[0], "theatre", 1)
+	assert.NilError(t, err)
+	for _, n := range r.Nodes {
+		if n.Service == "orders" {
+			n.Upstream.SetServiceTime(time.Second)
+		}
+	}
+	got := make(chan answer, 1)
+	go func() {
+		a, _ := order(ctx, t, r.Nodes[0], r.Keys["theatre"], idem[0])
+		got <- a
+	}()
+	awaitRunning(t, r, "orders", 1)
+	for _, n := range r.Nodes {
+		if n.Service == "orders" {
+			n.Wire.Silence()
+		}
+	}
+	a := <-got
+	assert.Equal(t, a.status, 200, "%v", a.problem)
+	assert.Equal(t, runs(r, idem[0]), 1)
+	assert.Equal(t, r.Nodes[0].Metrics().Count(metric.Resumed), int64(1))
+}
--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,12 +40,14 @@
 	revisions map[config.ObjectID]uint64
 }
 
-// Node is a node with its upstream.
+// Node is a node with its upstream and the network in front of its peer
+// listener.
 type Node struct {
 	*agent.Agent
 	Settings setup.Node
 	Service  string
 	Upstream *fakes.Upstream
+	Wire     *fakes.Wire
 }
 
 // Option configures Start.
@@ -98,12 +103,18 @@
 
 // StartNode adds a node with an upstream to the deployment.
 func (r *Running) StartNode(name, zone string, svc Service, logger hclog.Logger) error {
+	wire, err := fakes.StartWire(r.zoneIP(zone) + ":0")
+	if err != nil {
+		return err
+	}
 	cfg := r.Settings(name, zone)
+	cfg.Listen.AdvertisePeers = wire.Addr()
 	a, err := agent.New(cfg, agent.WithLogger(logger.Named(name)))
 	if err != nil {
-		return err
+		return errors.Join(err, wire.Close())
 	}
-	n := &Node{Agent: a, Settings: cfg, Service: svc.Name}
+	wire.SetTarget(a.Addrs().Peers)
+	n := &Node{Agent: a, Settings: cfg, Service: svc.Name, Wire: wire}
 	r.Nodes = append(r.Nodes, n)
 	n.Upstream, err = fakes.StartUpstream(svc.Name, a.Addrs().Local,
 		fakes.WithSlots(svc.Slots, 4*svc.Slots), fakes.WithServiceTime(svc.Time), fakes.WithCalls(svc.Calls...))
@@ -114,16 +125,38 @@
 func (r *Running) Settings(name, zone string) setup.Node {
 	cfg := setup.Default()
 	cfg.Instance = setup.Instance{Name: name, Zone: zone}
-	const any = "127.0.0.1:0"
-	cfg.Listen = setup.Listen{Callers: any, Local: any, Peers: any, Operations: any}
+	const loopback = "127.0.0.1:0"
+	cfg.Listen = setup.Listen{Callers: loopback, Local: loopback, Peers: r.zoneIP(zone) + ":0", Operations: loopback}
 	cfg.Log.URL = r.Log.URL()
 	cfg.Peers.Secret = Secret
 	for _, n := range r.Nodes[:min(3, len(r.Nodes))] {
-		cfg.Peers.Seeds = append(cfg.Peers.Seeds, n.Addrs().Peers)
+		cfg.Peers.Seeds = append(cfg.Peers.Seeds, n.Wire.Addr())
 	}
 	return cfg
 }
 
+// zoneIP returns the loopback address of the nodes of a zone. Wires tell the
+// zones apart by it.
+func (r *Running) zoneIP(zone string) string {
+	return fmt.Sprintf("127.0.%d.1", 1+slices.Index(r.Site.Zones, zone))
+}
+
+// CutZone separates a zone from the other zones, until HealZones.
+func (r *Running) CutZone(zone string) {
+	own := netip.MustParseAddr(r.zoneIP(zone))
+	for _, n := range r.Nodes {
+		inside := n.Settings.Instance.Zone == zone
+		n.Wire.Cut(func(from netip.Addr) bool { return (from == own) != inside })
+	}
+}
+
+// HealZones ends all cuts between zones.
+func (r *Running) HealZones() {
+	for _, n := range r.Nodes {
+		n.Wire.Cut(func(netip.Addr) bool { return false })
+	}
+}
+
 // awaitReady waits until every node has a configuration and knows all others.
 func (r *Running) awaitReady(ctx context.Context) error {
 	for _, n := range r.Nodes {
@@ -194,6 +227,7 @@
 			_ = n.Upstream.Close()
 		}
 		n.Kill()
+		_ = n.Wire.Close()
 	}
 	_ = r.Log.Close()
 }
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -13,6 +13,7 @@
 	RefusedInside  = "refusedInsideRate" // requests refused by overload although inside the customer's rate
 	Attempts       = "attempts"          // attempts sent to targets
 	Retries        = "retries"           // attempts after the first of a call
+	Resumed        = "resumed"           // attempts that moved to a new link
 	Served         = "served"            // calls dispatched to the local upstream
 	UpstreamErrors = "upstreamErrors"    // failed exchanges with the local upstream
 	TokensBorrowed = "tokensBorrowed"    // millitokens received as loans
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -143,14 +143,14 @@
 	if err != nil {
 		return err
 	}
-	a.links = newLinks(auth)
+	a.links = newLinks(auth, a.lns.peers.Addr())
 	a.fleet = newFleet(a)
 	a.zones = zones.New(a.self(), a.platform, a.fleet, a.cfg.Log.Retention.D(), func(err error) {
 		a.log.Warn("epochs log unreachable", "error", err)
 	})
 	a.tokens = tokens.New(a.zones, a.store, a.links, a.metrics)
 	balancer := relay.NewBalancer(a.fleet, a.cfg.Instance.Zone, a.incarnation)
-	a.target = relay.NewTarget(a.store, a.calls, balancer, a.metrics, a.announce)
+	a.target = relay.NewTarget(a.incarnation, a.store, a.calls, balancer, a.metrics, a.announce)
 	a.caller = relay.NewCaller(balancer, a.links, a.metrics)
 	a.claims, err = claims.New(a.zones, a.store, a.caller, a.fleet, a.platform, a.metrics, func(err error) {
 		a.log.Warn("claims log unreachable", "error", err)
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -161,7 +161,7 @@
 func (f *fleet) probe(ctx context.Context, req member.ProbeRequest) (member.ProbeReply, error) {
 	var send member.Send
 	f.locked(func() { send = f.machine.Probe(time.Now(), req) })
-	ctx, cancel := context.WithTimeout(ctx, member.IndirectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, member.ProbeTimeout)
 	defer cancel()
 	session, err := f.agent.links.Session(ctx, send.Addr)
 	if err != nil {
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -46,6 +46,7 @@
 // links holds the sessions to peers by address. It is safe for concurrent use.
 type links struct {
 	auth *auth
+	from net.Addr // local address of dials; nil for any
 
 	mu     sync.Mutex
 	pools  map[string]*link
@@ -58,8 +59,12 @@
 	used time.Time
 }
 
-func newLinks(a *auth) *links {
-	return &links{auth: a, pools: map[string]*link{}}
+func newLinks(a *auth, listener net.Addr) *links {
+	l := &links{auth: a, pools: map[string]*link{}}
+	if tcp, ok := listener.(*net.TCPAddr); ok && !tcp.IP.IsUnspecified() {
+		l.from = &net.TCPAddr{IP: tcp.IP}
+	}
+	return l
 }
 
 // Session returns a usable session to an address. It dials if there is none.
@@ -81,7 +86,7 @@
 		p.used = now
 		return p, nil
 	}
-	pool, err := frame.NewPool(frame.WithDial(dialer(addr)), frame.WithSession(l.auth.client...))
+	pool, err := frame.NewPool(frame.WithDial(l.dialer(addr)), frame.WithSession(l.auth.client...))
 	if err != nil {
 		return nil, err
 	}
@@ -90,9 +95,11 @@
 	return p, nil
 }
 
-func dialer(addr string) frame.Dial {
+// dialer returns a function that dials a peer from the IP address at which this
+// node listens for peers, so that the network can tell nodes apart.
+func (l *links) dialer(addr string) frame.Dial {
+	d := net.Dialer{LocalAddr: l.from}
 	return func(ctx context.Context) (net.Conn, error) {
-		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
 	}
 }
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/report"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/zones"
@@ -40,6 +41,11 @@
 	return s
 }
 
+// Metrics returns the measurements of the node.
+func (a *Agent) Metrics() *metric.Set {
+	return a.metrics
+}
+
 func upstreamReport(u relay.Upstream) *report.Upstream {
 	return &report.Upstream{Service: u.Service, Addr: u.Addr, State: string(u.State), Slots: u.Slots}
 }
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -93,7 +93,8 @@
 	refusal  *refuse.Error
 	outcome  retry.Outcome
 	result   picker.Result
-	left     int // attempts that came back unused
+	left     int  // attempts that came back unused
+	silent   bool // the link was lost; the attempt may run
 	feedback *Feedback
 }
 
@@ -200,48 +201,67 @@
 }
 
 // attempt sends the call to one target with a number of attempts for the calls
-// below it.
+// below it. When the link goes silent before the answer, the same attempt is
+// resumed on a new link; the target's node knows whether it already runs.
 func (c *Caller) attempt(ctx context.Context, req *Request, to Candidate, below int) (*Response, *attemptError) {
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
-	s, fail := c.open(ctx, req, to, below)
+	if req.Start != nil {
+		if e := req.Start(time.Now()); e != nil {
+			cancel()
+			return nil, rejected(e, below)
+		}
+	}
+	h := head(req, to, below)
+	s, reply, fail := c.exchange(ctx, req, to.Addr, h)
+	if fail != nil && fail.silent && req.Body.whole && ctx.Err() == nil {
+		c.metrics.Add(metric.Resumed, 1)
+		h.Resume, h.Remaining = true, time.Until(req.Call.Deadline).Microseconds()
+		s, reply, fail = c.exchange(ctx, req, to.Addr, h)
+		if fail != nil {
+			fail.refusal = fail.refusal.WithExecuted(refuse.Unknown)
+			fail.outcome = retry.Failed
+		}
+	}
 	if fail != nil {
 		cancel()
 		return nil, fail
 	}
+	return c.newResponse(req, to, s, reply, cancel), nil
+}
+
+// exchange sends a call and waits for the head of its answer.
+func (c *Caller) exchange(ctx context.Context, req *Request, addr string, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
+	s, fail := c.open(ctx, addr, h)
+	if fail != nil {
+		return nil, ReplyHead{}, fail
+	}
 	body, _ := req.Body.open()
 	go send(s, body, req.Body)
 	reply, err := receiveHead(ctx, s)
 	if err != nil {
 		s.Reset(frame.CodeCanceled)
-		defer cancel()
-		return nil, lost(ctx, err)
+		return nil, ReplyHead{}, lost(ctx, err)
 	}
 	if reply.Refusal != nil {
 		s.Reset(frame.CodeDone)
-		cancel()
-		return nil, refused(&reply)
+		return nil, ReplyHead{}, refused(&reply)
 	}
-	return c.newResponse(req, to, s, reply, cancel), nil
+	return s, reply, nil
 }
 
 // open opens the stream of an attempt.
-func (c *Caller) open(ctx context.Context, req *Request, to Candidate, below int) (*frame.Stream, *attemptError) {
-	session, err := c.links.Session(ctx, to.Addr)
+func (c *Caller) open(ctx context.Context, addr string, h CallHead) (*frame.Stream, *attemptError) {
+	session, err := c.links.Session(ctx, addr)
 	if err != nil {
-		return nil, notSent(ctx, below, "the node of the target is unreachable")
+		return nil, notSent(ctx, h.Call.Attempts, "the node of the target is unreachable")
 	}
-	data, err := pack(head(req, to, below))
+	data, err := pack(h)
 	if err != nil {
-		return nil, rejected(refuse.New(refuse.BadRequest, "request head: %v", err), below)
-	}
-	if req.Start != nil {
-		if e := req.Start(time.Now()); e != nil {
-			return nil, rejected(e, below)
-		}
+		return nil, rejected(refuse.New(refuse.BadRequest, "request head: %v", err), h.Call.Attempts)
 	}
 	s, err := session.Open(ctx, KindCall, data)
 	if err != nil {
-		return nil, notSent(ctx, below, "the link to the target failed")
+		return nil, notSent(ctx, h.Call.Attempts, "the link to the target failed")
 	}
 	return s, nil
 }
@@ -290,8 +310,12 @@
 	if ctx.Err() != nil {
 		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.Unknown), outcome: retry.Rejected, result: ended(ctx)}
 	}
+	var session *frame.SessionError
 	e := refuse.New(refuse.UpstreamFailed, "the target's node gave no answer")
-	return &attemptError{refusal: e.WithExecuted(refuse.Unknown), outcome: retry.Failed, result: picker.Failed}
+	return &attemptError{
+		refusal: e.WithExecuted(refuse.Unknown), outcome: retry.Failed, result: picker.Failed,
+		silent: errors.As(err, &session),
+	}
 }
 
 // ended says what the end of a context tells about the target: a missed
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -53,6 +53,9 @@
 	client   *http.Transport
 	onState  func()
 	gate     *gate
+	attempts *attempts
+
+	incarnation uint64
 
 	draining atomic.Bool
 	running  sync.WaitGroup
@@ -71,10 +74,11 @@
 	copyBytes       = 32 << 10
 )
 
-// NewTarget returns a target without an upstream. It calls onState after each
+// NewTarget returns the target of a process without an upstream. It calls onState after each
 // change of the announced state.
-func NewTarget(st *store.Store, calls *chain.Table, b *Balancer, m *metric.Set, onState func()) *Target {
+func NewTarget(incarnation uint64, st *store.Store, calls *chain.Table, b *Balancer, m *metric.Set, onState func()) *Target {
 	return &Target{
+		incarnation: incarnation, attempts: newAttempts(),
 		store:    st,
 		calls:    calls,
 		balancer: b,
@@ -163,25 +167,55 @@
 func (t *Target) Serve(s *frame.Stream) {
 	now := time.Now()
 	head, err := unpack[CallHead](s.Head())
-	if err != nil {
+	if err != nil || head.Attempt == "" {
 		s.Reset(frame.CodeInvalid)
 		return
 	}
 	head.Call.Deadline = head.deadline(now)
-	ctx, cancel := context.WithDeadline(s.Context(), head.Call.Deadline)
-	defer cancel()
-	t.balancer.StartCall(head.Service, now)
-	up, refusal := t.check(&head, now)
+	if head.Incarnation != 0 && head.Incarnation != t.incarnation {
+		t.refuseStream(s, &head, t.otherProcess(&head))
+		return
+	}
+	a, isNew := t.attempts.begin(head.Attempt, s, head.Call.Deadline, now)
+	switch {
+	case isNew:
+		t.run(a, s, &head, now)
+	case head.Resume:
+		if e := a.resume(s); e != nil {
+			t.refuseStream(s, &head, e)
+		}
+	default:
+		s.Reset(frame.CodeInvalid) // a late copy of an attempt that was resumed
+	}
+}
+
+// otherProcess refuses an attempt that was meant for another process. The one
+// that it was meant for may have run an attempt that is resumed.
+func (t *Target) otherProcess(h *CallHead) *refuse.Error {
+	e := refuse.New(refuse.NoUpstream, "the node of the target was restarted")
+	if h.Resume {
+		e = e.WithExecuted(refuse.Unknown)
+	}
+	return e
+}
+
+// run admits and dispatches a new attempt.
+func (t *Target) run(a *attempt, s *frame.Stream, h *CallHead, now time.Time) {
+	defer func() { t.attempts.end(a, time.Now()) }()
+	t.balancer.StartCall(h.Service, now)
+	up, refusal := t.check(h, now)
 	if refusal == nil {
-		refusal = t.gate.enter(ctx, &head, now)
+		refusal = t.gate.enter(a.ctx, h, now)
 	}
 	if refusal != nil {
-		t.refuse(s, &head, refusal, head.Call.Attempts)
+		t.refuse(a, h, refusal, h.Call.Attempts)
 		return
 	}
 	t.running.Add(1)
 	defer t.running.Done()
-	t.dispatch(ctx, s, &head, up)
+	x := &exchange{target: t, attempt: a, stream: s, head: h, active: t.calls.Begin(a.ctx, h.Route, h.Call), began: time.Now()}
+	defer t.calls.End(x.active)
+	x.dispatch(up)
 }
 
 // check decides whether a call may start.
@@ -206,20 +240,28 @@
 	return up, nil
 }
 
-func (t *Target) refuse(s *frame.Stream, h *CallHead, e *refuse.Error, attempts int) {
+// replyWriter is where the reply to an attempt goes.
+type replyWriter interface {
+	SendHead(head []byte) error
+	CloseWrite(trailer []byte) error
+}
+
+func (t *Target) refuse(w replyWriter, h *CallHead, e *refuse.Error, attempts int) {
 	t.metrics.Add(metric.Refused+string(e.Reason), 1)
 	data, err := pack(ReplyHead{Refusal: e, AttemptsLeft: attempts, Feedback: t.feedback(h)})
 	if err == nil {
-		err = s.SendHead(data)
+		err = w.SendHead(data)
 	}
 	if err == nil {
-		err = s.CloseWrite(nil)
-	}
-	if err != nil {
-		s.Reset(frame.CodeInternal)
+		_ = w.CloseWrite(nil)
 	}
 }
 
+// refuseStream refuses an attempt that is not registered.
+func (t *Target) refuseStream(s *frame.Stream, h *CallHead, e *refuse.Error) {
+	t.refuse(s, h, e, h.Call.Attempts)
+}
+
 func (t *Target) feedback(h *CallHead) Feedback {
 	now := time.Now()
 	f := t.balancer.Join(h.Service, h.Call.Customer, t.gate.feedback(h.Call.Customer, now), now)
@@ -228,25 +270,25 @@
 
 // exchange is one call at the upstream.
 type exchange struct {
-	target *Target
-	stream *frame.Stream
-	head   *CallHead
-	active *chain.Active
-	body   *requestBody
-	began  time.Time
-	wrote  atomic.Bool // a connection to the upstream was used
+	target  *Target
+	attempt *attempt
+	stream  *frame.Stream // carries the body of the request
+	head    *CallHead
+	active  *chain.Active
+	body    *requestBody
+	began   time.Time
+	wrote   atomic.Bool // a connection to the upstream was used
 }
 
-// dispatch sends an admitted call to the upstream and its answer to the stream.
-func (t *Target) dispatch(ctx context.Context, s *frame.Stream, h *CallHead, up Upstream) {
-	x := &exchange{target: t, stream: s, head: h, active: t.calls.Begin(ctx, h.Route, h.Call), began: time.Now()}
-	defer t.calls.End(x.active)
+// dispatch sends an admitted call to the upstream and replies to it.
+func (x *exchange) dispatch(up Upstream) {
+	t := x.target
 	t.metrics.Add(metric.Served, 1)
-	resp, refusal := x.roundTrip(ctx, up)
+	resp, refusal := x.roundTrip(x.attempt.ctx, up)
 	sample := x.sample(resp, time.Now())
 	if refusal != nil {
 		t.gate.leave(sample, 0, time.Now())
-		t.refuse(s, h, refusal, x.active.Left())
+		t.refuse(x.attempt, x.head, refusal, x.active.Left())
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -353,30 +395,30 @@
 	return e
 }
 
-// reply streams the answer of the upstream and reports whether it was complete.
+// reply sends the answer of the upstream and reports whether it was complete.
 func (x *exchange) reply(resp *http.Response) bool {
-	s := x.stream
+	w := x.attempt
 	data, err := pack(ReplyHead{
 		Status:        resp.StatusCode,
 		Header:        CleanHeader(resp.Header),
 		ContentLength: resp.ContentLength,
 	})
 	if err != nil {
-		s.Reset(frame.CodeInternal)
+		x.stream.Reset(frame.CodeInternal)
 		return false
 	}
-	if s.SendHead(data) != nil {
+	if w.SendHead(data) != nil {
 		return false
 	}
-	_, err = io.CopyBuffer(s, struct{ io.Reader }{resp.Body}, make([]byte, copyBytes))
+	_, err = io.CopyBuffer(w, struct{ io.Reader }{resp.Body}, make([]byte, copyBytes))
 	trailer, perr := pack(ReplyTrailer{
 		Complete:     err == nil,
 		Trailer:      CleanHeader(resp.Trailer),
 		AttemptsLeft: x.active.Left(),
 		Feedback:     x.target.feedback(x.head),
 	})
-	if perr != nil || s.CloseWrite(trailer) != nil {
-		s.Reset(frame.CodeInternal)
+	if perr != nil || w.CloseWrite(trailer) != nil {
+		x.stream.Reset(frame.CodeInternal)
 		return false
 	}
 	return err == nil
