--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -39,6 +39,9 @@
 	delay    atomic.Int64 // nanoseconds of service time
 	started  atomic.Int64
 
+	cancelled atomic.Int64
+	broken    atomic.Int64
+
 	mu    sync.Mutex
 	runs  map[string]int
 	state relay.State
@@ -109,6 +112,11 @@
 	}
 }
 
+// Announce announces the upstream at once.
+func (u *Upstream) Announce() error {
+	return u.announce(context.Background())
+}
+
 func (u *Upstream) announce(ctx context.Context) error {
 	u.mu.Lock()
 	state := u.state
@@ -149,7 +157,7 @@
 	u.mu.Lock()
 	u.state = s
 	u.mu.Unlock()
-	return u.announce(context.Background())
+	return u.Announce()
 }
 
 // Close stops the upstream and drops open connections.
@@ -169,6 +177,11 @@
 	return int64(len(u.slots))
 }
 
+// Broken returns the number of requests whose body ended early.
+func (u *Upstream) Broken() int64 {
+	return u.broken.Load()
+}
+
 // Runs returns how often a request with an identifier began to run.
 func (u *Upstream) Runs(id string) int {
 	u.mu.Lock()
@@ -219,9 +232,10 @@
 	u.count(r)
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
+		u.broken.Add(1)
 		return
 	}
-	if !u.work(r.Context()) {
+	if !u.work(r.Context()) || u.behave(w, r) {
 		return
 	}
 	for _, path := range u.Calls {
--- /dev/null
+++ b/bench/site/config_test.go
@@ -0,0 +1,186 @@
+package site_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dogwoodsill.org/bench/site"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/node/relay"
+)
+
+// Guards against a configuration that is lost or reverts when the log is down,
+// every node restarts, or old records expire.
+func TestConfigurationSurvives(t *testing.T) {
+	ctx, r := start(t)
+	lookup := func(n *site.Node, key string) answer {
+		return do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7", key, nil)
+	}
+	old := r.Keys["choir"]
+	assert.NilError(t, r.RevokeKey(ctx, "choir"))
+	assert.NilError(t, r.IssueKey(ctx, "choir"))
+	assert.NilError(t, r.InForce(ctx))
+
+	t.Run("log down", func(t *testing.T) {
+		r.Log.SetDown(true)
+		defer r.Log.SetDown(false)
+		n := r.Nodes[0]
+		assert.Equal(t, lookup(n, r.Keys["choir"]).status, 200)
+		assert.Equal(t, lookup(n, old).problem.Type, refuse.TypePrefix+string(refuse.KeyRevoked))
+	})
+	t.Run("one node restarts while the log is down", func(t *testing.T) {
+		r.Log.SetDown(true)
+		defer r.Log.SetDown(false)
+		n := restart(ctx, t, r, 0)
+		assert.Equal(t, lookup(n, old).problem.Type, refuse.TypePrefix+string(refuse.KeyRevoked))
+	})
+	t.Run("all nodes restart", func(t *testing.T) {
+		for i := range r.Nodes {
+			r.Nodes[i].Kill()
+		}
+		for i := range r.Nodes {
+			n := restart(ctx, t, r, i)
+			assert.Equal(t, lookup(n, old).problem.Type, refuse.TypePrefix+string(refuse.KeyRevoked))
+		}
+	})
+}
+
+// restart replaces the process of a node and waits until it has a
+// configuration.
+func restart(ctx context.Context, t *testing.T, r *site.Running, i int) *site.Node {
+	t.Helper()
+	n, err := r.Restart(i, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	select {
+	case <-n.Ready():
+	case <-ctx.Done():
+		t.Fatal("the node is not ready")
+	}
+	return n
+}
+
+// Guards against a node that serves by an old configuration, or by none, when
+// it starts and nothing tells it the newest one.
+func TestAllNodesRestartWithoutLog(t *testing.T) {
+	ctx, r := start(t)
+	r.Log.SetDown(true)
+	for i := range r.Nodes {
+		r.Nodes[i].Kill()
+	}
+	for i := range r.Nodes {
+		_, err := r.Restart(i, hclog.NewNullLogger())
+		assert.NilError(t, err)
+	}
+	got := do(ctx, t, http.DefaultClient, "GET", "http://"+r.Nodes[0].Addrs().Callers+"/runs/7", r.Keys["choir"], nil)
+	assert.Equal(t, got.status, 503)
+	assert.Equal(t, got.problem.Executed, refuse.No)
+	r.Log.SetDown(false)
+	for _, n := range r.Nodes {
+		select {
+		case <-n.Ready():
+		case <-ctx.Done():
+			t.Fatal("a node is not ready after the outage")
+		}
+	}
+}
+
+// Guards against a route that serves on by a configuration older than its
+// operators permit.
+func TestConfigurationAgeBound(t *testing.T) {
+	ctx, r := start(t)
+	route := r.Site.Routes["runs"]
+	route.MaxConfigAgeMS = 3000
+	assert.NilError(t, r.Publish(ctx, model.KindRoute, "runs", route))
+	assert.NilError(t, r.InForce(ctx))
+	n := r.Nodes[0]
+	assert.Equal(t, do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7", r.Keys["choir"], nil).status, 200)
+	r.Log.SetDown(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		got := do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7", r.Keys["choir"], nil)
+		if got.problem.Type == refuse.TypePrefix+string(refuse.ConfigStale) && got.problem.Executed == refuse.No {
+			return poll.Success()
+		}
+		return poll.Continue("status %d", got.status)
+	}, poll.WithTimeout(10*time.Second))
+}
+
+// Guards against an upload that a graceful shutdown of the target's node cuts
+// off, and against new work at a node that leaves.
+func TestShutdownFinishesUpload(t *testing.T) {
+	ctx, r := start(t)
+	pr, pw := io.Pipe()
+	done := make(chan answer, 1)
+	go func() {
+		resp, err := send(ctx, t, r, "PUT", "/artwork/9", pr)
+		done <- decode(t, must(resp, err))
+	}()
+	_, err := io.WriteString(pw, "first half, ")
+	assert.NilError(t, err)
+	awaitRunning(t, r, "artwork", 1)
+	var target *site.Node
+	for _, n := range r.Nodes {
+		if n.Upstream.InService() > 0 {
+			target = n
+		}
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- target.Shutdown(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range r.Nodes {
+			if n != target && !draining(n, target) {
+				return poll.Continue("%s doesn't know of the drain", n.Settings.Instance.Name)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
+	before := target.Upstream.Started()
+	for range 20 {
+		resp, err := send(ctx, t, r, "PUT", "/artwork/10", nil)
+		assert.Equal(t, decode(t, must(resp, err)).status, 200)
+	}
+	assert.Equal(t, target.Upstream.Started(), before)
+	_, err = io.WriteString(pw, "second half")
+	assert.NilError(t, err)
+	assert.NilError(t, pw.Close())
+	got := <-done
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body.Bytes, int64(len("first half, second half")))
+	assert.NilError(t, <-ended)
+}
+
+func draining(n, target *site.Node) bool {
+	for _, m := range n.Status().Members {
+		if m.Instance == target.Settings.Instance.Name {
+			return m.TargetState == string(relay.Draining)
+		}
+	}
+	return true // it has left
+}
+
+// Guards against a body that goes on arriving under a revoked key.
+func TestRevokedKeyEndsUpload(t *testing.T) {
+	ctx, r := start(t)
+	pr, pw := io.Pipe()
+	done := make(chan answer, 1)
+	go func() {
+		resp, err := send(ctx, t, r, "PUT", "/artwork/9", pr)
+		done <- decode(t, must(resp, err))
+	}()
+	_, err := io.WriteString(pw, "first half, ")
+	assert.NilError(t, err)
+	awaitRunning(t, r, "artwork", 1)
+	assert.NilError(t, r.RevokeKey(ctx, "theatre"))
+	got := <-done
+	assert.Equal(t, got.status, 401)
+	assert.Equal(t, got.problem.Type, refuse.TypePrefix+string(refuse.KeyRevoked))
+	assert.Equal(t, got.problem.Executed, refuse.Unknown)
+	assert.NilError(t, pw.Close())
+}
--- a/bench/site/fault_test.go
+++ b/bench/site/fault_test.go
@@ -45,10 +45,7 @@
 		}
 	}
 	got := make(chan answer, 1)
-	go func() {
-		a, _ := order(ctx, t, r.Nodes[0], r.Keys["theatre"], idem[0])
-		got <- a
-	}()
+	go func() { got <- order(ctx, t, r.Nodes[0], r.Keys["theatre"], idem[0]) }()
 	awaitRunning(t, r, "orders", 1)
 	for _, n := range r.Nodes {
 		if n.Service == "orders" {
--- a/bench/site/path_test.go
+++ b/bench/site/path_test.go
@@ -42,6 +42,8 @@
 	status  int
 	problem refuse.Problem
 	body    fakes.Answer
+
+	replayed bool // the answer was stored for the idempotency key
 }
 
 func do(ctx context.Context, t *testing.T, c *http.Client, method, url, key string, body io.Reader) answer {
@@ -54,13 +56,20 @@
 	req.Header.Set(fakes.RequestID, t.Name())
 	resp, err := c.Do(req)
 	assert.NilError(t, err)
+	return decode(t, resp)
+}
+
+// decode reads a whole answer.
+func decode(t *testing.T, resp *http.Response) answer {
+	t.Helper()
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
-	a := answer{status: resp.StatusCode}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), refuse.ContentType) {
+	a := answer{status: resp.StatusCode, replayed: resp.Header.Get("Idempotency-Replayed") == "true"}
+	switch {
+	case strings.HasPrefix(resp.Header.Get("Content-Type"), refuse.ContentType):
 		assert.NilError(t, json.Unmarshal(data, &a.problem))
-	} else if resp.StatusCode == http.StatusOK {
+	case resp.StatusCode == http.StatusOK:
 		assert.NilError(t, json.Unmarshal(data, &a.body))
 	}
 	return a
@@ -127,7 +136,7 @@
 	}
 }
 
-func order(ctx context.Context, t *testing.T, n *site.Node, key, idem string) (answer, bool) {
+func order(ctx context.Context, t *testing.T, n *site.Node, key, idem string) answer {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+n.Addrs().Callers+"/orders", strings.NewReader("200 stubs"))
 	assert.NilError(t, err)
@@ -136,16 +145,7 @@
 	req.Header.Set(fakes.RequestID, idem)
 	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	assert.NilError(t, err)
-	a := answer{status: resp.StatusCode}
-	if resp.StatusCode == http.StatusOK {
-		assert.NilError(t, json.Unmarshal(data, &a.body))
-	} else {
-		_ = json.Unmarshal(data, &a.problem)
-	}
-	return a, resp.Header.Get("Idempotency-Replayed") == "true"
+	return decode(t, resp)
 }
 
 // Guards against an order that runs again when its key is repeated at another
@@ -153,19 +153,13 @@
 func TestIssuedKeyRunsOnce(t *testing.T) {
 	ctx, r := start(t)
 	key := r.Keys["theatre"]
-	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.Nodes[0].Addrs().Callers+"/.dogwoodsill/idempotency-keys", nil)
-	assert.NilError(t, err)
-	req.Header.Set("X-Api-Key", key)
-	resp, err := http.DefaultClient.Do(req)
+	issued, err := r.IssueIdempotencyKeys(ctx, http.DefaultClient, r.Nodes[0], "theatre", 1)
 	assert.NilError(t, err)
-	defer func() { _ = resp.Body.Close() }()
-	var issued struct{ Keys []string }
-	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&issued))
-	idem := issued.Keys[0]
+	idem := issued[0]
 	for i, n := range r.Nodes {
-		got, replayed := order(ctx, t, n, key, idem)
+		got := order(ctx, t, n, key, idem)
 		assert.Equal(t, got.status, 200, "%v", got.problem)
-		assert.Equal(t, replayed, i > 0)
+		assert.Equal(t, got.replayed, i > 0)
 	}
 	assert.Equal(t, runs(r, idem), 1)
 }
@@ -187,11 +181,11 @@
 	ctx, r := start(t)
 	idem, err := r.IssueIdempotencyKeys(ctx, http.DefaultClient, r.Nodes[0], "theatre", 1)
 	assert.NilError(t, err)
-	got, _ := order(ctx, t, r.Nodes[0], r.Keys["theatre"], idem[0])
+	got := order(ctx, t, r.Nodes[0], r.Keys["theatre"], idem[0])
 	assert.Equal(t, got.status, 200, "%v", got.problem)
 	assert.NilError(t, r.RevokeKey(ctx, "theatre"))
 	assert.NilError(t, r.InForce(ctx))
-	got, _ = order(ctx, t, r.Nodes[1], r.Keys["theatre"], idem[0])
+	got = order(ctx, t, r.Nodes[1], r.Keys["theatre"], idem[0])
 	assert.Equal(t, got.problem.Type, refuse.TypePrefix+string(refuse.KeyRevoked))
 	assert.Equal(t, got.problem.Executed, refuse.Unknown)
 }
--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -121,6 +121,25 @@
 	return err
 }
 
+// Restart ends the process of a node, if it still runs, and starts another one
+// at the same instance. The upstream stays and announces itself again.
+func (r *Running) Restart(i int, logger hclog.Logger) (*Node, error) {
+	old := r.Nodes[i]
+	old.Kill()
+	cfg := old.Settings
+	cfg.Listen.Local = old.Addrs().Local
+	cfg.Listen.Callers = old.Addrs().Callers
+	cfg.Listen.Peers = old.Addrs().Peers
+	a, err := agent.New(cfg, agent.WithLogger(logger.Named(cfg.Instance.Name)))
+	if err != nil {
+		return nil, err
+	}
+	n := *old
+	n.Agent = a
+	r.Nodes[i] = &n
+	return &n, n.Upstream.Announce()
+}
+
 // Settings returns the settings of a new node.
 func (r *Running) Settings(name, zone string) setup.Node {
 	cfg := setup.Default()
