--- a/core/config/parts.go
+++ b/core/config/parts.go
@@ -17,7 +17,11 @@
 // long as every object is. They should be appended together. The identifier
 // ties the parts together and must be unique for each snapshot.
 func (s Snapshot) Encode(id string) ([][]byte, error) {
-	parts, err := s.split(id)
+	return s.encode(id, MaxRecordBytes-partOverhead)
+}
+
+func (s Snapshot) encode(id string, limit int) ([][]byte, error) {
+	parts, err := s.split(id, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -36,7 +40,7 @@
 // partOverhead bounds the bytes of a part besides its objects and outcomes.
 const partOverhead = 1 << 10
 
-func (s Snapshot) split(id string) ([]Snapshot, error) {
+func (s Snapshot) split(id string, limit int) ([]Snapshot, error) {
 	parts := []Snapshot{{ID: id, Offset: s.Offset}}
 	size := 0
 	room := func(v any) (*Snapshot, error) {
@@ -45,7 +49,7 @@
 			return nil, err
 		}
 		n := len(data) + 1
-		if size += n; size > MaxRecordBytes-partOverhead && size > n {
+		if size += n; size > limit && size > n {
 			parts = append(parts, Snapshot{ID: id, Part: len(parts), Offset: s.Offset})
 			size = n
 		}
--- a/core/config/reader.go
+++ b/core/config/reader.go
@@ -102,8 +102,12 @@
 		return false
 	}
 	for i, data := range b.Records {
-		r.logRecord(now, b.First+uint64(i), data)
+		offset := b.First + uint64(i)
+		if offset == r.Next() || offset == r.state.Next {
+			r.take(now, offset, data)
+		}
 	}
+	r.settle()
 	r.confirm(now, b)
 	return true
 }
@@ -142,14 +146,6 @@
 	return ok
 }
 
-// logRecord takes one record of the log.
-func (r *Reader) logRecord(now time.Time, offset uint64, data []byte) {
-	if offset != r.Next() {
-		return
-	}
-	r.take(now, offset, data)
-}
-
 // take folds a record, or holds it back while there is a gap, and notes a
 // snapshot that it completes.
 func (r *Reader) take(now time.Time, offset uint64, data []byte) {
