--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -20,7 +20,7 @@
 )
 
 // drainTimeout limits the wait for the peer's end of the connection after a
-// shutdown.
+// shutdown or a failed write.
 const drainTimeout = time.Second
 
 // Handler serves one stream that the peer opened, in a goroutine of its own.
@@ -63,7 +63,7 @@
 	quiet      chan struct{} // set by Shutdown; closed when no stream is left and the peer opens none
 	peerQuiet  bool          // the peer opens no more streams
 	flushed    chan struct{} // set by Shutdown; closed when all queues are flushed
-	sealed     bool          // the sending direction of conn is closed
+	cut        bool          // the session ended before a stream was complete
 	notes      notes
 }
 
@@ -174,8 +174,8 @@
 
 // Shutdown stops new streams of both sides, waits until the running ones have
 // finished and their last frames are sent, and closes the session. It returns
-// the error of ctx if ctx ends first, or that of the session if it was lost
-// meanwhile; both close it at once. No stream that the peer opened before it
+// the error of ctx if ctx ends first, or that of the session if it ended
+// before a stream was complete; both close it at once. No stream that the peer opened before it
 // learnt of the shutdown is lost: it is refused with CodeRefused.
 func (s *Session) Shutdown(ctx context.Context) error {
 	defer s.Close()
@@ -201,7 +201,12 @@
 	case <-c:
 		return nil
 	case <-s.done:
-		return s.Err()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.cut {
+			return s.err
+		}
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -240,9 +245,6 @@
 	if !ok {
 		return
 	}
-	s.mu.Lock()
-	s.sealed = true
-	s.mu.Unlock()
 	if c.CloseWrite() != nil {
 		return
 	}
@@ -251,13 +253,16 @@
 	_ = s.await(ctx, nil)
 }
 
-// writeEnded ends the session with the error of the writer. In a sealed session
-// the writer fails at its next frame, which is no reason to stop reading.
+// writeEnded ends the session some time after the writer failed. The reader
+// usually ends it before, when it has read the answers that the peer sent before
+// it closed. After a shutdown has closed the sending direction, the writer fails
+// at its next frame.
 func (s *Session) writeEnded(err error) {
-	s.mu.Lock()
-	sealed := s.sealed
-	s.mu.Unlock()
-	if !sealed {
+	t := time.NewTimer(drainTimeout)
+	defer t.Stop()
+	select {
+	case <-s.done:
+	case <-t.C:
 		s.fail(err)
 	}
 }
@@ -283,6 +288,7 @@
 	}
 	s.err = se
 	for _, st := range s.streams {
+		s.cut = s.cut || !st.ended || !st.closing
 		st.end(se, false)
 	}
 	s.mu.Unlock()
