--- /dev/null
+++ b/core/frame/example_test.go
@@ -0,0 +1,55 @@
+package frame_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+
+	"dogwoodsill.org/core/frame"
+)
+
+// A node answers a control exchange of kind 1 and a call of kind 2, whose body
+// it returns.
+func Example() {
+	ctx := context.Background()
+	secret := frame.WithSecret([]byte("at least sixteen bytes"))
+	here, there := net.Pipe()
+	go func() {
+		_, err := frame.Server(ctx, there, func(st *frame.Stream) {
+			if st.Kind() == 1 {
+				_ = frame.Answer(st, func(_ context.Context, n int) (int, error) { return n * n, nil })
+				return
+			}
+			_ = st.SendHead([]byte("200"))
+			_, _ = io.Copy(st, st)
+			_ = st.CloseWrite([]byte("complete"))
+		}, frame.WithName("kirkos-1"), secret)
+		if err != nil {
+			fmt.Println(err)
+		}
+	}()
+	s, err := frame.Client(ctx, here, frame.WithName("bole-1"), secret)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer s.Close()
+	n, err := frame.Call[int, int](ctx, s, 1, 12)
+	fmt.Println(s.Peer(), n, err)
+
+	st, err := s.Open(ctx, 2, []byte("GET /stubs"))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer st.Reset(frame.CodeCanceled)
+	_, _ = st.Write([]byte("artwork"))
+	_ = st.CloseWrite(nil)
+	head, _ := st.RecvHead(ctx)
+	body, err := io.ReadAll(st)
+	fmt.Printf("%s %s %s %v\n", head, body, st.Trailer(), err)
+	// Output:
+	// kirkos-1 144 <nil>
+	// 200 artwork complete <nil>
+}
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -92,6 +92,21 @@
 	if err != nil {
 		return nil, err
 	}
+	s := makeSession(conn, o, peer, client)
+	s.loops.Go(func() { s.fail(s.readLoop()) })
+	s.loops.Go(func() { s.writeEnded(s.writeLoop()) })
+	go func() {
+		s.watchLoop()
+		s.loops.Wait()
+		if o.OnClose != nil {
+			o.OnClose(s, s.Err())
+		}
+	}()
+	return s, nil
+}
+
+// makeSession returns a session whose goroutines don't run yet.
+func makeSession(conn net.Conn, o Options, peer hello, client bool) *Session {
 	s := &Session{
 		conn: conn, opt: o, peer: peer, client: client,
 		control: ring.New[outFrame](controlRing),
@@ -109,16 +124,7 @@
 	} else {
 		s.lastOwn, s.lastPeer = 0, ^uint32(0)
 	}
-	s.loops.Go(func() { s.fail(s.readLoop()) })
-	s.loops.Go(func() { s.writeEnded(s.writeLoop()) })
-	go func() {
-		s.watchLoop()
-		s.loops.Wait()
-		if o.OnClose != nil {
-			o.OnClose(s, s.Err())
-		}
-	}()
-	return s, nil
+	return s
 }
 
 // Peer returns the authenticated instance name of the peer.
