Measure costs; sleep while idle, share copy buffers, close idle links sooner

Cause: no figures for what a node adds and spends. Change: bench cost measures calls and idle fleets. Duties without work sleep; bodies are copied through shared buffers and an empty body takes no goroutine copy; links that were idle for 5 s close, as kept links ping. The stand-in counts a request that is cancelled in its service time as cancelled: one run of the test of a leaving caller had hung on that race of the stand-in.

--- a/bench/fakes/behave.go
+++ b/bench/fakes/behave.go
@@ -47,7 +47,7 @@
 	return true
 }
 
-// Cancelled returns the number of hanging requests that were cancelled.
+// Cancelled returns the number of running requests that were cancelled.
 func (u *Upstream) Cancelled() int64 {
 	return u.cancelled.Load()
 }
--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -268,6 +268,7 @@
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
+		u.cancelled.Add(1)
 		return false
 	}
 }
--- a/bench/fakes/wire.go
+++ b/bench/fakes/wire.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 )
 
 // Wire is the network in front of a node's peer listener. It can lose track of
@@ -19,6 +20,8 @@
 	conns  map[*wireConn]struct{}
 	cut    func(from netip.Addr) bool
 	closed bool
+
+	bytes atomic.Int64
 }
 
 // wireConn is a connection through the wire.
@@ -46,6 +49,11 @@
 	return w.ln.Addr().String()
 }
 
+// Bytes returns the number of bytes that arrived in both directions.
+func (w *Wire) Bytes() int64 {
+	return w.bytes.Load()
+}
+
 // SetTarget sets the address of the node.
 func (w *Wire) SetTarget(addr string) {
 	w.mu.Lock()
@@ -118,7 +126,7 @@
 	w.mu.Lock()
 	w.conns[c] = struct{}{}
 	w.mu.Unlock()
-	c.run()
+	c.run(&w.bytes)
 	w.mu.Lock()
 	delete(w.conns, c)
 	w.mu.Unlock()
@@ -134,18 +142,19 @@
 
 // run copies in both directions until the connection ends. A silent connection
 // stays open until both ends have closed it.
-func (c *wireConn) run() {
+func (c *wireConn) run(count *atomic.Int64) {
 	var wg sync.WaitGroup
-	wg.Go(func() { c.copy(c.far, c.near) })
-	wg.Go(func() { c.copy(c.near, c.far) })
+	wg.Go(func() { c.copy(c.far, c.near, count) })
+	wg.Go(func() { c.copy(c.near, c.far, count) })
 	wg.Wait()
 	c.close()
 }
 
-func (c *wireConn) copy(to, from net.Conn) {
+func (c *wireConn) copy(to, from net.Conn, count *atomic.Int64) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
+		count.Add(int64(n))
 		if n > 0 && !c.isSilent() {
 			_, werr := to.Write(buf[:n])
 			err = errors.Join(err, werr)
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -136,8 +136,8 @@
 }
 
 // Send sends one request and reads the whole answer.
-func Send(ctx context.Context, client *http.Client, base, key string, q Request) Outcome {
-	o := Outcome{Request: q, Sent: time.Now()}
+func Send(ctx context.Context, client *http.Client, base, key string, q Request) (o Outcome) {
+	o = Outcome{Request: q, Sent: time.Now()}
 	defer func() { o.Took = time.Since(o.Sent) }()
 	req, err := http.NewRequestWithContext(ctx, q.Method, base+q.Path, strings.NewReader(q.Body))
 	if err != nil {
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"time"
 
 	"dogwoodsill.org/core/model"
@@ -82,6 +83,22 @@
 	}
 }
 
+// Sized returns a deployment of one service with a number of targets and
+// customers in three zones, to measure how costs grow.
+func Sized(targets, customers int) Site {
+	s := Site{
+		Name:      "sized",
+		Zones:     []string{"a", "b", "c"},
+		Services:  []Service{{Name: "archive", Targets: targets, Slots: 50, Connections: 400}},
+		Customers: map[string]model.Customer{},
+		Routes:    map[string]model.Route{"runs": {Pattern: "GET /runs/{id}", Service: "archive", Labels: lookup}},
+	}
+	for i := range customers {
+		s.Customers[fmt.Sprintf("customer%04d", i)] = model.Customer{Rate: largeRate, Burst: largeRate * burstTime}
+	}
+	return s
+}
+
 // ByName returns a deployment, or false if there is none of that name.
 func ByName(name string) (Site, bool) {
 	for _, s := range []Site{Press(), Koorbank()} {
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// linkIdle is how long an unused link is kept. Gossip meets every peer of a
-	// zone of the target size within 5 minutes; keeping all these links would take
-	// more memory than opening them again.
-	linkIdle      = time.Minute
-	linkSweepEach = 10 * time.Second
+	// linkIdle is how long an unused link is kept. A kept link costs two pings a
+	// second, and gossip meets two other peers a second: with a minute a node of
+	// the target size would keep 240 links for gossip alone.
+	linkIdle      = 5 * time.Second
+	linkSweepEach = time.Second
 )
 
 // auth holds what a node needs to prove its identity to peers.
--- a/node/claims/duties.go
+++ b/node/claims/duties.go
@@ -5,12 +5,13 @@
 	"errors"
 	"time"
 
+	"dogwoodsill.org/core/claim"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/super"
 )
 
 const (
-	flushEvery   = 20 * time.Millisecond
+	flushEvery   = claim.MinWindow
 	observeEvery = 250 * time.Millisecond
 	sizeEvery    = 5 * time.Second
 	readBatch    = 200
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -163,7 +163,7 @@
 	if resp.ContentLength < 0 {
 		out = &flusher{w: w, rc: http.NewResponseController(w)}
 	}
-	if _, err := io.Copy(out, resp.Body); err != nil {
+	if err := relay.Copy(out, resp.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	for name, values := range resp.Trailer().Trailer {
--- a/node/relay/body.go
+++ b/node/relay/body.go
@@ -5,8 +5,21 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"sync"
 )
 
+// buffers holds the buffers that bodies are copied through.
+var buffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+// Copy copies a body. The wrapper keeps io from using methods of the reader
+// that would allocate a buffer of their own.
+func Copy(w io.Writer, r io.Reader) error {
+	buf := buffers.Get().(*[copyBytes]byte)
+	defer buffers.Put(buf)
+	_, err := io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{r}, buf[:])
+	return err
+}
+
 // repeatBytes is the largest request body that is kept for another attempt.
 const repeatBytes = 64 << 10
 
@@ -39,6 +52,9 @@
 // open returns a reader over the body for one attempt, or false if the body was
 // used up by an earlier one.
 func (b *Body) open() (io.Reader, bool) {
+	if b.whole && len(b.kept) == 0 {
+		return http.NoBody, true
+	}
 	if b.whole {
 		return bytes.NewReader(b.kept), true
 	}
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -354,8 +354,11 @@
 }
 
 func send(s *frame.Stream, body io.Reader, b *Body) {
-	_, err := io.CopyBuffer(s, struct{ io.Reader }{body}, make([]byte, copyBytes))
-	if err != nil {
+	if body == http.NoBody {
+		_ = s.CloseWrite(b.packTrailer())
+		return
+	}
+	if err := Copy(s, body); err != nil {
 		s.Reset(frame.CodeCanceled)
 		return
 	}
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -80,7 +79,7 @@
 		err = s.SendHead(data)
 	}
 	if err == nil {
-		_, err = io.CopyBuffer(s, struct{ io.Reader }{resp.Body}, make([]byte, copyBytes))
+		err = Copy(s, resp.Body)
 	}
 	if err != nil && !isTruncated(err) {
 		s.Reset(frame.CodeInternal)
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -9,6 +9,7 @@
 	"dogwoodsill.org/core/admit"
 	"dogwoodsill.org/core/limit"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 )
 
 // pollEvery is how often queued calls are looked at for missed deadlines.
@@ -23,6 +24,7 @@
 	mu    sync.Mutex
 	admit *admit.Gate[*waiter]
 	limit *limit.Limit
+	kick  chan struct{} // tells poll that a call waits
 }
 
 // waiter is a call that arrived at the gate. The gate sends nil when the call
@@ -33,7 +35,7 @@
 }
 
 func newGate() *gate {
-	return &gate{admit: admit.NewGate[*waiter](admit.DefaultMaxWait), limit: limit.New()}
+	return &gate{admit: admit.NewGate[*waiter](admit.DefaultMaxWait), limit: limit.New(), kick: make(chan struct{}, 1)}
 }
 
 // enter waits until the call may run. After nil the caller must call leave.
@@ -49,6 +51,10 @@
 		return nil
 	}
 	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+	select {
 	case e := <-w.verdict:
 		return e
 	case <-ctx.Done():
@@ -116,29 +122,28 @@
 	return refuse.New(refuse.Overloaded, "the target is overloaded").WithRetry(overloadRetry)
 }
 
-// poll is the duty that drops queued calls that can't meet their deadline.
+// poll is the duty that drops queued calls that can't meet their deadline. It
+// sleeps while no call waits.
 func (g *gate) poll(ctx context.Context) error {
-	tick := time.NewTicker(pollEvery)
-	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-tick.C:
-			g.pollOnce(now)
+		case <-g.kick:
+		}
+		for super.Pause(ctx, pollEvery) && g.pollOnce(time.Now()) {
 		}
 	}
 }
 
-func (g *gate) pollOnce(now time.Time) {
+// pollOnce reports whether calls still wait.
+func (g *gate) pollOnce(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.admit.Waiting() == 0 {
-		return
-	}
 	run, dropped := g.admit.Poll(now, g.limit.Value())
 	refuseDropped(dropped)
 	g.start(run, now)
+	return g.admit.Waiting() > 0
 }
 
 // hint passes on what the upstream says about itself.
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -410,7 +410,7 @@
 	if w.SendHead(data) != nil {
 		return false
 	}
-	_, err = io.CopyBuffer(w, struct{ io.Reader }{resp.Body}, make([]byte, copyBytes))
+	err = Copy(w, resp.Body)
 	trailer, perr := pack(ReplyTrailer{
 		Complete:     err == nil,
 		Trailer:      CleanHeader(resp.Trailer),
--- a/node/tokens/tokens.go
+++ b/node/tokens/tokens.go
@@ -9,6 +9,7 @@
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/quota"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/store"
 	"dogwoodsill.org/node/zones"
 )
@@ -37,6 +38,7 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+	kick  chan struct{}     // tells Sweep that there is a pool
 	seqs  map[string]uint64 // last numbers of dropped pools
 }
 
@@ -58,7 +60,7 @@
 func New(z *zones.Zones, st *store.Store, peers Peers, m *metric.Set) *Tokens {
 	return &Tokens{
 		zones: z, store: st, peers: peers, metrics: m, holder: newHolder(z, st, m),
-		pools: map[string]*pool{}, seqs: map[string]uint64{},
+		pools: map[string]*pool{}, kick: make(chan struct{}, 1), seqs: map[string]uint64{},
 	}
 }
 
@@ -165,6 +167,10 @@
 		})}
 		p.quota.SetSeq(t.seqs[account])
 		t.pools[account] = p
+		select {
+		case t.kick <- struct{}{}:
+		default:
+		}
 	}
 	return p
 }
@@ -243,22 +249,28 @@
 }
 
 // Sweep is the duty that lets pools report use, return tokens and go away when
-// they are idle.
+// they are idle. It sleeps while there is no pool.
 func (t *Tokens) Sweep(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-tick.C:
-			for _, p := range t.all() {
-				t.sweep(ctx, p, now)
-			}
+		case <-t.kick:
+		}
+		for super.Pause(ctx, sweepEvery) && t.sweepAll(ctx, time.Now()) {
 		}
 	}
 }
 
+// sweepAll reports whether there were pools.
+func (t *Tokens) sweepAll(ctx context.Context, now time.Time) bool {
+	pools := t.all()
+	for _, p := range pools {
+		t.sweep(ctx, p, now)
+	}
+	return len(pools) > 0
+}
+
 func (t *Tokens) all() []*pool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
