core/claim: test each refusal, bound the memory of evicted keys

The list of stored responses also kept entries that had been dropped while an older response was alive: at 870 issued keys a second up to 457,000 of them in ten minutes. Stored responses are a linked list from which a dropped entry leaves at once.

--- a/core/claim/index.go
+++ b/core/claim/index.go
@@ -11,7 +11,7 @@
 	// that repeats a key that became too old to run can still get its outcome.
 	IndexAge = 2 * MaxAge
 	// DefaultIndexBytes bounds the records in an index.
-	DefaultIndexBytes = 8 << 20
+	DefaultIndexBytes = 4 << 20
 	// indexOverhead is the memory of a record besides its response.
 	indexOverhead = 256
 )
--- /dev/null
+++ b/core/claim/log_test.go
@@ -0,0 +1,249 @@
+package claim
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"dogwoodsill.org/core/refuse"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against keys that are read in two ways or accepted without a time.
+func TestParseErrors(t *testing.T) {
+	issued := newRig().issue(t, "c", 1)[0].String()
+	tests := []struct{ value, detail string }{
+		{"", "empty"},
+		{`""`, "empty"},
+		{"order-17", "neither"},
+		{"018cc251f40070008000000000000001", "neither"},
+		{"018cc251-f400-7000-8000-00000000000g", "neither"},
+		{"018cc251-f400-4000-8000-000000000001", "version 4"},
+		{"018cc251-f400-7000-c000-000000000001", "variant"},
+		{IssuedPrefix, "truncated"},
+		{issued[:len(issued)-4], "truncated"},
+		{issued + "AAAA", "truncated"},
+		{issued + "=", "base64url"},
+		{issued + "!", "base64url"},
+		{IssuedPrefix + "\n" + issued[len(IssuedPrefix):], "base64url"},
+		{IssuedPrefix + strings.Repeat("A", maxIssuedText+1), "too long"},
+		{IssuedPrefix + strings.Repeat("_", 56), "truncated"},
+	}
+	for _, tt := range tests {
+		_, err := Parse(tt.value)
+		assert.ErrorContains(t, err, tt.detail, tt.value)
+	}
+	key, err := Parse(` "` + issued + `" `)
+	assert.NilError(t, err)
+	assert.Equal(t, key.Instance, "n")
+}
+
+// Guards against a parser that fails on hostile input or reads two texts as one
+// issued key.
+func FuzzParse(f *testing.F) {
+	f.Add("018cc251-f400-7000-8000-000000000001")
+	f.Add(newRig().issue(f, "c", 1)[0].String())
+	f.Fuzz(func(t *testing.T, s string) {
+		k, err := Parse(s)
+		if err != nil {
+			return
+		}
+		again, err := Parse(k.String())
+		assert.NilError(t, err)
+		assert.Equal(t, again, k)
+		if k.Kind == KindIssued {
+			assert.Equal(t, k.String(), strings.Trim(strings.TrimSpace(s), `"`))
+		}
+	})
+}
+
+// Guards against a decoder that fails on hostile input or lets a record through
+// that the queue can't have written.
+func FuzzDecodeBatch(f *testing.F) {
+	f.Add(sample(f, "x"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, _, err := DecodeBatch(data)
+		if err != nil {
+			return
+		}
+		q := NewQueue("n", 1, WithQueueBytes(1<<30))
+		for i := range records {
+			assert.NilError(t, records[i].check())
+			q.Add(epoch, records[i])
+		}
+		_, err = NewIndex(1<<10).Apply(epoch, data)
+		assert.NilError(t, err)
+	})
+}
+
+// sample returns the batch of one key that ran.
+func sample(t testing.TB, body string) []byte {
+	q := NewQueue("n", 1)
+	r := newRig(WithQueue(q))
+	r.run(t, r.key(1), body)
+	return q.Take(r.now.Add(time.Second))
+}
+
+// Guards against lost records after a failed append, a queue that grows while
+// the log is down, and appends before the window has passed.
+func TestQueue(t *testing.T) {
+	q := NewQueue("n", 1, WithQueueBytes(4000))
+	r := newRig(WithQueue(q))
+	r.run(t, r.key(1), "x")
+	assert.Equal(t, q.Stats().Records, 1) // the outcome replaced the claim
+	assert.Assert(t, q.Take(r.now) == nil)
+	at, due := q.Due()
+	assert.Assert(t, due)
+	first := q.Take(at)
+	r.run(t, r.key(2), "y")
+	q.Fail(at)
+	assert.Assert(t, q.Take(at.Add(RetryDelay-1)) == nil)
+	assert.Assert(t, bytes.Equal(q.Take(at.Add(RetryDelay)), first))
+	q.Ack()
+	second := q.Take(at.Add(RetryDelay + MinWindow))
+	assert.Assert(t, second != nil && !bytes.Equal(first, second))
+	q.Ack()
+	for n := range byte(50) {
+		r.run(t, r.key(10+n), "z")
+	}
+	s := q.Stats()
+	assert.Assert(t, s.Bytes <= 4000 && s.Dropped > 0 && int(s.Dropped)+s.Records == 50, "%+v", s)
+	assert.Assert(t, q.Take(r.now.Add(time.Hour)) == nil) // too old for any index
+	_, due = q.Due()
+	assert.Assert(t, !due)
+}
+
+// Guards against a fleet that appends more often than the log takes, also while
+// every append fails.
+func TestFleetAppends(t *testing.T) {
+	for _, nodes := range []int{1, 13, 300, 9700} {
+		q := NewQueue("n", 1)
+		q.SetNodes(nodes)
+		r := newRig(WithQueue(q))
+		r.run(t, r.key(1), "x")
+		const span = 10 * time.Minute
+		step := 10 * time.Millisecond
+		appends := 0
+		for at := r.now; at.Before(r.now.Add(span)); at = at.Add(step) {
+			if q.Take(at) == nil {
+				continue
+			}
+			appends++
+			q.Ack()
+			q.Add(at, Record{ID: ID{byte(appends)}, State: RecordDispatched, KeyMS: at.UnixMilli()})
+		}
+		rate := float64(appends*nodes) / span.Seconds()
+		assert.Assert(t, appends > 0 && rate <= FleetAppends, "%d nodes: %.0f appends a second", nodes, rate)
+	}
+}
+
+// Guards against an index that loses an outcome to a repeated or late claim,
+// keeps records without end, or answers another request.
+func TestIndex(t *testing.T) {
+	q := NewQueue("n", 1)
+	r := newRig(WithQueue(q))
+	k := r.key(1)
+	ticket := r.dispatch(t, k)
+	claimed := q.Take(r.now.Add(time.Second))
+	q.Ack()
+	ticket.Finish(r.now, &Response{Status: 201, Body: []byte("x")})
+	done := q.Take(r.now.Add(time.Minute))
+
+	x := NewIndex(1 << 20)
+	next := newRig(WithIndex(x))
+	wantRefusal(t, next.table.Resolve(r.now, request(k)), refuse.OutcomeUnknown, refuse.Unknown, "no node")
+	apply := func(batch []byte) {
+		skipped, err := x.Apply(r.now, batch)
+		assert.NilError(t, err)
+		assert.Equal(t, skipped, 0)
+	}
+	apply(claimed)
+	wantRefusal(t, next.claim(k), refuse.OutcomeUnknown, refuse.Unknown, "dispatched") // although it is fresh
+	apply(done)
+	apply(claimed) // appended again after a lost response
+	assert.Equal(t, string(next.claim(k).Response.Body), "x")
+	other := request(k)
+	other.Print.Path = "/q"
+	wantRefusal(t, next.table.Resolve(r.now, other), refuse.IdempotencyKey, refuse.Unknown, "path")
+	_, ok := x.Lookup(r.now.Add(IndexAge), other.ID())
+	assert.Assert(t, !ok)
+
+	small := NewIndex(3 * indexOverhead)
+	for n := range byte(10) {
+		_, err := small.Apply(r.now, fmt.Appendf(nil, `{"version":1,"records":[{"id":"%032x","state":"done","keyMs":%d,"content":"00000000.0000000000000000.0."}]}`, n+1, r.now.UnixMilli()))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, small.Len(), 3)
+	_, err := small.Apply(r.now, []byte(`{"version":2}`))
+	assert.ErrorContains(t, err, "version 2")
+	skipped, err := small.Apply(r.now, []byte(`{"version":1,"records":[{"id":"00"},{"state":"done"}]}`))
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 2)
+}
+
+func benchTable(b *testing.B, n int) (*rig, []Key) {
+	issuer, _ := NewIssuer("n", 1, epoch)
+	r := &rig{issuer: issuer, table: NewTable(issuer, epoch, WithEntries(n+1)), own: Ownership{Owner: true, LeaseValid: true}, now: epoch.Add(time.Minute)}
+	keys := make([]Key, n)
+	for i := range keys {
+		keys[i] = r.key(0)
+		keys[i].UUID[13], keys[i].UUID[14], keys[i].UUID[15] = byte(i>>16), byte(i>>8), byte(i)
+		r.run(b, keys[i], "response")
+	}
+	return r, keys
+}
+
+var benchSizes = []int{1e3, 1e5}
+
+func BenchmarkRepeat(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			r, keys := benchTable(b, n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r.claim(keys[i%n])
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap-B/key")
+		})
+	}
+}
+
+func BenchmarkRun(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r, _ := benchTable(b, n)
+			k := r.key(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.run(b, k, "response")
+				r.table.drop(request(k).ID())
+			}
+		})
+	}
+}
+
+func BenchmarkIssue(b *testing.B) {
+	r, _ := benchTable(b, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.now = r.now.Add(time.Second)
+		r.issue(b, "c", 64)
+	}
+}
+
+func BenchmarkIndexApply(b *testing.B) {
+	batch := sample(b, "response")
+	x := NewIndex(DefaultIndexBytes)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, _ = x.Apply(epoch.Add(time.Minute), batch)
+	}
+}
--- a/core/claim/queue.go
+++ b/core/claim/queue.go
@@ -16,7 +16,7 @@
 	// RetryDelay is the shortest time before a failed append is repeated.
 	RetryDelay = time.Second
 	// DefaultQueueBytes bounds the records that wait while the log is down.
-	DefaultQueueBytes = 4 << 20
+	DefaultQueueBytes = 2 << 20
 	// queueOverhead is the memory of a waiting record besides its text.
 	queueOverhead = 128
 )
--- a/core/claim/store.go
+++ b/core/claim/store.go
@@ -13,7 +13,7 @@
 	}
 	t.entries[e.id] = e
 	// A second that was swept already is not visited again.
-	second := max(e.keyTime.Unix(), t.expired)
+	second := max(time.UnixMilli(e.keyMS).Unix(), t.expired)
 	t.bySecond[second] = append(t.bySecond[second], e.id)
 	return true
 }
@@ -40,7 +40,6 @@
 	for ; t.expired < first; t.expired++ {
 		t.sweepSecond(t.expired)
 	}
-	t.trim()
 	for len(t.settled) > 0 && t.entries[t.settled[0]] == nil {
 		t.settled = t.settled[1:]
 	}
@@ -80,25 +79,22 @@
 	if n > t.maxResponse || n > t.maxBytes || t.entries[e.id] != e {
 		return
 	}
-	e.response, e.bytes = r, n
+	e.response, e.bytes = r, int32(n)
+	e.stored = t.stored.PushBack(e)
 	t.bytes += n
-	t.stored = append(t.stored, e)
-	t.trim()
+	for t.bytes > t.maxBytes {
+		t.evict(t.stored.Front().Value.(*entry))
+	}
 }
 
 // evict drops the response of an entry but not the knowledge that it ran.
 func (t *Table) evict(e *entry) {
-	t.bytes -= e.bytes
-	e.response, e.bytes = nil, 0
-}
-
-// trim evicts the oldest responses until the rest fits.
-func (t *Table) trim() {
-	for len(t.stored) > 0 && (t.bytes > t.maxBytes || t.stored[0].response == nil) {
-		t.evict(t.stored[0])
-		t.stored[0] = nil
-		t.stored = t.stored[1:]
+	if e.response == nil {
+		return
 	}
+	t.bytes -= int(e.bytes)
+	t.stored.Remove(e.stored)
+	e.response, e.stored, e.bytes = nil, nil, 0
 }
 
 // Stats counts what a table holds.
@@ -112,11 +108,5 @@
 func (t *Table) Stats() Stats {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := Stats{Keys: len(t.entries), Bytes: t.bytes}
-	for _, e := range t.stored {
-		if e.response != nil {
-			s.Responses++
-		}
-	}
-	return s
+	return Stats{Keys: len(t.entries), Responses: t.stored.Len(), Bytes: t.bytes}
 }
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -1,7 +1,9 @@
 package claim
 
 import (
+	"container/list"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -10,11 +12,12 @@
 
 // Limits of a table.
 const (
-	// DefaultEntries bounds the keys in memory. A node of the target size
-	// carries 113 calls a second, 68,000 in MaxAge, if all were at most once.
-	DefaultEntries = 1 << 16
+	// DefaultEntries bounds the keys in memory. It allows 218 callers' keys a
+	// second with MaxAge. A node of the target size carries 113 calls a second,
+	// so 68,000 in MaxAge if all of them were at most once.
+	DefaultEntries = 1 << 17
 	// DefaultBodyBytes bounds the stored responses of all keys.
-	DefaultBodyBytes = 8 << 20
+	DefaultBodyBytes = 4 << 20
 	// DefaultResponseBytes bounds one stored response, so that a large one
 	// doesn't evict all others.
 	DefaultResponseBytes = 256 << 10
@@ -112,19 +115,21 @@
 	stateUnknown                 // dispatched without a known outcome
 )
 
-// entry is the knowledge about one key.
+// entry is the knowledge about one key. Its size decides how many keys fit into
+// memory, hence the small integers.
 type entry struct {
 	id       ID
+	content  content
 	state    state
 	issued   bool
-	content  content
-	keyTime  time.Time
+	left     int32 // attempts that remain to the root
+	status   int32 // of the response
+	bytes    int32 // of the stored response
+	keyMS    int64 // time of the key, milliseconds since 1970
 	root     string
-	left     int // attempts that remain to the root
 	run      *run
-	status   int       // of the response
-	response *Response // nil if it was not stored or was evicted
-	bytes    int
+	response *Response     // nil if it was not stored or was evicted
+	stored   *list.Element // place in Table.stored if response is set
 }
 
 // Table holds the claims of one node. It is safe for concurrent use.
@@ -137,7 +142,7 @@
 	entries  map[ID]*entry
 	bySecond map[int64][]ID // by second of the key time, for expiry
 	expired  int64          // keys of earlier seconds were dropped
-	stored   []*entry       // entries with a response, oldest first
+	stored   list.List      // entries with a response, oldest first
 	bytes    int            // of the stored responses
 	settled  []ID           // issued keys that were run, oldest first
 
@@ -283,7 +288,7 @@
 	if part := rec.Content.differs(req.Print.compact()); part != "" {
 		return refused(mismatch(part).WithExecuted(refuse.Unknown))
 	}
-	e := entry{state: stateUnknown, status: rec.Status, response: rec.Response}
+	e := entry{state: stateUnknown, status: int32(rec.Status), response: rec.Response}
 	if rec.State == RecordDone {
 		e.state = stateDone
 	}
@@ -343,14 +348,14 @@
 	if e == nil {
 		e = t.newEntry(id, req)
 	}
-	granted := min(e.left, req.Call.Attempts)
+	granted := min(int(e.left), req.Call.Attempts)
 	if granted <= 0 {
 		return refused(refuse.New(refuse.AttemptsSpent, "no attempts are left to the first request with this key"))
 	}
 	if !t.insert(e) {
 		return refused(refuse.New(refuse.Overloaded, "too many keys are in memory").WithRetry(time.Second))
 	}
-	e.left -= granted
+	e.left -= int32(granted)
 	e.state = stateClaimed
 	e.run = &run{done: make(chan struct{}), deadline: req.Call.Deadline}
 	return Decision{Verdict: Run, Ticket: &Ticket{
@@ -369,12 +374,12 @@
 		content: req.Print.compact(),
 		issued:  req.Key.Kind == KindIssued,
 		root:    req.Call.Root,
-		left:    req.Call.Attempts,
+		left:    int32(min(req.Call.Attempts, math.MaxInt32)),
 	}
 	if e.issued {
-		e.keyTime = t.issuer.start.Add(req.Key.SinceStart)
+		e.keyMS = t.issuer.start.Add(req.Key.SinceStart).UnixMilli()
 	} else {
-		e.keyTime = req.Key.Time()
+		e.keyMS = req.Key.Time().UnixMilli()
 	}
 	return e
 }
--- /dev/null
+++ b/core/claim/table_test.go
@@ -0,0 +1,297 @@
+package claim
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+// rig is one node with a table.
+type rig struct {
+	issuer *Issuer
+	table  *Table
+	own    Ownership
+	now    time.Time
+}
+
+func newRig(opts ...Option) *rig {
+	issuer, _ := NewIssuer("n", 1, epoch, WithWindow(64))
+	return &rig{issuer: issuer, table: NewTable(issuer, epoch, opts...), own: Ownership{Owner: true, LeaseValid: true}, now: epoch.Add(time.Minute)}
+}
+
+func callerKey(at time.Time, n byte) Key {
+	ms := uint64(at.UnixMilli())
+	return Key{Kind: KindCaller, UUID: [16]byte{byte(ms >> 40), byte(ms >> 32), byte(ms >> 24), byte(ms >> 16), byte(ms >> 8), byte(ms), 7 << 4, 0, 2 << 6, n}}
+}
+
+func request(k Key) *Request {
+	return &Request{Key: k, Route: "r", Print: Fingerprint{Method: "POST", Path: "/p", Length: 3, Digest: []byte("a")}, Call: model.Call{Customer: "c", Attempts: 2}}
+}
+
+func (r *rig) key(n byte) Key { return callerKey(r.now, n) }
+
+func (r *rig) issue(t testing.TB, customer string, n int) []Key {
+	t.Helper()
+	keys, err := r.issuer.Issue(r.now, customer, n)
+	assert.Assert(t, err == nil, "%v", err)
+	return keys
+}
+
+func (r *rig) claim(k Key) Decision { return r.table.Claim(r.now, r.own, request(k)) }
+
+func (r *rig) dispatch(t testing.TB, k Key) *Ticket {
+	t.Helper()
+	d := r.claim(k)
+	assert.Equal(t, d.Verdict, Run)
+	assert.Assert(t, d.Ticket.Dispatch(r.now, r.own) == nil)
+	return d.Ticket
+}
+
+func (r *rig) run(t testing.TB, k Key, body string) {
+	t.Helper()
+	r.dispatch(t, k).Finish(r.now, &Response{Status: 201, Body: []byte(body)})
+}
+
+func wantRefusal(t testing.TB, d Decision, reason refuse.Reason, x refuse.Executed, detail string) {
+	t.Helper()
+	assert.Equal(t, d.Verdict, Refuse)
+	assert.Equal(t, d.Refusal.Reason, reason, d.Refusal.Detail)
+	assert.Equal(t, d.Refusal.Executed, x, d.Refusal.Detail)
+	assert.Assert(t, strings.Contains(d.Refusal.Detail, detail), d.Refusal.Detail)
+}
+
+// Guards against a refusal with a wrong reason or a false executed "no".
+func TestClaimRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(r *rig, q *Request, issued Key)
+		reason refuse.Reason
+		x      refuse.Executed
+		detail string
+	}{
+		{"not owner", func(r *rig, _ *Request, _ Key) { r.own.Owner = false }, refuse.NotReady, refuse.Unknown, "own"},
+		{"no lease", func(r *rig, _ *Request, _ Key) { r.own.LeaseValid = false }, refuse.NotReady, refuse.Unknown, "lease"},
+		{"too old", func(r *rig, _ *Request, _ Key) { r.now = r.now.Add(MaxAge + time.Millisecond) }, refuse.IdempotencyKey, refuse.Unknown, "expire"},
+		{"ahead", func(r *rig, _ *Request, _ Key) { r.now = r.now.Add(-Skew - time.Millisecond) }, refuse.IdempotencyKey, refuse.No, "2.001s ahead"},
+		{"ahead after retirement", func(r *rig, _ *Request, _ Key) { r.now = r.now.Add(-3 * time.Second); r.own.Since = r.now }, refuse.IdempotencyKey, refuse.Unknown, "ahead"},
+		{"before retirement", func(r *rig, _ *Request, _ Key) { r.own.Since = r.now.Add(-2 * Skew) }, refuse.OutcomeUnknown, refuse.Unknown, "earlier owner"},
+		{"before restart", func(r *rig, _ *Request, _ Key) { r.table.start = r.now.Add(-2 * Skew) }, refuse.OutcomeUnknown, refuse.Unknown, "earlier owner"},
+		{"deadline", func(r *rig, q *Request, _ Key) { q.Call.Deadline = r.now }, refuse.DeadlineExceeded, refuse.No, "deadline"},
+		{"no attempts", func(_ *rig, q *Request, _ Key) { q.Call.Attempts = 0 }, refuse.AttemptsSpent, refuse.No, "attempts"},
+		{"full", func(r *rig, _ *Request, _ Key) { r.table.maxEntries = 0 }, refuse.Overloaded, refuse.No, "keys"},
+		{"other customer", func(_ *rig, q *Request, k Key) { q.Key = k; q.Call.Customer = "d" }, refuse.IdempotencyKey, refuse.No, "not issued"},
+		{"forged", func(_ *rig, q *Request, k Key) { q.Key = k; q.Key.Seq++ }, refuse.IdempotencyKey, refuse.No, "not issued"},
+		{"issuer gone", func(_ *rig, q *Request, k Key) { q.Key = k; q.Key.Incarnation++ }, refuse.OutcomeUnknown, refuse.Unknown, "gone"},
+		{"issued too old", func(r *rig, q *Request, k Key) { q.Key = k; r.now = r.now.Add(MaxAge + time.Millisecond) }, refuse.IdempotencyKey, refuse.No, "expire"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig()
+			q := request(r.key(1))
+			tt.change(r, q, r.issue(t, "c", 1)[0])
+			wantRefusal(t, r.table.Claim(r.now, r.own, q), tt.reason, tt.x, tt.detail)
+		})
+	}
+}
+
+// Guards against a key that runs for another request than its first one, and
+// against scopes that mix customers or routes.
+func TestContentAndScope(t *testing.T) {
+	tests := []struct {
+		part   string
+		change func(*Request)
+	}{
+		{"method", func(q *Request) { q.Print.Method = "PUT" }},
+		{"path", func(q *Request) { q.Print.Path = "/q" }},
+		{"body length", func(q *Request) { q.Print.Length = 4 }},
+		{"body", func(q *Request) { q.Print.Digest = []byte("b") }},
+	}
+	r := newRig()
+	r.run(t, r.key(1), "x")
+	open := r.claim(r.key(2)).Ticket
+	open.Release(2, refuse.New(refuse.Overloaded, "shed"))
+	for _, tt := range tests {
+		for n, x := range []refuse.Executed{1: refuse.Unknown, 2: refuse.No} {
+			if n > 0 {
+				q := request(r.key(byte(n)))
+				tt.change(q)
+				wantRefusal(t, r.table.Claim(r.now, r.own, q), refuse.IdempotencyKey, x, "different "+tt.part)
+			}
+		}
+	}
+	for _, change := range []func(*Request){
+		func(q *Request) { q.Route = "s" },
+		func(q *Request) { q.Call.Customer = "d" },
+	} {
+		q := request(r.key(1))
+		change(q)
+		assert.Equal(t, r.table.Claim(r.now, r.own, q).Verdict, Run)
+	}
+	q := request(r.key(1))
+	q.Print.Length, q.Print.Digest = UnknownLength, nil
+	assert.Equal(t, r.table.Claim(r.now, r.own, q).Verdict, Answer)
+}
+
+// Guards against two owners that run one key: the first claims up to the end of
+// its lease, the second starts when the lease has ended, and their clocks and
+// the key's time are off by as much as the rules allow.
+func TestTwoOwners(t *testing.T) {
+	offset := rapid.SampledFrom([]time.Duration{-Skew / 2, 0, Skew / 2})
+	ms := func(t *rapid.T, from, to int, label string) time.Duration {
+		return time.Duration(rapid.IntRange(from, to).Draw(t, label)) * time.Millisecond
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newRig(), newRig()
+		end := epoch.Add(time.Hour)
+		a.now = end.Add(offset.Draw(t, "clock a") - ms(t, 1, 100, "before"))
+		k := callerKey(a.now.Add(ms(t, -100, 6000, "ahead")), 1)
+		first := a.claim(k)
+		offsetB := offset.Draw(t, "clock b")
+		b.own.Since = end.Add(offsetB)
+		b.now = b.own.Since.Add(ms(t, 0, 9000, "after"))
+		if first.Verdict == Run && b.claim(k).Verdict == Run {
+			t.Fatalf("key %v ran at both owners", k)
+		}
+	})
+}
+
+// Guards against a key that is dispatched twice when it is sent at the same
+// moment, and against requests that join and are never woken.
+func TestSameMoment(t *testing.T) {
+	r := newRig()
+	for _, k := range []Key{r.key(1), r.issue(t, "c", 1)[0]} {
+		var runs atomic.Int32
+		var wg sync.WaitGroup
+		for range 16 {
+			wg.Go(func() {
+				d := r.claim(k)
+				if d.Verdict == Run && d.Ticket.Dispatch(r.now, r.own) == nil {
+					runs.Add(1)
+					d.Ticket.Finish(r.now, &Response{Status: 201})
+				} else if d.Verdict == Join {
+					<-d.Wait.Done()
+					d = d.Wait.Result()
+				}
+				assert.Check(t, d.Verdict == Run || d.Response.Status == 201)
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, runs.Load(), int32(1))
+	}
+}
+
+// Guards against memory that grows and against eviction that forgets that a key
+// ran.
+func TestEviction(t *testing.T) {
+	r := newRig(WithBodyBytes(20, 10), WithEntries(4))
+	for n, body := range []string{"old-8888", "new-8888", "last-888", "too large 11"} {
+		r.run(t, r.key(byte(n)), body)
+	}
+	assert.Equal(t, r.table.Stats(), Stats{Keys: 4, Responses: 2, Bytes: 16})
+	wantRefusal(t, r.claim(r.key(0)), refuse.OutcomeUnknown, refuse.Unknown, "status 201")
+	wantRefusal(t, r.claim(r.key(3)), refuse.OutcomeUnknown, refuse.Unknown, "status 201")
+	assert.Equal(t, string(r.claim(r.key(1)).Response.Body), "new-8888")
+	wantRefusal(t, r.claim(r.key(4)), refuse.Overloaded, refuse.No, "too many")
+	r.now = r.now.Add(MaxAge + 2*time.Second)
+	r.table.Sweep(r.now)
+	assert.Equal(t, r.table.Stats(), Stats{})
+	keys := r.issue(t, "c", 5)
+	for _, k := range keys {
+		r.run(t, k, "issued")
+	}
+	assert.Equal(t, r.table.Stats().Keys, 4)
+	wantRefusal(t, r.claim(keys[0]), refuse.OutcomeUnknown, refuse.Unknown, "no longer kept")
+}
+
+// Guards against a second run after the owner's clock was set back or far
+// ahead.
+func TestClockSteps(t *testing.T) {
+	r := newRig()
+	k := r.key(1)
+	r.run(t, k, "x")
+	first := r.now
+	r.now = first.Add(MaxAge + 3*time.Second)
+	r.table.Sweep(r.now)
+	r.now = first.Add(MaxAge - time.Second)
+	wantRefusal(t, r.claim(k), refuse.IdempotencyKey, refuse.Unknown, "expire")
+	r.now = first.Add(100 * MaxAge)
+	r.run(t, r.key(2), "y")
+	assert.Equal(t, r.table.Stats().Keys, 1)
+}
+
+// Guards against a ticket that dispatches after another request took over, and
+// against attempts that a repeated key gets beyond those of its root.
+func TestTicket(t *testing.T) {
+	r := newRig()
+	q := request(r.key(1))
+	q.Call.Deadline = r.now.Add(time.Second)
+	old := r.table.Claim(r.now, r.own, q)
+	joined := r.claim(q.Key)
+	r.now = r.now.Add(time.Second)
+	wantRefusal(t, r.claim(q.Key), refuse.AttemptsSpent, refuse.No, "attempts")
+	wantRefusal(t, joined.Wait.Result(), refuse.DeadlineExceeded, refuse.No, "deadline")
+	assert.Equal(t, old.Ticket.Release(2, refuse.New(refuse.Overloaded, "late")).Executed, refuse.Unknown)
+
+	q = request(r.key(2))
+	q.Call.Attempts, q.Call.Deadline = 4, r.now.Add(time.Second)
+	old = r.table.Claim(r.now, r.own, q)
+	old.Ticket.entry.left = 1 // as if a part was returned
+	r.now = r.now.Add(time.Second)
+	next := r.claim(q.Key)
+	assert.Equal(t, next.Ticket.Attempts, 1)
+	r.now = r.now.Add(-time.Second) // the clock was set back before the old deadline
+	assert.Equal(t, old.Ticket.Dispatch(r.now, r.own).Executed, refuse.Unknown)
+	assert.Assert(t, next.Ticket.Dispatch(r.now, r.own) == nil)
+	old.Ticket.Finish(r.now, &Response{Status: 500})
+	assert.Equal(t, r.claim(q.Key).Verdict, Join)
+	assert.Equal(t, next.Ticket.Release(1, refuse.New(refuse.Overloaded, "late")).Executed, refuse.Unknown)
+	wantRefusal(t, r.claim(q.Key), refuse.OutcomeUnknown, refuse.Unknown, "not known")
+}
+
+// Guards against a body that was streamed and is not part of the fingerprint.
+func TestSetBody(t *testing.T) {
+	r := newRig()
+	q := request(r.key(1))
+	q.Print.Length, q.Print.Digest = UnknownLength, nil
+	r.table.Claim(r.now, r.own, q).Ticket.SetBody(3, []byte("a"))
+	q = request(q.Key)
+	q.Print.Digest = []byte("b")
+	wantRefusal(t, r.table.Claim(r.now, r.own, q), refuse.IdempotencyKey, refuse.Unknown, "different body")
+}
+
+// Guards against keys that run after they left the window, and against one
+// customer that takes the whole window.
+func TestIssuerWindow(t *testing.T) {
+	r := newRig()
+	refused := func(customer string, n int, reason refuse.Reason) {
+		t.Helper()
+		_, err := r.issuer.Issue(r.now, customer, n)
+		assert.Equal(t, err.Reason, reason)
+	}
+	refused("c", 0, refuse.BadRequest)
+	refused("c", MaxBatch+1, refuse.BadRequest)
+	keys := r.issue(t, "c", 16)
+	r.run(t, keys[0], "x")
+	refused("c", 1, refuse.RateLimited)
+	for _, customer := range []string{"d", "e", "f"} {
+		r.issue(t, customer, 16)
+	}
+	refused("g", 1, refuse.RateLimited)
+	r.now = r.now.Add(MaxAge + 2*time.Second)
+	r.table.Sweep(r.now)
+	r.issue(t, "c", 16)
+	wantRefusal(t, r.claim(keys[0]), refuse.IdempotencyKey, refuse.Unknown, "expire")
+	for _, name := range []string{"", strings.Repeat("n", maxInstance+1)} {
+		_, err := NewIssuer(name, 1, epoch)
+		assert.ErrorContains(t, err, "instance must have")
+	}
+}
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -100,7 +100,7 @@
 	}
 	k.ended = true
 	if k.entry.run == k.run {
-		k.entry.state, k.entry.status = stateDone, r.Status
+		k.entry.state, k.entry.status = stateDone, int32(r.Status)
 		t.store(k.entry, r)
 		k.record(now, RecordDone, r)
 	}
@@ -143,7 +143,7 @@
 		return k.lost(why)
 	}
 	k.ended = true
-	k.entry.left += max(0, min(unused, k.Attempts))
+	k.entry.left += int32(max(0, min(unused, k.Attempts)))
 	if k.entry.run != k.run {
 		return why.WithExecuted(refuse.Unknown)
 	}
@@ -163,7 +163,7 @@
 	if k.entry.run != k.run {
 		return
 	}
-	k.entry.run = nil
+	k.entry.run, k.entry.root = nil, ""
 	if k.entry.issued && k.table.entries[k.entry.id] == k.entry {
 		k.table.settled = append(k.table.settled, k.entry.id)
 	}
@@ -173,7 +173,7 @@
 	if k.table.queue == nil {
 		return
 	}
-	rec := Record{ID: k.entry.id, State: state, KeyMS: k.entry.keyTime.UnixMilli(), Content: k.entry.content}
+	rec := Record{ID: k.entry.id, State: state, KeyMS: k.entry.keyMS, Content: k.entry.content}
 	if r != nil {
 		rec.Status, rec.Response = r.Status, r
 	}
