core/claim: accept responses that are not held, keep outcomes when behind

Cause: a request whose response is too large to hold could end only as lost or with an incomplete response for those that joined. A body that was evicted from memory was not looked up in the log. A queue behind its window filled up with claims and responses, so that outcomes became too old before their append. Change: Ticket.FinishStatus; the log's response serves a key that ran here too; while more than one batch waits, the queue takes only outcomes without their responses. Conclusion: large responses keep their key from running again.

--- a/core/claim/history_test.go
+++ b/core/claim/history_test.go
@@ -70,12 +70,10 @@
 
 type fakeKey struct {
 	key        Key
-	runs       int     // requests that reached the upstream
-	dispatches int     // attempts, with those that were proven not to be run
-	sentBy     int     // sequence number of the request that was sent
-	refusedNo  int     // newest request that was told executed "no"
-	ranAt      *Issuer // of the incarnation that sent it
-	body       string  // response that was given to a caller
+	dispatches int       // attempts, with those that were proven not to be run
+	sent       *fakeCall // request that reached the upstream
+	refusedNo  int       // newest request that was told executed "no"
+	body       string    // response that was given to a caller
 }
 
 func (k *fakeKey) kind() string {
@@ -123,8 +121,10 @@
 
 func (w *world) clock(n *fakeNode) time.Time { return w.now.Add(n.offset) }
 
-// adoptions notes which epochs a majority of their members has left.
-func (w *world) adoptions() {
+// adopt gives a node the newest epoch and notes which epochs a majority of
+// their members has left.
+func (w *world) adopt(n *fakeNode) {
+	n.adopted = len(w.epochs) - 1
 	for e, members := range w.epochs {
 		count := 0
 		for _, m := range members {
@@ -186,7 +186,7 @@
 			count++
 		}
 	}
-	if 2*count > len(w.epochs[n.adopted]) {
+	if running(n) && 2*count > len(w.epochs[n.adopted]) {
 		n.lease = w.now.Add(leaseTime)
 	}
 }
@@ -194,14 +194,12 @@
 func (w *world) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, n := range w.nodes {
-		if running(n) {
-			w.confirm(n)
-		}
+		w.confirm(n)
 	}
 }
 
 func (w *world) newKey() {
-	k := &fakeKey{refusedNo: -1, sentBy: -1}
+	k := &fakeKey{}
 	n := w.node(running)
 	if rapid.Bool().Draw(w.T, "issued") {
 		keys, err := n.issuer.Issue(w.clock(n), "c", 1)
@@ -237,17 +235,17 @@
 	}
 	c := &fakeCall{seq: w.seq, k: k, n: n, inc: n.incarnation, deadline: req.Call.Deadline}
 	gone := k.key.Kind == KindIssued && k.key.Incarnation != n.incarnation
-	switch {
-	case !running(n) || gone || n != entry && (n.cut || entry.cut):
+	if !running(n) || gone || n != entry && (n.cut || entry.cut) {
+		c.n, c.inc = entry, entry.incarnation
 		w.decided(c, entry.table.Resolve(w.clock(entry), req))
-	default:
-		own := w.ownership(n, k.key)
-		d := n.table.Claim(now, own, req)
-		if d.Verdict == Refuse && d.Refusal.Reason == refuse.OutcomeUnknown && own.LeaseValid && k.sentBy < 0 {
-			w.reached["successor refused"]++
-		}
-		w.decided(c, d)
+		return
 	}
+	own := w.ownership(n, k.key)
+	d := n.table.Claim(now, own, req)
+	if d.Verdict == Refuse && d.Refusal.Reason == refuse.OutcomeUnknown && own.LeaseValid && k.sent == nil {
+		w.reached["successor refused"]++
+	}
+	w.decided(c, d)
 }
 
 func (w *world) decided(c *fakeCall, d Decision) {
@@ -260,7 +258,7 @@
 		c.wait = d.Wait
 		w.waits = append(w.waits, c)
 	case Answer:
-		if !running(c.n) || c.n.issuer != c.k.ranAt {
+		if c.k.sent != nil && (c.n != c.k.sent.n || c.n.incarnation != c.k.sent.inc) {
 			w.reached["answer from the log"]++
 		}
 		w.reached[c.k.kind()+" answered"]++
@@ -278,8 +276,8 @@
 	if err.Executed != refuse.No {
 		return
 	}
-	if c.k.sentBy >= 0 && c.k.sentBy <= c.seq {
-		w.Fatalf("key %v: request %d was told %v, but request %d had been sent", c.k.key, c.seq, err, c.k.sentBy)
+	if c.k.sent != nil && c.k.sent.seq <= c.seq {
+		w.Fatalf("key %v: request %d was told %v, but request %d had been sent", c.k.key, c.seq, err, c.k.sent.seq)
 	}
 	c.k.refusedNo = max(c.k.refusedNo, c.seq)
 }
@@ -289,8 +287,12 @@
 	return pick(w, w.calls, func(c *fakeCall) bool { return running(c.n) && c.n.incarnation == c.inc && ok(c) })
 }
 
+func claimed(c *fakeCall) bool { return !c.cleared }
+
+func cleared(c *fakeCall) bool { return c.cleared && !c.sent }
+
 func (w *world) dispatch() {
-	c := w.call(func(c *fakeCall) bool { return !c.cleared })
+	c := w.call(claimed)
 	now, own := w.clock(c.n), w.ownership(c.n, c.k.key)
 	if c.used == c.ticket.Attempts {
 		w.release(c, refuse.New(refuse.AttemptsSpent, "spent"))
@@ -320,12 +322,10 @@
 	if c.n.adopted > 0 || c.inc > 1 {
 		w.reached[c.k.kind()+" run by a successor"]++
 	}
-	c.k.runs++
-	c.k.ranAt = c.n.issuer
-	c.k.sentBy = c.seq
-	if c.k.runs > 1 {
-		w.Fatalf("key %v: ran %d times", c.k.key, c.k.runs)
+	if c.k.sent != nil {
+		w.Fatalf("key %v: ran for request %d and for request %d", c.k.key, c.k.sent.seq, c.seq)
 	}
+	c.k.sent = c
 	if c.seq <= c.k.refusedNo {
 		w.Fatalf("key %v: request %d ran after a request with the key was told no", c.k.key, c.seq)
 	}
@@ -353,31 +353,27 @@
 
 // wake gives the callers that joined their results.
 func (w *world) wake() {
-	kept := w.waits[:0]
-	for _, c := range w.waits {
+	w.waits = slices.DeleteFunc(w.waits, func(c *fakeCall) bool {
 		select {
 		case <-c.wait.Done():
 			w.decided(c, c.wait.Result())
+			return true
 		default:
-			kept = append(kept, c)
+			return false
 		}
-	}
-	w.waits = kept
+	})
 }
 
 // kill ends a node. Each request that was cleared for dispatch may or may not
 // have left it.
 func (w *world) kill(n *fakeNode) {
 	n.alive = false
-	for _, c := range slices.Clone(w.calls) {
-		if c.n != n {
-			continue
-		}
-		if c.cleared && !c.sent && rapid.Bool().Draw(w.T, "left") {
+	for _, c := range w.calls {
+		if c.n == n && c.cleared && !c.sent && rapid.Bool().Draw(w.T, "left") {
 			w.send(c)
 		}
-		w.end(c)
 	}
+	w.calls = slices.DeleteFunc(w.calls, func(c *fakeCall) bool { return c.n == n })
 }
 
 // flush appends the records of a node. The append may fail, or its response may
@@ -429,9 +425,7 @@
 	}
 }
 
-func (w *world) sendOne() {
-	w.send(w.call(func(c *fakeCall) bool { return c.cleared && !c.sent }))
-}
+func (w *world) sendOne() { w.send(w.call(cleared)) }
 
 // restart boots a dead node. It needs the log to learn the newest epoch.
 func (w *world) restart() {
@@ -466,11 +460,6 @@
 	}
 }
 
-func (w *world) adopt(n *fakeNode) {
-	n.adopted = len(w.epochs) - 1
-	w.adoptions()
-}
-
 func (w *world) tick() { w.advance(rapid.SampledFrom(shortSteps).Draw(w.T, "short")) }
 
 // shortSteps are times within a lease.
@@ -490,13 +479,11 @@
 	{"order", 40, (*world).order},
 	{"finish", 10, (*world).finish},
 	{"undo", 2, func(w *world) {
-		c := w.call(func(c *fakeCall) bool { return c.cleared && !c.sent })
+		c := w.call(cleared)
 		c.cleared = false
 		c.ticket.Undo()
 	}},
-	{"release", 2, func(w *world) {
-		w.release(w.call(func(c *fakeCall) bool { return !c.cleared }), refuse.New(refuse.Overloaded, "shed"))
-	}},
+	{"release", 2, func(w *world) { w.release(w.call(claimed), refuse.New(refuse.Overloaded, "shed")) }},
 	{"short", 14, (*world).tick},
 	{"long", 5, func(w *world) { w.advance(time.Duration(rapid.IntRange(1, 5).Draw(w.T, "s")) * time.Second) }},
 	{"age", 1, func(w *world) {
--- a/core/claim/log_test.go
+++ b/core/claim/log_test.go
@@ -114,6 +114,15 @@
 	assert.Assert(t, q.Take(r.now.Add(time.Hour)) == nil) // too old for any index
 	_, due = q.Due()
 	assert.Assert(t, !due)
+	q = NewQueue("n", 1)
+	done := Record{State: RecordDone, Response: &Response{Body: make([]byte, MaxRecordResponse)}}
+	for i := range byte(200) {
+		done.ID[0] = i
+		q.Add(r.now, done)
+		q.Add(r.now, Record{ID: ID{i, 1}, State: RecordDispatched})
+	}
+	s = q.Stats() // outcomes without responses after the first batch
+	assert.Assert(t, s.Dropped > 100 && s.Records > 200 && s.Bytes < 2*MaxBatchBytes, "%+v", s)
 }
 
 // Guards against a fleet that appends more often than the log takes, also while
@@ -160,11 +169,14 @@
 		assert.NilError(t, err)
 		assert.Equal(t, skipped, 0)
 	}
+	lean := newRig(WithIndex(x), WithBodyBytes(0, 0))
+	lean.run(t, k, "x") // the memory keeps no response, the log will
 	apply(claimed)
 	wantRefusal(t, next.claim(k), refuse.OutcomeUnknown, refuse.Unknown, "dispatched") // although it is fresh
 	apply(done)
 	apply(claimed) // appended again after a lost response
 	assert.Equal(t, string(next.claim(k).Response.Body), "x")
+	assert.Equal(t, string(lean.claim(k).Response.Body), "x")
 	other := request(k)
 	other.Print.Path = "/q"
 	wantRefusal(t, next.table.Resolve(r.now, other), refuse.IdempotencyKey, refuse.Unknown, "path")
@@ -196,54 +208,42 @@
 	return r, keys
 }
 
-var benchSizes = []int{1e3, 1e5}
-
-func BenchmarkRepeat(b *testing.B) {
-	for _, n := range benchSizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var before, after runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&before)
-			r, keys := benchTable(b, n)
-			runtime.GC()
-			runtime.ReadMemStats(&after)
+func BenchmarkClaim(b *testing.B) {
+	for _, n := range []int{1e3, 1e5} {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		r, keys := benchTable(b, n)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.Run(fmt.Sprint("repeat/", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				r.claim(keys[i%n])
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap-B/key")
 		})
-	}
-}
-
-func BenchmarkRun(b *testing.B) {
-	for _, n := range benchSizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			r, _ := benchTable(b, n)
+		b.Run(fmt.Sprint("run/", n), func(b *testing.B) {
 			k := r.key(1)
 			b.ReportAllocs()
 			for b.Loop() {
-				r.run(b, k, "response")
-				r.table.drop(request(k).ID())
+				ticket := r.claim(k).Ticket
+				_ = ticket.Dispatch(r.now, r.own)
+				ticket.Finish(r.now, &Response{Status: 201})
+				r.table.drop(ticket.entry.id)
 			}
 		})
 	}
 }
 
 func BenchmarkIssue(b *testing.B) {
-	r, _ := benchTable(b, 0)
-	b.ReportAllocs()
-	for b.Loop() {
-		r.now = r.now.Add(time.Second)
-		r.issue(b, "c", 64)
-	}
-}
-
-func BenchmarkIndexApply(b *testing.B) {
-	batch := sample(b, "response")
-	x := NewIndex(DefaultIndexBytes)
-	b.ReportAllocs()
-	for b.Loop() {
-		_, _ = x.Apply(epoch.Add(time.Minute), batch)
+	for _, n := range []int{1, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r, _ := benchTable(b, 0)
+			for b.Loop() {
+				r.now = r.now.Add(time.Second)
+				r.issue(b, "c", n)
+			}
+		})
 	}
 }
--- a/core/claim/queue.go
+++ b/core/claim/queue.go
@@ -26,9 +26,10 @@
 	return max(MinWindow, time.Duration(nodes)*time.Second/FleetAppends)
 }
 
-// Queue collects the records of one node into batches. When it is full it drops
-// the oldest records, which are the first to lose their use. It is safe for
-// concurrent use.
+// Queue collects the records of one node into batches. While more than a batch
+// waits, it takes only outcomes without their responses, so that 340 instead of
+// about 150 keys fit into a batch. When it is full it drops the oldest records,
+// which are the first to lose their use. It is safe for concurrent use.
 type Queue struct {
 	mu          sync.Mutex
 	instance    string
@@ -81,13 +82,14 @@
 
 // Add appends a record. An outcome replaces the waiting claim of its key.
 func (q *Queue) Add(now time.Time, r Record) {
-	if r.Response != nil && r.Response.bytes() > MaxRecordResponse {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	behind := q.bytes > MaxBatchBytes
+	if r.Response != nil && (behind || r.Response.bytes() > MaxRecordResponse) {
 		r.Response = nil
 	}
 	text, err := json.Marshal(r)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if err != nil {
+	if err != nil || behind && r.State != RecordDone {
 		q.dropped++
 		return
 	}
@@ -184,7 +186,7 @@
 type QueueStats struct {
 	Records int
 	Bytes   int
-	Dropped uint64 // records that were lost because the queue was full
+	Dropped uint64 // records that were lost because too many waited
 }
 
 // Stats returns the current counts.
--- a/core/claim/store.go
+++ b/core/claim/store.go
@@ -73,8 +73,11 @@
 	delete(t.entries, id)
 }
 
-// store keeps the response of an entry if it is not too large.
+// store keeps the response of an entry if there is one that is not too large.
 func (t *Table) store(e *entry, r *Response) {
+	if r == nil {
+		return
+	}
 	n := r.bytes()
 	if n > t.maxResponse || n > t.maxBytes || t.entries[e.id] != e {
 		return
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -251,6 +251,9 @@
 	case stateClaimed, stateDispatched:
 		return Decision{Verdict: Join, Wait: &Wait{run: e.run}}
 	case stateDone, stateUnknown:
+		if d := t.resolve(now, e.id, req); d.Verdict == Answer && e.response == nil {
+			return d // the log still has the response
+		}
 		return e.outcome()
 	}
 	return Decision{}
@@ -271,7 +274,7 @@
 	case e.response != nil:
 		return Decision{Verdict: Answer, Response: e.response}
 	case e.state == stateDone:
-		return refused(unknown("the request with this key ran with status %d; its response is no longer kept", e.status))
+		return refused(ranUnkept(int(e.status)))
 	}
 	return refused(unknown("the request with this key was dispatched; its outcome is not known"))
 }
@@ -392,6 +395,10 @@
 	return refuse.New(refuse.OutcomeUnknown, format, args...).WithExecuted(refuse.Unknown)
 }
 
+func ranUnkept(status int) *refuse.Error {
+	return unknown("the request with this key ran with status %d; its response is not kept", status)
+}
+
 func expired(age time.Duration) *refuse.Error {
 	detail := fmt.Sprintf("the key is %v old; keys expire after %v", age.Round(time.Second), MaxAge)
 	return refuse.New(refuse.IdempotencyKey, "%s", detail).WithExecuted(refuse.Unknown)
--- a/core/claim/table_test.go
+++ b/core/claim/table_test.go
@@ -255,6 +255,13 @@
 	assert.Equal(t, r.claim(q.Key).Verdict, Join)
 	assert.Equal(t, next.Ticket.Release(1, refuse.New(refuse.Overloaded, "late")).Executed, refuse.Unknown)
 	wantRefusal(t, r.claim(q.Key), refuse.OutcomeUnknown, refuse.Unknown, "not known")
+
+	large := r.dispatch(t, r.key(3))
+	joined = r.claim(r.key(3))
+	large.FinishStatus(r.now, 200)
+	wantRefusal(t, joined.Wait.Result(), refuse.OutcomeUnknown, refuse.Unknown, "status 200")
+	wantRefusal(t, r.claim(r.key(3)), refuse.OutcomeUnknown, refuse.Unknown, "status 200")
+	assert.Equal(t, Unproven(refuse.New(refuse.RateLimited, "at entry")).Executed, refuse.Unknown)
 }
 
 // Guards against a body that was streamed and is not part of the fingerprint.
--- a/core/claim/ticket.go
+++ b/core/claim/ticket.go
@@ -90,8 +90,20 @@
 	}
 }
 
-// Finish ends the ticket with the complete response.
+// Finish ends the ticket with the complete response, which must not be changed
+// afterwards.
 func (k *Ticket) Finish(now time.Time, r *Response) {
+	k.finish(now, r.Status, r)
+}
+
+// FinishStatus ends the ticket of a request that got its complete response,
+// when that response was too large to be held. Other requests with the key
+// learn the status, but their execution is reported as unknown.
+func (k *Ticket) FinishStatus(now time.Time, status int) {
+	k.finish(now, status, nil)
+}
+
+func (k *Ticket) finish(now time.Time, status int, r *Response) {
 	t := k.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -100,10 +112,14 @@
 	}
 	k.ended = true
 	if k.entry.run == k.run {
-		k.entry.state, k.entry.status = stateDone, int32(r.Status)
+		k.entry.state, k.entry.status = stateDone, int32(status)
 		t.store(k.entry, r)
 		k.record(now, RecordDone, r)
 	}
+	if r == nil {
+		k.settle(refused(ranUnkept(status)))
+		return
+	}
 	k.settle(Decision{Verdict: Answer, Response: r})
 }
 
@@ -173,9 +189,12 @@
 	if k.table.queue == nil {
 		return
 	}
-	rec := Record{ID: k.entry.id, State: state, KeyMS: k.entry.keyMS, Content: k.entry.content}
-	if r != nil {
-		rec.Status, rec.Response = r.Status, r
-	}
-	k.table.queue.Add(now, rec)
+	k.table.queue.Add(now, Record{
+		ID:       k.entry.id,
+		State:    state,
+		KeyMS:    k.entry.keyMS,
+		Content:  k.entry.content,
+		Status:   int(k.entry.status),
+		Response: r,
+	})
 }
