--- a/core/claim/history_test.go
+++ b/core/claim/history_test.go
@@ -70,12 +70,10 @@
 
 type fakeKey struct {
 	key        Key
-	runs       int     // requests that reached the upstream
-	dispatches int     // attempts, with those that were proven not to be run
-	sentBy     int     // sequence number of the request that was sent
-	refusedNo  int     // newest request that was told executed "no"
-	ranAt      *Issuer // of the incarnation that sent it
-	body       string  // response that was given to a caller
+	dispatches int       // attempts, with those that were proven not to be run
+	sent       *fakeCall // request that reached the upstream
+	refusedNo  int       // newest request that was told executed "no"
+	body       string    // response that was given to a caller
 }
 
 func (k *fakeKey) kind() string {
@@ -99,7 +97,7 @@
 }
 
 func newWorld(t *rapid.T, reached map[string]int) *world {
-	w := &world{T: t, reached: reached, now: time.UnixMilli(1_800_000_000_000), logUp: true, epochs: [][]int{{0, 1, 2}}, majority: make([]time.Time, 1)}
+	w := &world{T: t, reached: reached, now: epoch, logUp: true, epochs: [][]int{{0, 1, 2}}, majority: make([]time.Time, 1)}
 	for id := range fleet {
 		n := &fakeNode{id: id, offset: time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "clockMs")) * time.Millisecond}
 		w.nodes = append(w.nodes, n)
@@ -123,8 +121,10 @@
 
 func (w *world) clock(n *fakeNode) time.Time { return w.now.Add(n.offset) }
 
-// adoptions notes which epochs a majority of their members has left.
-func (w *world) adoptions() {
+// adopt gives a node the newest epoch and notes which epochs a majority of
+// their members has left.
+func (w *world) adopt(n *fakeNode) {
+	n.adopted = len(w.epochs) - 1
 	for e, members := range w.epochs {
 		count := 0
 		for _, m := range members {
@@ -163,19 +163,18 @@
 	return own
 }
 
-func (w *world) node(ok func(*fakeNode) bool) *fakeNode {
-	var fit []*fakeNode
-	for _, n := range w.nodes {
-		if ok(n) {
-			fit = append(fit, n)
-		}
-	}
+// pick draws one of the items that a step can use. Without any it skips the
+// step.
+func pick[T any](w *world, items []T, ok func(T) bool) T {
+	fit := slices.DeleteFunc(slices.Clone(items), func(v T) bool { return !ok(v) })
 	if len(fit) == 0 {
-		w.Skip("no such node")
+		w.Skip("nothing to pick")
 	}
-	return rapid.SampledFrom(fit).Draw(w.T, "node")
+	return rapid.SampledFrom(fit).Draw(w.T, "pick")
 }
 
+func (w *world) node(ok func(*fakeNode) bool) *fakeNode { return pick(w, w.nodes, ok) }
+
 func running(n *fakeNode) bool { return n.alive && !n.paused }
 
 // confirm renews the lease of a node if a majority of its epoch confirms.
@@ -187,7 +186,7 @@
 			count++
 		}
 	}
-	if 2*count > len(w.epochs[n.adopted]) {
+	if running(n) && 2*count > len(w.epochs[n.adopted]) {
 		n.lease = w.now.Add(leaseTime)
 	}
 }
@@ -195,14 +194,12 @@
 func (w *world) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, n := range w.nodes {
-		if running(n) {
-			w.confirm(n)
-		}
+		w.confirm(n)
 	}
 }
 
 func (w *world) newKey() {
-	k := &fakeKey{refusedNo: -1, sentBy: -1}
+	k := &fakeKey{}
 	n := w.node(running)
 	if rapid.Bool().Draw(w.T, "issued") {
 		keys, err := n.issuer.Issue(w.clock(n), "c", 1)
@@ -212,8 +209,7 @@
 		k.key = keys[0]
 	} else {
 		ahead := rapid.SampledFrom([]int{-3900, -1000, 0, 0, 1000, 2000, 2100, 3900}).Draw(w.T, "aheadMs")
-		ms := uint64(w.clock(n).UnixMilli() + int64(ahead))
-		k.key = Key{Kind: KindCaller, UUID: [16]byte{byte(ms >> 40), byte(ms >> 32), byte(ms >> 24), byte(ms >> 16), byte(ms >> 8), byte(ms), 7 << 4, byte(len(w.keys)), 2 << 6}}
+		k.key = callerKey(w.clock(n).Add(time.Duration(ahead)*time.Millisecond), byte(len(w.keys)))
 	}
 	w.keys = append(w.keys, k)
 }
@@ -221,11 +217,7 @@
 // request sends a key to an entry node, which forwards it to the owner that it
 // knows.
 func (w *world) request() {
-	if len(w.keys) == 0 {
-		w.Skip("no keys")
-	}
-	recent := w.keys[max(0, len(w.keys)-6):]
-	k := rapid.SampledFrom(recent).Draw(w.T, "key")
+	k := pick(w, w.keys[max(0, len(w.keys)-6):], func(*fakeKey) bool { return true })
 	entry := w.node(running)
 	n := w.nodes[w.owner(entry.adopted, k.key)]
 	if k.key.Kind == KindIssued {
@@ -243,17 +235,17 @@
 	}
 	c := &fakeCall{seq: w.seq, k: k, n: n, inc: n.incarnation, deadline: req.Call.Deadline}
 	gone := k.key.Kind == KindIssued && k.key.Incarnation != n.incarnation
-	switch {
-	case !running(n) || gone || n != entry && (n.cut || entry.cut):
+	if !running(n) || gone || n != entry && (n.cut || entry.cut) {
+		c.n, c.inc = entry, entry.incarnation
 		w.decided(c, entry.table.Resolve(w.clock(entry), req))
-	default:
-		own := w.ownership(n, k.key)
-		d := n.table.Claim(now, own, req)
-		if d.Verdict == Refuse && d.Refusal.Reason == refuse.OutcomeUnknown && own.LeaseValid && k.sentBy < 0 {
-			w.reached["successor refused"]++
-		}
-		w.decided(c, d)
+		return
+	}
+	own := w.ownership(n, k.key)
+	d := n.table.Claim(now, own, req)
+	if d.Verdict == Refuse && d.Refusal.Reason == refuse.OutcomeUnknown && own.LeaseValid && k.sent == nil {
+		w.reached["successor refused"]++
 	}
+	w.decided(c, d)
 }
 
 func (w *world) decided(c *fakeCall, d Decision) {
@@ -266,51 +258,41 @@
 		c.wait = d.Wait
 		w.waits = append(w.waits, c)
 	case Answer:
-		if !running(c.n) || c.n.issuer != c.k.ranAt {
+		if c.k.sent != nil && (c.n != c.k.sent.n || c.n.incarnation != c.k.sent.inc) {
 			w.reached["answer from the log"]++
 		}
-		w.answered(c.k, d.Response)
+		w.reached[c.k.kind()+" answered"]++
+		if c.k.body == "" || string(d.Response.Body) != c.k.body {
+			w.Fatalf("key %v: response %q differs from %q", c.k.key, d.Response.Body, c.k.body)
+		}
 	case Refuse:
 		w.refused(c, d.Refusal)
 	}
 }
 
-// answered checks that every caller of a key gets the same response.
-func (w *world) answered(k *fakeKey, r *Response) {
-	if k.body == "" || string(r.Body) != k.body {
-		w.Fatalf("key %v: response %q differs from %q", k.key, r.Body, k.body)
-	}
-	w.reached[k.kind()+" answered"]++
-}
-
 // refused checks that executed "no" holds for this and all earlier requests.
 func (w *world) refused(c *fakeCall, err *refuse.Error) {
 	w.reached[c.k.kind()+" "+string(err.Executed)]++
 	if err.Executed != refuse.No {
 		return
 	}
-	if c.k.sentBy >= 0 && c.k.sentBy <= c.seq {
-		w.Fatalf("key %v: request %d was told %v, but request %d had been sent", c.k.key, c.seq, err, c.k.sentBy)
+	if c.k.sent != nil && c.k.sent.seq <= c.seq {
+		w.Fatalf("key %v: request %d was told %v, but request %d had been sent", c.k.key, c.seq, err, c.k.sent.seq)
 	}
 	c.k.refusedNo = max(c.k.refusedNo, c.seq)
 }
 
 // call picks a call with a ticket whose node can act.
 func (w *world) call(ok func(*fakeCall) bool) *fakeCall {
-	var fit []*fakeCall
-	for _, c := range w.calls {
-		if running(c.n) && c.n.incarnation == c.inc && ok(c) {
-			fit = append(fit, c)
-		}
-	}
-	if len(fit) == 0 {
-		w.Skip("no such call")
-	}
-	return rapid.SampledFrom(fit).Draw(w.T, "call")
+	return pick(w, w.calls, func(c *fakeCall) bool { return running(c.n) && c.n.incarnation == c.inc && ok(c) })
 }
 
+func claimed(c *fakeCall) bool { return !c.cleared }
+
+func cleared(c *fakeCall) bool { return c.cleared && !c.sent }
+
 func (w *world) dispatch() {
-	c := w.call(func(c *fakeCall) bool { return !c.cleared })
+	c := w.call(claimed)
 	now, own := w.clock(c.n), w.ownership(c.n, c.k.key)
 	if c.used == c.ticket.Attempts {
 		w.release(c, refuse.New(refuse.AttemptsSpent, "spent"))
@@ -340,12 +322,10 @@
 	if c.n.adopted > 0 || c.inc > 1 {
 		w.reached[c.k.kind()+" run by a successor"]++
 	}
-	c.k.runs++
-	c.k.ranAt = c.n.issuer
-	c.k.sentBy = c.seq
-	if c.k.runs > 1 {
-		w.Fatalf("key %v: ran %d times", c.k.key, c.k.runs)
+	if c.k.sent != nil {
+		w.Fatalf("key %v: ran for request %d and for request %d", c.k.key, c.k.sent.seq, c.seq)
 	}
+	c.k.sent = c
 	if c.seq <= c.k.refusedNo {
 		w.Fatalf("key %v: request %d ran after a request with the key was told no", c.k.key, c.seq)
 	}
@@ -373,31 +353,27 @@
 
 // wake gives the callers that joined their results.
 func (w *world) wake() {
-	kept := w.waits[:0]
-	for _, c := range w.waits {
+	w.waits = slices.DeleteFunc(w.waits, func(c *fakeCall) bool {
 		select {
 		case <-c.wait.Done():
 			w.decided(c, c.wait.Result())
+			return true
 		default:
-			kept = append(kept, c)
+			return false
 		}
-	}
-	w.waits = kept
+	})
 }
 
 // kill ends a node. Each request that was cleared for dispatch may or may not
 // have left it.
 func (w *world) kill(n *fakeNode) {
 	n.alive = false
-	for _, c := range slices.Clone(w.calls) {
-		if c.n != n {
-			continue
-		}
-		if c.cleared && !c.sent && rapid.Bool().Draw(w.T, "left") {
+	for _, c := range w.calls {
+		if c.n == n && c.cleared && !c.sent && rapid.Bool().Draw(w.T, "left") {
 			w.send(c)
 		}
-		w.end(c)
 	}
+	w.calls = slices.DeleteFunc(w.calls, func(c *fakeCall) bool { return c.n == n })
 }
 
 // flush appends the records of a node. The append may fail, or its response may
@@ -449,9 +425,7 @@
 	}
 }
 
-func (w *world) sendOne() {
-	w.send(w.call(func(c *fakeCall) bool { return c.cleared && !c.sent }))
-}
+func (w *world) sendOne() { w.send(w.call(cleared)) }
 
 // restart boots a dead node. It needs the log to learn the newest epoch.
 func (w *world) restart() {
@@ -486,11 +460,6 @@
 	}
 }
 
-func (w *world) adopt(n *fakeNode) {
-	n.adopted = len(w.epochs) - 1
-	w.adoptions()
-}
-
 func (w *world) tick() { w.advance(rapid.SampledFrom(shortSteps).Draw(w.T, "short")) }
 
 // shortSteps are times within a lease.
@@ -510,13 +479,11 @@
 	{"order", 40, (*world).order},
 	{"finish", 10, (*world).finish},
 	{"undo", 2, func(w *world) {
-		c := w.call(func(c *fakeCall) bool { return c.cleared && !c.sent })
+		c := w.call(cleared)
 		c.cleared = false
 		c.ticket.Undo()
 	}},
-	{"release", 2, func(w *world) {
-		w.release(w.call(func(c *fakeCall) bool { return !c.cleared }), refuse.New(refuse.Overloaded, "shed"))
-	}},
+	{"release", 2, func(w *world) { w.release(w.call(claimed), refuse.New(refuse.Overloaded, "shed")) }},
 	{"short", 14, (*world).tick},
 	{"long", 5, func(w *world) { w.advance(time.Duration(rapid.IntRange(1, 5).Draw(w.T, "s")) * time.Second) }},
 	{"age", 1, func(w *world) {
