frame: fewer allocations for each exchange; limit received heads

Cause: 18 allocations for an empty exchange: frame headers, a deferred unlock in a loop, the channel of each stream's context. A received trailer could be one byte larger than the limit. Change: headers are built in the write buffer, Read unlocks without defer, a push with room in the ring doesn't make the channel. Rejected: yielding once before a flush (35 to 44 µs instead of 24 to 30 µs for one empty exchange).

--- a/core/frame/fault_test.go
+++ b/core/frame/fault_test.go
@@ -289,6 +289,42 @@
 	}
 }
 
+// Pings, windows and resets must not wait behind queued data, and the data of a
+// stream must still follow its open frame.
+func TestControlOvertakesBulk(t *testing.T) {
+	var sent bytes.Buffer
+	s := bareSession(nil)
+	s.conn = sink{&sent}
+	for range bulkRing {
+		s.bulk.TryPush(newOutFrame(TypeData, 2, 0, make([]byte, dataBytes)))
+	}
+	s.control.TryPush(newOutFrame(TypeOpen, 2, 1, nil))
+	s.notes = notes{ping: true, pong: true, credit: 1, resets: []resetNote{{1, CodeStalled}}}
+	flushed := make(chan struct{})
+	s.flushed = flushed
+	s.wakeWriter()
+	ended := make(chan error)
+	go func() { ended <- s.writeLoop() }()
+	<-flushed
+	s.fail(errors.New("test ends"))
+	<-ended
+	for _, typ := range []Type{TypePing, TypePong, TypeWindow, TypeOpen, TypeReset, TypeData} {
+		f, err := ReadFrame(&sent)
+		assert.NilError(t, err)
+		assert.Equal(t, f.Type, typ)
+	}
+}
+
+// sink is a connection that keeps what is written.
+type sink struct{ *bytes.Buffer }
+
+func (sink) Close() error                     { return nil }
+func (sink) LocalAddr() net.Addr              { return nil }
+func (sink) RemoteAddr() net.Addr             { return nil }
+func (sink) SetDeadline(time.Time) error      { return nil }
+func (sink) SetReadDeadline(time.Time) error  { return nil }
+func (sink) SetWriteDeadline(time.Time) error { return nil }
+
 // Opens above the limit must be refused without a handler, and a peer that
 // opens on and on without reading must not make the session grow.
 func TestOpenFlood(t *testing.T) {
@@ -342,6 +378,7 @@
 		{"never opened", []Frame{open(1), {TypeData, 3, big[:1]}}, "never opened"},
 		{"never opened here", []Frame{{TypeData, 2, big[:1]}}, "never opened"},
 		{"head by opener", []Frame{open(1), {TypeHead, 1, nil}}, "out of order"},
+		{"large trailer", []Frame{open(1), {TypeEnd, 1, make([]byte, MaxHeadBytes+1)}}, "too large"},
 		{"data after end", []Frame{open(1), {TypeEnd, 1, nil}, {TypeData, 1, big[:1]}}, "after the end"},
 		{"end after end", []Frame{open(1), {TypeEnd, 1, nil}, {TypeEnd, 1, nil}}, "after the end"},
 		{"empty data", []Frame{open(1), {TypeData, 1, nil}}, "empty"},
--- a/core/frame/fuzz_test.go
+++ b/core/frame/fuzz_test.go
@@ -41,18 +41,11 @@
 	})
 }
 
-// discard is a connection that takes all writes at once.
-type discard struct{ net.Conn }
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-
-func (discard) Close() error { return nil }
-
 // bareSession is a server session without goroutines: the fuzz test calls
 // receive itself and sees its state after each frame.
 func bareSession(h Handler) *Session {
 	o, _ := newOptions(named("b", WithHandler(h), WithWindows(16<<10, 32<<10), WithMaxStreams(8)))
-	s := makeSession(discard{}, o, hello{Name: "fuzz", StreamWindow: 16 << 10, SessionWindow: 32 << 10, MaxStreams: 8}, false)
+	s := makeSession(sink{new(bytes.Buffer)}, o, hello{Name: "fuzz", StreamWindow: 16 << 10, SessionWindow: 32 << 10, MaxStreams: 8}, false)
 	return s
 }
 
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -364,7 +364,7 @@
 	st, err := s.register(ctx, kind)
 	if err == nil {
 		f := newOutFrame(TypeOpen, st.id, kind, head)
-		err = st.opened(ctx, s.control.Push(st.ctx.Done(), f))
+		err = st.opened(ctx, s.control.TryPush(f) || s.control.Push(st.ctx.Done(), f))
 	}
 	<-s.openSem
 	if err != nil {
--- a/core/frame/stream.go
+++ b/core/frame/stream.go
@@ -216,20 +216,17 @@
 func (st *Stream) Read(p []byte) (int, error) {
 	s := st.s
 	s.mu.Lock()
-	for {
-		if st.readErr != nil {
-			defer s.mu.Unlock()
-			return 0, st.readErr
-		}
-		if st.in.n > 0 || len(p) == 0 {
-			break
-		}
-		if st.ended {
-			defer s.mu.Unlock()
-			return 0, io.EOF
-		}
+	for st.readErr == nil && st.in.n == 0 && len(p) > 0 && !st.ended {
 		st.readable.Wait()
 	}
+	if err := st.readErr; err != nil {
+		s.mu.Unlock()
+		return 0, err
+	}
+	if st.in.n == 0 && len(p) > 0 {
+		s.mu.Unlock()
+		return 0, io.EOF
+	}
 	n := st.take(p)
 	st.settle()
 	back, own := st.giveBack()
@@ -411,7 +408,8 @@
 	if control {
 		r = st.s.control
 	}
-	if r.Push(st.ctx.Done(), f) {
+	// Without a wait the channel of the context needn't be made.
+	if r.TryPush(f) || r.Push(st.ctx.Done(), f) {
 		return nil
 	}
 	st.s.mu.Lock()
@@ -427,6 +425,9 @@
 	if st.ended && f.Type != TypeReset && f.Type != TypeWindow {
 		return wireErrorf("frame of type %d after the end of stream %d", f.Type, st.id)
 	}
+	if (f.Type == TypeHead || f.Type == TypeEnd) && len(f.Payload) > MaxHeadBytes {
+		return wireErrorf("head or trailer of stream %d is too large", st.id)
+	}
 	switch f.Type {
 	case TypeHead:
 		return st.receiveHead(f.Payload)
--- a/core/frame/wire.go
+++ b/core/frame/wire.go
@@ -72,20 +72,17 @@
 	if len(f.Payload) > MaxPayloadBytes {
 		return wireErrorf("payload of %d bytes is too large", len(f.Payload))
 	}
-	h := header(f.Type, f.Stream, len(f.Payload))
-	if _, err := w.Write(h[:]); err != nil {
+	var h [headerBytes]byte
+	if _, err := w.Write(appendHeader(h[:0], f.Type, f.Stream, len(f.Payload))); err != nil {
 		return err
 	}
 	_, err := w.Write(f.Payload)
 	return err
 }
 
-func header(t Type, stream uint32, n int) [headerBytes]byte {
-	var h [headerBytes]byte
-	binary.BigEndian.PutUint32(h[:4], uint32(headerBytes-4+n))
-	h[4] = byte(t)
-	binary.BigEndian.PutUint32(h[5:], stream)
-	return h
+func appendHeader(b []byte, t Type, stream uint32, n int) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(headerBytes-4+n))
+	return binary.BigEndian.AppendUint32(append(b, byte(t)), stream)
 }
 
 // frameReader reads frames into one buffer that it reuses. limit is the largest
--- a/core/frame/writer.go
+++ b/core/frame/writer.go
@@ -179,8 +179,8 @@
 }
 
 func writeParts(w *bufio.Writer, t Type, stream uint32, p []byte) error {
-	h := header(t, stream, len(p))
-	if _, err := w.Write(h[:]); err != nil {
+	// An array of its own would be allocated for each frame.
+	if _, err := w.Write(appendHeader(w.AvailableBuffer(), t, stream, len(p))); err != nil {
 		return err
 	}
 	_, err := w.Write(p)
