--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -94,7 +94,7 @@
 		Routes:    map[string]model.Route{"runs": {Pattern: "GET /runs/{id}", Service: "archive", Labels: lookup}},
 	}
 	for i := range customers {
-		s.Customers[fmt.Sprintf("customer%04d", i)] = model.Customer{Rate: largeRate, Burst: largeRate * burstTime}
+		s.Customers[fmt.Sprintf("customer%04d", i)] = model.Customer{Rate: sizedRate, Burst: sizedRate * burstTime}
 	}
 	return s
 }
@@ -113,6 +113,7 @@
 const (
 	largeRate = 300.0
 	smallRate = 60.0
+	sizedRate = 5000.0 // of the customers of Sized
 	burstTime = 2 // seconds of the rate
 )
 
