--- /dev/null
+++ b/bench/matrix/cell.go
@@ -0,0 +1,251 @@
+package matrix
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dogwoodsill.org/bench/load"
+	"dogwoodsill.org/bench/site"
+	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+)
+
+// Phases of a cell.
+const (
+	beforeTime = 500 * time.Millisecond
+	duringTime = 1500 * time.Millisecond
+	afterTime  = time.Second
+	// settleLimit bounds the time until everything works again. Epochs, leases and
+	// the detection of silent links take several seconds each.
+	settleLimit = 30 * time.Second
+)
+
+const (
+	revokedCustomer = "market"
+	lookupPart      = 0.3 // of each customer's rate
+	ordersPerSecond = 4   // of each customer
+	changeEvery     = 200 * time.Millisecond
+)
+
+// Result is the outcome of one cell.
+type Result struct {
+	Faults   []string
+	Sent     int
+	OK       int
+	Refused  int      // with executed "no"
+	Unknown  int      // with executed "unknown" or without an answer
+	Broken   []string // invariants that did not hold
+	Settled  time.Duration
+	Duration time.Duration
+}
+
+// cell is one run of a deployment under some faults.
+type cell struct {
+	run     *site.Running
+	client  *http.Client
+	faults  []Fault
+	began   time.Time
+	revoked string
+	raced   bool
+	rivals  []string // identifiers of the racing changes
+}
+
+// runCell runs the deployment under faults at the same time.
+func runCell(ctx context.Context, faults []Fault) (Result, error) {
+	r, err := site.Start(ctx, site.Press())
+	if err != nil {
+		return Result{}, err
+	}
+	defer r.Stop()
+	c := &cell{run: r, client: load.Client(), faults: faults, began: time.Now()}
+	defer c.client.CloseIdleConnections()
+	if err := r.Await(ctx, func() bool { return c.callerKeysRun(ctx) }); err != nil {
+		return Result{}, err
+	}
+	res := Result{}
+	for _, f := range faults {
+		res.Faults = append(res.Faults, f.Name)
+	}
+	rep, err := c.exercise(ctx)
+	if err != nil {
+		return res, err
+	}
+	healed := time.Now()
+	broken := c.settle(ctx)
+	res.Settled = time.Since(healed)
+	res.count(rep.Outcomes)
+	res.Broken = append(c.invariants(rep.Outcomes), broken...)
+	res.Duration = time.Since(c.began)
+	return res, nil
+}
+
+// exercise sends requests and changes while the faults come and go.
+func (c *cell) exercise(ctx context.Context) (load.Report, error) {
+	streams, err := c.streams(ctx)
+	if err != nil {
+		return load.Report{}, err
+	}
+	var wg sync.WaitGroup
+	stop, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() { c.changeConfig(stop) })
+	var ferr error
+	wg.Go(func() { ferr = c.comeAndGo(ctx) })
+	rep := load.Run(ctx, c.client, streams, beforeTime+duringTime+afterTime)
+	cancel()
+	wg.Wait()
+	return rep, ferr
+}
+
+func (c *cell) comeAndGo(ctx context.Context) error {
+	sleep(ctx, beforeTime)
+	for _, f := range c.faults {
+		if f.Inject != nil {
+			if err := f.Inject(ctx, c); err != nil && !c.logFault() {
+				return fmt.Errorf("%s: %w", f.Name, err)
+			}
+		}
+	}
+	sleep(ctx, duringTime)
+	for _, f := range c.faults {
+		if f.Heal != nil {
+			if err := f.Heal(ctx, c); err != nil {
+				return fmt.Errorf("%s: %w", f.Name, err)
+			}
+		}
+	}
+	return nil
+}
+
+// logFault reports whether the operators' own appends may fail.
+func (c *cell) logFault() bool {
+	return slices.ContainsFunc(c.faults, func(f Fault) bool {
+		return strings.HasPrefix(f.Name, "log") || strings.HasPrefix(f.Name, "append")
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (c *cell) streams(ctx context.Context) ([]load.Stream, error) {
+	factor, retries := 1.0, 0
+	for _, f := range c.faults {
+		factor *= max(1, f.Load)
+		retries = max(retries, f.Repeat)
+	}
+	var urls []string
+	for _, n := range c.run.Nodes {
+		urls = append(urls, "http://"+n.Addrs().Callers)
+	}
+	var out []load.Stream
+	for _, name := range slices.Sorted(maps.Keys(c.run.Site.Customers)) {
+		keys, err := c.run.IssueIdempotencyKeys(ctx, c.client, c.run.Nodes[len(out)%len(urls)], name, 20)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out,
+			load.Stream{
+				Name: name, Key: c.run.Keys[name], Kind: "lookup", BaseURLs: urls, Retries: retries,
+				Rate: c.run.Site.Customers[name].Rate * lookupPart * factor,
+				Make: func(i int) load.Request {
+					return load.Request{ID: fmt.Sprintf("%s/lookup/%d", name, i), Method: http.MethodGet, Path: fmt.Sprint("/runs/", i)}
+				},
+			},
+			c.orders(name, "issued", urls, retries, func(i int) string { return keys[i%len(keys)] }),
+			c.orders(name, "caller", urls, retries, callerKeys()),
+		)
+	}
+	return out, nil
+}
+
+// orders returns a stream that sends each order twice, to different nodes.
+func (c *cell) orders(name, kind string, urls []string, retries int, key func(i int) string) load.Stream {
+	return load.Stream{
+		Name: name, Key: c.run.Keys[name], Kind: "order", BaseURLs: urls, Retries: retries, Rate: ordersPerSecond,
+		Make: func(i int) load.Request {
+			return load.Request{
+				ID: fmt.Sprintf("%s/order/%s/%d", name, kind, i/2), Method: http.MethodPost, Path: "/orders",
+				Body: "200 stubs", Idem: key(i / 2),
+			}
+		},
+	}
+}
+
+// callerKeys returns a function that makes a UUIDv7 for each order.
+func callerKeys() func(i int) string {
+	var mu sync.Mutex
+	keys := map[int]string{}
+	return func(i int) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if keys[i] == "" {
+			keys[i] = uuid.Must(uuid.NewV7()).String()
+		}
+		return keys[i]
+	}
+}
+
+// changeConfig changes an object again and again. A change may fail; the next
+// one then has the wrong base and is rejected, which is no fault.
+func (c *cell) changeConfig(ctx context.Context) {
+	tick := time.NewTicker(changeEvery)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			svc := model.Service{Labels: map[string]string{"turn": fmt.Sprint(i)}}
+			_ = c.run.Publish(ctx, model.KindService, "archive", svc)
+		}
+	}
+}
+
+// raceOperators appends two changes of one object on the same base.
+func (c *cell) raceOperators(ctx context.Context) error {
+	var records [][]byte
+	for i := range 2 {
+		body, err := json.Marshal(model.Customer{Rate: float64(10 + i), Burst: 20})
+		if err != nil {
+			return err
+		}
+		id := uuid.NewString()
+		c.rivals = append(c.rivals, id)
+		rec, err := json.Marshal(config.Record{Change: &config.Change{ID: id, Kind: model.KindCustomer, Name: "rival", Body: body}})
+		if err != nil {
+			return err
+		}
+		records = append(records, rec)
+	}
+	_, err := c.run.Client.Append(ctx, logsvc.StreamConfig, records...)
+	return err
+}
+
+func (r *Result) count(list []load.Outcome) {
+	for _, o := range list {
+		r.Sent++
+		switch {
+		case o.OK():
+			r.OK++
+		case o.Executed == refuse.No:
+			r.Refused++
+		default:
+			r.Unknown++
+		}
+	}
+}
--- a/bench/site/site.go
+++ b/bench/site/site.go
@@ -114,7 +114,7 @@
 	largeRate = 300.0
 	smallRate = 60.0
 	sizedRate = 5000.0 // of the customers of Sized
-	burstTime = 2 // seconds of the rate
+	burstTime = 2      // seconds of the rate
 )
 
 func eight(names []string) map[string]model.Customer {
--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -32,6 +32,7 @@
 type Running struct {
 	Site      Site
 	Log       *fakes.Log
+	LogWires  map[string]*fakes.Wire // network between a zone and the log
 	Client    *logsvc.Client
 	Nodes     []*Node
 	Keys      map[string]string // key by customer
@@ -50,6 +51,11 @@
 	Wire     *fakes.Wire
 }
 
+// ObjectDigest returns a digest of all revisions that are in force at the node.
+func (n *Node) ObjectDigest() string {
+	return n.Status().ConfigDigest
+}
+
 // Option configures Start.
 type Option func(*startConfig)
 
@@ -73,7 +79,7 @@
 		return nil, err
 	}
 	r := &Running{
-		Site: s, Log: log, Client: logsvc.NewClient(log.URL(), &http.Client{Timeout: 10 * time.Second}),
+		Site: s, Log: log, LogWires: map[string]*fakes.Wire{}, Client: logsvc.NewClient(log.URL(), &http.Client{Timeout: 10 * time.Second}),
 		Keys: map[string]string{}, KeyIDs: map[string]string{}, revisions: map[config.ObjectID]uint64{},
 	}
 	if err := r.start(ctx, cfg); err != nil {
@@ -84,6 +90,14 @@
 }
 
 func (r *Running) start(ctx context.Context, cfg startConfig) error {
+	for _, zone := range r.Site.Zones {
+		w, err := fakes.StartWire("127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		w.SetTarget(strings.TrimPrefix(r.Log.URL(), "http://"))
+		r.LogWires[zone] = w
+	}
 	if err := r.publishAll(ctx); err != nil {
 		return err
 	}
@@ -146,7 +160,7 @@
 	cfg.Instance = setup.Instance{Name: name, Zone: zone}
 	const loopback = "127.0.0.1:0"
 	cfg.Listen = setup.Listen{Callers: loopback, Local: loopback, Peers: r.zoneIP(zone) + ":0", Operations: loopback}
-	cfg.Log.URL = r.Log.URL()
+	cfg.Log.URL = "http://" + r.LogWires[zone].Addr()
 	cfg.Peers.Secret = Secret
 	for _, n := range r.Nodes[:min(3, len(r.Nodes))] {
 		cfg.Peers.Seeds = append(cfg.Peers.Seeds, n.Wire.Addr())
@@ -248,9 +262,17 @@
 		n.Kill()
 		_ = n.Wire.Close()
 	}
+	for _, w := range r.LogWires {
+		_ = w.Close()
+	}
 	_ = r.Log.Close()
 }
 
+// CutLog separates a zone from the log, or ends that.
+func (r *Running) CutLog(zone string, cut bool) {
+	r.LogWires[zone].Cut(func(netip.Addr) bool { return cut })
+}
+
 func (r *Running) publishAll(ctx context.Context) error {
 	s := r.Site
 	fleet := model.Fleet{}
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -1,7 +1,11 @@
 package config
 
 import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -92,3 +96,16 @@
 	_, ok = v.Customers[k.Customer]
 	return ok
 }
+
+// Digest returns a hash of all names and revisions. Views of the same state have
+// the same digest.
+func (v *View) Digest() string {
+	ids := slices.SortedFunc(maps.Keys(v.Revisions), func(a, b ObjectID) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	h := sha256.New()
+	for _, id := range ids {
+		fmt.Fprintf(h, "%s\x00%s\x00%d\x00", id.Kind, id.Name, v.Revisions[id])
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -10,6 +10,7 @@
 	Ready        bool           `json:"ready"`
 	Draining     bool           `json:"draining"`
 	ConfigOffset uint64         `json:"configOffset"` // offset after the last folded record
+	ConfigDigest string         `json:"configDigest"` // equal where the same revisions are in force
 	ConfigAgeMS  int64          `json:"configAgeMs"`  // since the configuration was confirmed to be the newest; -1 before
 	Epoch        uint64         `json:"epoch"`        // adopted member list epoch of the own zone
 	Lease        bool           `json:"lease"`        // the zone lease is valid
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -33,6 +33,7 @@
 		s.Ready = true
 		s.ConfigAgeMS = a.store.Age(now).Milliseconds()
 		s.Conflicts = cur.Table.Conflicts
+		s.ConfigDigest = cur.View.Digest()
 	}
 	if up, ok := a.target.Upstream(now); ok {
 		s.Upstream = upstreamReport(up)
