member, config: spread zone facts by themselves and cache decoded bodies

Cause: the offset of every instance changes with each configuration change.

Change: in a fleet above 64 instances the entries follow offsets and load hints at random times, one change in 4 s over the fleet. Each zone finds the offset that all its members reached over a tree of reports; this and the retired epochs spread as numbers by zone. A view decodes changed bodies only.

--- a/core/config/check_test.go
+++ b/core/config/check_test.go
@@ -131,6 +131,31 @@
 	}
 }
 
+// Guards against a view that shows an old body after a change, a delete or a
+// snapshot.
+func TestViewFollowsState(t *testing.T) {
+	s := NewState()
+	rate := func() float64 { return s.View().Customers["press"].Rate }
+	step := func(base uint64, rate float64, del bool) {
+		c := customerChange(fmt.Sprint(s.Next), "press", base, rate)
+		c.Delete = del
+		assert.Assert(t, s.Apply(s.Next, encode(Record{Change: &c})).Accepted)
+	}
+	step(0, 1, false)
+	assert.Equal(t, rate(), 1.0)
+	step(1, 2, false)
+	assert.Equal(t, rate(), 2.0)
+	other := NewState()
+	assert.Assert(t, other.Restore(s.Snapshot()))
+	step(2, 0, true)
+	assert.Equal(t, len(s.View().Customers), 0)
+	step(0, 4, false)
+	assert.Equal(t, rate(), 4.0)
+	assert.Equal(t, other.View().Customers["press"].Rate, 2.0)
+	assert.Assert(t, other.Restore(s.Snapshot()))
+	assert.Equal(t, other.View().Customers["press"].Rate, 4.0)
+}
+
 // Guards against a record that stops the fold or makes it differ between a node
 // that folded it and one that took its snapshot.
 func FuzzApply(f *testing.F) {
--- a/core/config/state.go
+++ b/core/config/state.go
@@ -25,11 +25,16 @@
 	Objects  map[ObjectID]Object
 	outcomes map[string]Outcome
 	order    []string // identifiers of outcomes, oldest first
+	bodies   map[ObjectID]decoded
 }
 
 // NewState returns the empty state before the first record.
 func NewState() *State {
-	return &State{Objects: map[ObjectID]Object{}, outcomes: map[string]Outcome{}}
+	return &State{
+		Objects:  map[ObjectID]Object{},
+		outcomes: map[string]Outcome{},
+		bodies:   map[ObjectID]decoded{},
+	}
 }
 
 // Apply folds the record at offset Next. Any other record is ignored: one before
@@ -72,6 +77,7 @@
 	rev := offset + 1
 	if c.Delete {
 		delete(s.Objects, id)
+		delete(s.bodies, id)
 	} else {
 		s.Objects[id] = Object{Kind: c.Kind, Name: c.Name, Revision: rev, Body: c.Body}
 	}
@@ -119,7 +125,11 @@
 	fresh := NewState()
 	fresh.Next = snap.Offset
 	for _, o := range snap.Objects {
-		fresh.Objects[ObjectID{Kind: o.Kind, Name: o.Name}] = o
+		id := ObjectID{Kind: o.Kind, Name: o.Name}
+		fresh.Objects[id] = o
+		if d, ok := s.bodies[id]; ok {
+			fresh.bodies[id] = d
+		}
 	}
 	for _, out := range snap.Outcomes {
 		fresh.keep(out)
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -36,7 +36,7 @@
 	}
 	for id, o := range s.Objects {
 		v.Revisions[id] = o.Revision
-		v.add(o)
+		v.add(o.Name, s.decode(id, o))
 	}
 	v.indexDigests()
 	return v
@@ -55,28 +55,65 @@
 	}
 }
 
-func (v *View) add(o Object) {
+func (v *View) add(name string, body any) {
+	switch t := body.(type) {
+	case model.Customer:
+		v.Customers[name] = t
+	case model.Key:
+		v.Keys[name] = t
+	case model.Service:
+		v.Services[name] = t
+	case model.Route:
+		v.Routes[name] = t
+	case model.Importance:
+		v.Importance[name] = t
+	case model.Fleet:
+		v.Fleet = t
+	}
+}
+
+// decoded is the body of an object at a revision. A view after one change
+// decodes one body and not thousands.
+type decoded struct {
+	revision uint64
+	body     any // nil if it can't be decoded
+}
+
+// decode returns the body of an object.
+func (s *State) decode(id ObjectID, o Object) any {
+	if d, ok := s.bodies[id]; ok && d.revision == o.Revision {
+		return d.body
+	}
+	d := decoded{revision: o.Revision, body: decodeBody(o)}
+	s.bodies[id] = d
+	return d.body
+}
+
+func decodeBody(o Object) any {
 	switch o.Kind {
 	case model.KindCustomer:
-		decodeInto(v.Customers, o)
+		return decodeAs[model.Customer](o.Body)
 	case model.KindKey:
-		decodeInto(v.Keys, o)
+		return decodeAs[model.Key](o.Body)
 	case model.KindService:
-		decodeInto(v.Services, o)
+		return decodeAs[model.Service](o.Body)
 	case model.KindRoute:
-		decodeInto(v.Routes, o)
+		return decodeAs[model.Route](o.Body)
 	case model.KindImportance:
-		decodeInto(v.Importance, o)
+		return decodeAs[model.Importance](o.Body)
 	case model.KindFleet:
-		_ = json.Unmarshal(o.Body, &v.Fleet)
+		return decodeAs[model.Fleet](o.Body)
+	default:
+		return nil
 	}
 }
 
-func decodeInto[T any](m map[string]T, o Object) {
+func decodeAs[T any](body []byte) any {
 	var t T
-	if json.Unmarshal(o.Body, &t) == nil {
-		m[o.Name] = t
+	if json.Unmarshal(body, &t) != nil {
+		return nil
 	}
+	return t
 }
 
 // ValidKey reports whether the key with an identifier may be used: it exists,
--- a/core/member/border.go
+++ b/core/member/border.go
@@ -17,6 +17,12 @@
 	nextSync time.Duration
 	turn     int
 	failed   int // packets without an answer in a row
+	facts    factSeq
+}
+
+// factSeq numbers the changes of facts that another zone knows of.
+type factSeq struct {
+	retired, offsets uint64
 }
 
 func (m *Machine) peerZone(zone string) *peerZone {
@@ -61,14 +67,18 @@
 	p := m.packet()
 	if regular && m.clock >= z.nextSync {
 		z.nextSync = m.clock + ZoneSyncEvery
-		p.Digests = m.digests()
+		m.addDigests(p)
 	}
 	seq := m.addChanged(p, z.acked)
-	m.addRetired(p)
+	if len(p.Digests) == 0 {
+		p.Retired = m.retired.changed(m.cfg.Zone, z.facts.retired)
+		p.Offsets = m.offsets.changed(m.cfg.Zone, z.facts.offsets)
+	}
 	if !regular && len(p.Entries) == 0 {
 		return
 	}
-	m.send(peer, p, pending{kind: kindZone, zone: zone, seq: seq, all: m.tab.seq, try: try})
+	facts := factSeq{retired: m.retired.last, offsets: m.offsets.last}
+	m.send(peer, p, pending{kind: kindZone, zone: zone, seq: seq, all: m.tab.seq, facts: facts, try: try})
 }
 
 // zonePeer returns the instance of another zone to talk to next.
@@ -116,6 +126,7 @@
 	z := m.peerZone(w.zone)
 	z.failed = 0
 	z.acked = max(z.acked, w.seq)
+	z.facts = factSeq{retired: max(z.facts.retired, w.facts.retired), offsets: max(z.facts.offsets, w.facts.offsets)}
 	for _, d := range p.Digests {
 		if d.Zone == m.cfg.Zone && d.Sum == m.tab.zone(d.Zone).sum && m.tab.zone(d.Zone).seq <= w.all {
 			z.acked = max(z.acked, w.all)
--- a/core/member/config.go
+++ b/core/member/config.go
@@ -29,7 +29,7 @@
 	SyncEvery = 10 * time.Second
 	// ZoneSyncEvery is the time between two digest exchanges of one border
 	// instance with one other zone.
-	ZoneSyncEvery = 30 * time.Second
+	ZoneSyncEvery = 60 * time.Second
 	// SeedEvery is how often a seed outside the known members is tried. It joins
 	// groups of nodes that have forgotten each other.
 	SeedEvery = 30 * time.Second
@@ -51,11 +51,15 @@
 	isolatedAfter  = 2 * time.Second
 	isolatedFactor = 10
 	// quietPerNode is the time for each known instance between two spread
-	// changes of the load hint, offset or epoch of one instance, so that the
-	// fleet spreads about one of them a second at any size.
-	quietPerNode = time.Second
-	// quietBurst is the number of such changes that are spread at once.
-	quietBurst = 4
+	// changes of the load hint, offset or epoch of one instance of a small fleet,
+	// of up to quietSmall instances; quietBurst of them are spread at once.
+	quietPerNode = 500 * time.Millisecond
+	quietBurst   = 4
+	quietSmall   = 64
+	// quietLarge is the same for a large fleet. Each configuration change there
+	// changes the offset of all instances; so many entries can't be spread. One
+	// in 4 s is as much as the changes of targets themselves.
+	quietLarge = 4 * time.Second
 	// rumorExtra is added to the binary logarithm of the zone's size to give the
 	// number of times that a change is sent.
 	rumorExtra = 2
--- /dev/null
+++ b/core/member/entry_test.go
@@ -0,0 +1,189 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against two nodes that choose differently between two entries.
+func TestCompare(t *testing.T) {
+	ordered := []Entry{
+		{Incarnation: 1, Version: 1, State: Alive},
+		{Incarnation: 1, Version: 1, State: Suspect},
+		{Incarnation: 1, Version: 1, State: Dead},
+		{Incarnation: 1, Version: 1, State: Left},
+		{Incarnation: 1, Version: 2, State: Alive},
+		{Incarnation: 2, Version: 1, State: Alive},
+	}
+	for i, a := range ordered {
+		for j, b := range ordered {
+			assert.Equal(t, Compare(a, b) > 0, i > j)
+			assert.Equal(t, Compare(a, b) == 0, i == j)
+		}
+	}
+}
+
+func drawEntry(t *rapid.T) Entry {
+	e := Entry{
+		Name:        rapid.SampledFrom([]string{"a", "b", "c", "self"}).Draw(t, "name"),
+		Incarnation: rapid.Uint64Range(1, 2).Draw(t, "incarnation"),
+		Version:     rapid.Uint64Range(1, 3).Draw(t, "version"),
+		State:       State(rapid.IntRange(0, 3).Draw(t, "state")),
+	}
+	// What an instance announces is a function of incarnation and version.
+	n := e.Incarnation*10 + e.Version
+	e.Addr = fmt.Sprintf("%s%d:1", e.Name, e.Incarnation)
+	e.Zone = fmt.Sprintf("z%d", e.Incarnation)
+	if n%3 > 0 {
+		e.Target = &Target{Service: fmt.Sprintf("s%d", n%2), State: TargetState(n % 3)}
+	}
+	return e
+}
+
+// Guards against a result that depends on the order of packets, and against
+// indexes or digests that don't match the entries.
+func TestMergeInAnyOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.SliceOfN(rapid.Custom(drawEntry), 1, 12).Draw(t, "entries")
+		alive := func(e Entry) bool { return !e.State.Gone() }
+		// An entry of an unknown instance that is gone is not kept, so the lists
+		// start with one that is alive.
+		for _, name := range []string{"a", "b", "c"} {
+			entries = append([]Entry{{Name: name, Version: 0, Addr: "x:1", Zone: "z1"}}, entries...)
+		}
+		orders := [][]Entry{entries, slices.Concat(entries[:3], rapid.Permutation(entries[3:]).Draw(t, "order"))}
+		var machines []*Machine
+		for _, order := range orders {
+			m := New(Config{Name: "self", Incarnation: 2, Addr: "self:1", Zone: "z1"}, now)
+			for _, e := range order {
+				m.Receive(now, Packet{From: "x", Zone: "z1", Entries: []Entry{e}})
+			}
+			machines = append(machines, m)
+		}
+		a, b := machines[0], machines[1]
+		for _, name := range []string{"a", "b", "c"} {
+			ea, _ := a.Lookup(name)
+			eb, _ := b.Lookup(name)
+			assert.DeepEqual(t, ea, eb)
+			best := slices.MaxFunc(entries, func(x, y Entry) int {
+				if x.Name != name || y.Name != name {
+					return map[bool]int{true: 1, false: -1}[x.Name == name]
+				}
+				return Compare(x, y)
+			})
+			assert.Equal(t, Compare(ea, best), 0)
+		}
+		self, _ := a.Lookup("self")
+		assert.Assert(t, alive(self) && self.Incarnation == 2, "others decide on the local instance")
+		for _, m := range machines {
+			checkIndexes(t, m)
+		}
+	})
+}
+
+func checkIndexes(t *rapid.T, m *Machine) {
+	sums := map[string]uint64{}
+	members, targets := 0, 0
+	for name, r := range m.tab.records {
+		sums[r.Zone] ^= r.sum()
+		if r.State.Gone() {
+			continue
+		}
+		members++
+		assert.Assert(t, slices.Contains(m.Alive(r.Zone), name))
+		if r.Target != nil {
+			targets++
+		}
+	}
+	for zone, z := range m.tab.zones {
+		members -= len(m.Alive(zone))
+		assert.Equal(t, z.sum, sums[zone])
+	}
+	for _, service := range m.Services() {
+		for _, e := range m.Targets(service) {
+			assert.DeepEqual(t, e, m.tab.records[e.Name].Entry)
+			targets--
+		}
+	}
+	assert.Equal(t, members, 0)
+	assert.Equal(t, targets, 0)
+}
+
+// Guards against generations that stay the same over a change, or grow without
+// one and cause work.
+func TestGenerations(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Config{Name: "self", Incarnation: 1, Addr: "self:1", Zone: "z"}, now)
+	e := Entry{Name: "a", Incarnation: 1, Version: 1, Addr: "a:1", Zone: "y", Target: &Target{Service: "s"}}
+	steps := []struct {
+		change             func()
+		all, service, zone bool
+	}{
+		{func() {}, true, true, true},
+		{func() { e.Version++; e.Offset = 7 }, false, false, false},
+		{func() { e.Version++; e.Target = &Target{Service: "s", State: Draining} }, true, true, true},
+		{func() { e.State = Dead }, true, true, true},
+		{func() { e.Incarnation++; e.State, e.Target = Alive, nil }, true, false, true},
+		{func() { e.Version++; e.Target = &Target{Service: "other"} }, true, false, true},
+	}
+	for i, step := range steps {
+		all, service, zone := m.Generation(), m.ServiceGeneration("s"), m.ZoneGeneration("y")
+		step.change()
+		m.Receive(now, Packet{From: "a", Zone: "y", Entries: []Entry{e}})
+		assert.Equal(t, m.Generation() > all, step.all, "step %d", i)
+		assert.Equal(t, m.ServiceGeneration("s") > service, step.service, "step %d", i)
+		assert.Equal(t, m.ZoneGeneration("y") > zone, step.zone, "step %d", i)
+	}
+	assert.Equal(t, len(m.Targets("s")), 0)
+	assert.Equal(t, len(m.Targets("other")), 1)
+}
+
+// Guards against a packet that stops the process, makes it answer with a packet
+// without bound, or leaves indexes that don't match the entries.
+func FuzzReceive(f *testing.F) {
+	now := time.Unix(1000, 0)
+	e := Entry{Name: "a", Incarnation: 1, Version: 1, Addr: "a:1", Zone: "y", Target: &Target{Service: "s"}}
+	for _, p := range []Packet{
+		{From: "a", Zone: "y", Entries: []Entry{e, {Name: "self", Incarnation: 9, Addr: "q", Zone: "z"}}},
+		{From: "a", Zone: "", Digests: []Digest{{Zone: "z", Sum: 3, AgeMS: -9, Buckets: []uint64{1}}, {Zone: "nowhere"}}},
+		{From: "self", Ranges: []Range{{Zone: "z", Bucket: 64}, {Zone: "z", Bucket: -1, Refs: []Ref{{Name: "self"}}}}},
+		{Want: []string{"self", "self", ""}, Report: &Report{Low: 4}, Retired: map[string]uint64{"": 1}},
+	} {
+		data, err := msgpack.Marshal(p)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var p Packet
+		if msgpack.Unmarshal(data, &p) != nil {
+			return
+		}
+		m := New(Config{Name: "self", Incarnation: 1, Addr: "self:1", Zone: "z", Seeds: []string{"a:1"}}, now)
+		reply, _ := m.Receive(now, p)
+		assert.Assert(t, encodedSize(reply) < 4*maxSyncBytes)
+		for i := range 50 {
+			for _, s := range m.Tick(now.Add(time.Duration(i) * TickEvery)) {
+				m.Reply(now.Add(time.Duration(i)*TickEvery), s.ID, p)
+			}
+		}
+		self, ok := m.Lookup("self")
+		assert.Assert(t, ok && self.State == Alive && self.Incarnation == 1)
+	})
+}
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -15,8 +15,8 @@
 	self       Entry
 	superseded bool
 	joined     bool
-	retired    map[string]uint64
-	retiredTTL int // times that retired is still sent
+	retired    *facts // highest retired epoch of each zone
+	offsets    *facts // lowest configuration offset of each zone
 
 	now       time.Time     // time of the last call
 	clock     time.Duration // sum of the time between calls, pauses left out
@@ -34,6 +34,7 @@
 	zoneTurn   int
 	borderSeq  uint64 // table sequence number before this became a border instance
 	quiet      quietBudget
+	progress   progress
 
 	nextID  uint64
 	pending map[uint64]*pending
@@ -43,15 +44,17 @@
 // New returns a machine that knows the local instance only.
 func New(cfg Config, now time.Time) *Machine {
 	m := &Machine{
-		cfg:     cfg,
-		rng:     rand.New(rand.NewPCG(cfg.RandSeed, cfg.Incarnation)),
-		tab:     newTable(),
-		retired: map[string]uint64{},
-		rumors:  map[string]*rumor{},
-		peers:   map[string]*peerZone{},
-		pending: map[uint64]*pending{},
-		now:     now,
-		quiet:   quietBudget{tokens: quietBurst},
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.RandSeed, cfg.Incarnation)),
+		tab:      newTable(),
+		rumors:   map[string]*rumor{},
+		peers:    map[string]*peerZone{},
+		pending:  map[uint64]*pending{},
+		now:      now,
+		quiet:    quietBudget{tokens: quietBurst},
+		retired:  newFacts(),
+		offsets:  newFacts(),
+		progress: progress{reports: map[string]Report{}},
 	}
 	m.self = Entry{Name: cfg.Name, Incarnation: cfg.Incarnation, Version: 1, Addr: cfg.Addr, Zone: cfg.Zone}
 	m.tab.put(m.self)
@@ -73,6 +76,7 @@
 	m.expireSuspects()
 	m.expireGone()
 	m.flushQuiet()
+	m.progressed()
 	if m.clock >= m.nextGossip {
 		m.nextGossip = max(m.nextGossip+Period, m.clock+Period/2)
 		m.gossip()
@@ -147,13 +151,14 @@
 	m.self.Offset, m.self.Epoch = offset, epoch
 	m.quiet.dirty = true
 	m.flushQuiet()
+	m.progressed()
 	return m.take()
 }
 
 // Retire records that all epochs of a zone up to and including one are retired.
 // The fact spreads to all nodes.
 func (m *Machine) Retire(zone string, through uint64) {
-	m.mergeRetired(map[string]uint64{zone: through})
+	m.retired.merge(map[string]uint64{zone: through}, m.rumorLimit())
 }
 
 // Leave announces that the local instance leaves. It is urgent.
@@ -181,17 +186,33 @@
 	tokens float64
 	last   time.Duration
 	dirty  bool
+	due    time.Duration // in a large fleet: when the entry may change; 0 if not set
 }
 
+// flushQuiet spreads the load hint, offset and epoch of the local instance. A
+// small fleet spreads a few changes at once. In a large one every instance
+// changes with the configuration, so each waits a random time.
 func (m *Machine) flushQuiet() {
 	q := &m.quiet
-	every := quietPerNode * time.Duration(max(1, len(m.tab.records)))
+	n := len(m.tab.records)
+	every := quietPerNode * time.Duration(n)
+	if n > quietSmall {
+		every = quietLarge * time.Duration(n)
+	}
 	q.tokens = min(quietBurst, q.tokens+float64(m.clock-q.last)/float64(every))
 	q.last = m.clock
-	if q.dirty && q.tokens >= 1 && m.self.State != Left {
-		q.tokens--
-		m.publish()
+	switch {
+	case !q.dirty || m.self.State == Left:
+		return
+	case n > quietSmall && q.due == 0:
+		q.due = m.clock + time.Duration(m.rng.Int64N(2*int64(every))) + 1
+		return
+	case n > quietSmall && m.clock < q.due || n <= quietSmall && q.tokens < 1:
+		return
 	}
+	q.tokens = max(0, q.tokens-1)
+	q.due = 0
+	m.publish()
 }
 
 // packet returns a packet of the local instance without content.
@@ -211,6 +232,7 @@
 func (m *Machine) Receive(now time.Time, p Packet) (Packet, []Send) {
 	m.advance(now)
 	m.mergePacket(p)
+	m.takeReport(p)
 	reply := m.packet()
 	m.answerSync(reply, p)
 	m.tellSender(reply, p)
@@ -245,7 +267,8 @@
 		return // a seed address that is our own
 	}
 	m.contact = m.clock
-	m.mergeRetired(p.Retired)
+	m.retired.merge(p.Retired, m.rumorLimit())
+	m.offsets.merge(p.Offsets, m.rumorLimit())
 	var urgent []string
 	for _, e := range p.Entries {
 		if m.merge(e, p) {
@@ -285,16 +308,6 @@
 	}
 }
 
-func (m *Machine) mergeRetired(facts map[string]uint64) {
-	for zone, through := range facts {
-		if through > m.retired[zone] {
-			m.retired = maps.Clone(m.retired)
-			m.retired[zone] = through
-			m.retiredTTL = m.rumorLimit()
-		}
-	}
-}
-
 // merge takes over an entry of a packet if it is newer. It reports whether the
 // entry is urgent news.
 func (m *Machine) merge(e Entry, p Packet) bool {
--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -256,18 +256,56 @@
 	assert.Equal(t, nodes[0].Retired()["zone00"], uint64(7))
 }
 
+// Guards against a zone that is said to have a configuration that a member
+// lacks, and against one whose progress isn't known to the other zones.
+func TestZoneOffset(t *testing.T) {
+	w, nodes := formed(t, 12, 3, 100)
+	low := func(offset uint64) func() bool {
+		return func() bool {
+			return all(nodes, func(x *simNode) bool {
+				got, _ := x.ZoneOffset("zone01")
+				return got == offset
+			})
+		}
+	}
+	for _, x := range nodes {
+		w.deliver(x, x.SetProgress(w.now, 5, 1))
+	}
+	w.loss = 0.1
+	took, ok := w.runUntil(time.Minute, low(5))
+	assert.Assert(t, ok)
+	t.Logf("known after %v", took)
+	for _, x := range nodes {
+		if x != nodes[150] {
+			w.deliver(x, x.SetProgress(w.now, 6, 1))
+		}
+	}
+	w.run(30 * time.Second)
+	assert.Assert(t, low(5)(), "a member lacks the last change")
+	nodes[150].down = true
+	_, ok = w.runUntil(time.Minute, low(6))
+	assert.Assert(t, ok, "a dead member holds the zone back")
+}
+
 // Guards the traffic bound at the target size: 647 nodes in a zone, 15 zones
 // with one change a minute each.
 func TestSteadyTraffic(t *testing.T) {
 	w := newNetwork(11)
 	nodes := w.fleet(1, 647)
-	w.run(8 * time.Second)
 	for z := 1; z < 15; z++ {
 		for i := range 5 {
 			nodes = append(nodes, w.add(fmt.Sprintf("zone%02d-%03d", z, i), fmt.Sprintf("zone%02d", z), "zone00-000:1"))
 		}
 	}
-	w.run(40 * time.Second)
+	known := Packet{Sync: true}
+	for _, x := range nodes {
+		known.Entries = append(known.Entries, x.Self())
+	}
+	for _, x := range nodes {
+		x.Receive(w.now, known)
+		clear(x.rumors)
+	}
+	w.run(10 * time.Second)
 	assert.Assert(t, complete(nodes, 647+14*5))
 	w.count = true
 	for z := range 15 {
@@ -277,6 +315,11 @@
 		}
 		target := &Target{Service: fmt.Sprintf("service%03d", z), Labels: map[string]string{"tier": "front"}, Slots: 80}
 		w.deliver(x, x.Announce(w.now, target))
+		if z%5 == 0 { // a configuration change, 3 a minute at the target size
+			for _, y := range nodes {
+				w.deliver(y, y.SetProgress(w.now, uint64(100+z), 3))
+			}
+		}
 		w.run(4 * time.Second)
 	}
 	borders := nodes[0].BorderInstances("zone00")
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -16,6 +16,7 @@
 	kindZone                 // changed entries to another zone
 	kindSync                 // step of a synchronisation
 	kindSeed                 // packet to a seed
+	kindReport               // lowest offset to the parent
 )
 
 // pending is a message that awaits its answer.
@@ -30,6 +31,7 @@
 	zone     string   // kindZone
 	seq      uint64   // kindZone: table sequence number that the packet covers
 	all      uint64   // kindZone: table sequence number when it was sent
+	facts    factSeq  // kindZone: the facts that the packet covers
 	digests  bool     // the packet starts a synchronisation
 	steps    int      // steps of the synchronisation so far
 	more     bool     // kindSync: a limit cut the ranges short
@@ -81,7 +83,7 @@
 	p := m.packet()
 	if m.clock >= m.nextSync || !m.joined && !m.syncing() {
 		m.nextSync = m.clock + SyncEvery
-		p.Digests = m.digests()
+		m.addDigests(p)
 	}
 	m.addRumors(p, peer, nil)
 	probe := &probed{name: peer, incarnation: r.Incarnation, version: r.Version, at: m.clock}
@@ -117,7 +119,7 @@
 			continue
 		}
 		p := m.packet()
-		p.Digests = m.digests()
+		m.addDigests(p)
 		m.addRumors(p, "", nil)
 		m.queue(p, nil, pending{kind: kindSeed, addr: addr})
 		return
@@ -191,6 +193,8 @@
 		}
 	case kindSync:
 		m.nextSync = m.clock
+	case kindReport:
+		m.progress.sent = Report{} // the next Tick sends it again
 	case kindHelp, kindSeed:
 	}
 }
--- a/core/member/spread.go
+++ b/core/member/spread.go
@@ -46,7 +46,9 @@
 // addRumors adds the changes that the receiver may lack, least sent first.
 // Those in had came from the receiver just now.
 func (m *Machine) addRumors(p *Packet, to string, had []Entry) {
-	m.addRetired(p)
+	if len(p.Digests) == 0 { // which come with all facts
+		p.Retired, p.Offsets = m.retired.take(), m.offsets.take()
+	}
 	if len(m.rumors) == 0 {
 		return
 	}
@@ -86,13 +88,6 @@
 	return names
 }
 
-func (m *Machine) addRetired(p *Packet) {
-	if m.retiredTTL > 0 {
-		m.retiredTTL--
-		p.Retired = m.retired
-	}
-}
-
 func (m *Machine) entriesSize(entries []Entry) int {
 	size := 0
 	for _, e := range entries {
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -6,7 +6,17 @@
 // fleet of 9,700 entries needs about 50 pairs of them.
 const maxSyncSteps = 400
 
-// digests returns the digest of every zone.
+// addDigests starts a synchronisation with the digest of every zone and all
+// facts.
+func (m *Machine) addDigests(p *Packet) {
+	p.Digests = m.digests()
+	m.addFacts(p)
+}
+
+func (m *Machine) addFacts(p *Packet) {
+	p.Retired, p.Offsets = m.retired.values, m.offsets.values
+}
+
 func (m *Machine) digests() []Digest {
 	var ds []Digest
 	for _, zone := range m.tab.zoneNames() {
@@ -34,7 +44,7 @@
 func (m *Machine) answerSync(reply *Packet, p Packet) {
 	if len(p.Digests) > 0 {
 		m.answerDigests(reply, p.Digests)
-		m.retiredTTL = max(m.retiredTTL, 1)
+		m.addFacts(reply)
 	}
 	if len(p.Ranges) > 0 {
 		m.answerRanges(reply, p.Ranges)
@@ -85,7 +95,7 @@
 	}
 	m.addWanted(next, p.Want)
 	if p.Sync && more && len(p.Entries) > 0 {
-		next.Digests = m.digests()
+		m.addDigests(next)
 	}
 	if len(next.Ranges)+len(next.Entries)+len(next.Digests) == 0 {
 		m.joined = m.joined || !more && (p.Sync || len(p.Digests) > 0)
--- a/core/member/table.go
+++ b/core/member/table.go
@@ -171,7 +171,7 @@
 	z := t.zone(r.Zone)
 	z.gen, z.list, z.borders = t.gen, nil, nil
 	t.zoneList = nil
-	if r.Target == nil {
+	if r.Target == nil || r.State.Gone() {
 		return
 	}
 	if s, ok := t.services[r.Target.Service]; ok {
@@ -232,17 +232,27 @@
 	return z.borders
 }
 
-// topRanked returns the n names with the greatest rendezvous hash.
+// topRanked returns the n names with the greatest rendezvous hash, greatest
+// first.
 func topRanked(key string, names []string, n int) []string {
-	rank := make(map[string]uint64, len(names))
+	type ranked struct {
+		hash uint64
+		name string
+	}
+	order := func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
+	}
+	top := make([]ranked, 0, len(names))
 	for _, name := range names {
-		rank[name] = xxhash.Sum64String(key + "\x00" + name)
+		top = append(top, ranked{hash: xxhash.Sum64String(key + "\x00" + name), name: name})
+	}
+	slices.SortFunc(top, order)
+	top = top[:min(n, len(top))]
+	best := make([]string, 0, n)
+	for _, r := range top {
+		best = append(best, r.name)
 	}
-	sorted := slices.Clone(names)
-	slices.SortFunc(sorted, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rank[b], rank[a]), cmp.Compare(a, b))
-	})
-	return sorted[:min(n, len(sorted))]
+	return best
 }
 
 // zoneNames returns the zones with alive members in order. The caller must not
--- a/core/member/watch.go
+++ b/core/member/watch.go
@@ -108,7 +108,7 @@
 // Retired returns the highest retired epoch of each zone. The caller must not
 // change the map.
 func (m *Machine) Retired() map[string]uint64 {
-	return m.retired
+	return m.retired.values
 }
 
 // Superseded reports whether a newer incarnation of this instance was seen.
--- a/core/member/wire.go
+++ b/core/member/wire.go
@@ -16,6 +16,8 @@
 	More        bool              `msgpack:"more,omitempty"`   // a limit cut the answer short
 	Entries     []Entry           `msgpack:"entries,omitempty"`
 	Retired     map[string]uint64 `msgpack:"retiredThrough,omitempty"` // highest retired epoch of each zone
+	Report      *Report           `msgpack:"report,omitempty"`
+	Offsets     map[string]uint64 `msgpack:"zoneOffsets,omitempty"` // offset that all members of each zone have reached
 	Digests     []Digest          `msgpack:"digests,omitempty"`
 	Ranges      []Range           `msgpack:"ranges,omitempty"`
 	Want        []string          `msgpack:"want,omitempty"` // instances whose entries the sender lacks
