--- a/core/epoch/member.go
+++ b/core/epoch/member.go
@@ -67,40 +67,46 @@
 
 // Slots returns the owners of n slots of a key. Owners are distinct while the
 // list has enough members, so that the loss of one instance leaves the other
-// slots. Slot i has the same owner in two epochs unless that owner left, or a
-// member that ranks higher joined, or the owner took an earlier slot.
+// slots. A hash divides the members into n groups, one for each slot, and the
+// highest of the group owns the slot. A slot whose group is empty takes the
+// lowest member that owns nothing. As highest members are replaced from above
+// and lowest from below, the loss of a member moves no slot of another one
+// until too few are left.
 func (e Epoch) Slots(key string, n int) []Member {
-	owners := make([]Member, 0, n)
-	if len(e.Members) == 0 {
-		return owners
+	if len(e.Members) == 0 || n <= 0 {
+		return nil
 	}
-	for i := range n {
-		owners = append(owners, pickSlot(e.Members, key, i, owners))
+	owners := make([]Member, n)
+	best := make([]uint64, n)
+	h := hashKey(key)
+	for _, m := range e.Members {
+		s := score(h, m.Name)
+		if g := s % uint64(n); s > best[g] {
+			owners[g], best[g] = m, s
+		}
+	}
+	for i := range owners {
+		if best[i] == 0 {
+			owners[i], best[i] = e.spare(h, owners)
+		}
 	}
 	return owners
 }
 
-func pickSlot(members []Member, key string, slot int, used []Member) Member {
-	h := hashKey(key) + uint64(slot)*slotStep
-	var best Member
-	var bestScore uint64
-	found := false
-	for _, m := range members {
-		if len(used) < len(members) && slices.ContainsFunc(used, m.Same) {
-			continue
-		}
-		s := score(h, m.Name)
-		if !found || s > bestScore || s == bestScore && m.Name < best.Name {
-			best, bestScore, found = m, s, true
+// spare returns the lowest member that owns nothing yet, or the lowest of all
+// if each owns something, with its score.
+func (e Epoch) spare(h uint64, owners []Member) (Member, uint64) {
+	pick, best, free := Member{}, uint64(0), false
+	for _, m := range e.Members {
+		s, unused := score(h, m.Name), !slices.ContainsFunc(owners, m.Same)
+		better := pick.Name == "" || unused && !free || unused == free && s < best
+		if better {
+			pick, best, free = m, s, unused
 		}
 	}
-	return best
+	return pick, best
 }
 
-// slotStep separates the hashes of the slots of a key. It is the odd constant
-// of Fibonacci hashing, 2^64 divided by the golden ratio.
-const slotStep = 0x9e3779b97f4a7c15
-
 // Top returns up to n members in descending rendezvous order for a key. Only
 // names count, so an instance keeps its rank when its process restarts.
 func Top(members []Member, key string, n int) []Member {
--- a/core/quota/borrow.go
+++ b/core/quota/borrow.go
@@ -39,13 +39,9 @@
 // want returns the amount to ask for. It fills the stock when less than half is
 // left.
 func (p *Pool) want(stock Amount, waiting int, now time.Time) Amount {
-	rely := answerTime
-	if waiting > 0 {
-		rely = HedgeTime
-	}
 	have := p.free()
 	for _, r := range p.pending {
-		if now.Sub(r.sent) < rely {
+		if now.Sub(r.sent) < p.rely(r.share, waiting) {
 			have += r.amount
 		}
 	}
@@ -56,8 +52,19 @@
 	return need + stock - have
 }
 
-// choose returns the share to ask: of the own zone if one may be asked, the one
-// asked least recently.
+// rely returns how long an unanswered message counts as tokens to come.
+func (p *Pool) rely(id ShareID, waiting int) time.Duration {
+	switch {
+	case waiting == 0:
+		return answerTime
+	case id.Zone == p.opts.Zone:
+		return HedgeTime
+	default:
+		return otherHedgeTime
+	}
+}
+
+// choose returns the share to ask among those that may be asked.
 func (p *Pool) choose(shares []ShareID, now time.Time) (ShareID, bool) {
 	var best ShareID
 	found := false
@@ -73,12 +80,20 @@
 	return best, found
 }
 
+// before reports whether to ask a rather than b: own zone first, then holders
+// that answer, then those that had a token left, then the least recently asked.
 func (p *Pool) before(a, b ShareID) bool {
-	own := a.Zone == p.opts.Zone
-	if own != (b.Zone == p.opts.Zone) {
+	if own := a.Zone == p.opts.Zone; own != (b.Zone == p.opts.Zone) {
 		return own
 	}
-	return p.source(a).asked.Before(p.source(b).asked)
+	x, y := p.source(a), p.source(b)
+	if x.failures != y.failures {
+		return x.failures < y.failures
+	}
+	if rich := x.spare >= Token; rich != (y.spare >= Token) {
+		return rich
+	}
+	return x.asked.Before(y.asked)
 }
 
 func (p *Pool) request(id ShareID, n Amount, urgent bool, now time.Time) BorrowRequest {
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -15,10 +15,12 @@
 	ReserveTime = 250 * time.Millisecond
 	// demandTime is how long the demand that a borrower reported counts.
 	demandTime = time.Second
-	// Retry times after a short grant. The lower one bounds the requests of a
-	// node to a share that is empty to 100 a second.
-	minRetry = 10 * time.Millisecond
-	maxRetry = 250 * time.Millisecond
+	// Times before the next request after a short grant. minRetry bounds the
+	// requests of a node to an empty share to 100 a second, borrowerRetry those of
+	// all nodes together to 500 a second.
+	minRetry      = 10 * time.Millisecond
+	maxRetry      = 250 * time.Millisecond
+	borrowerRetry = 2 * time.Millisecond
 )
 
 // Bucket is the token bucket of one share at its holder. Level plus
@@ -63,7 +65,7 @@
 }
 
 // NewBucket returns the bucket of a share. It starts full only for a customer
-// that is new, see Holder.Sync, and empty for a successor.
+// that is new, see Holder.ReadTo, and empty for a successor.
 func NewBucket(s Share, full bool, now time.Time) *Bucket {
 	b := &Bucket{
 		share:     s,
@@ -171,9 +173,11 @@
 	if reply.Valid <= 0 {
 		return BorrowReply{ShareID: req.ShareID, Seq: req.Seq}
 	}
-	reply.Grant = b.grant(req, now)
+	free := b.free(req.BorrowerZone, now)
+	reply.Grant = grant(req, free)
+	reply.Spare = free - reply.Grant
 	if reply.Grant < req.Amount {
-		reply.Retry = b.retry(req.Amount-reply.Grant, now)
+		reply.Retry = b.retry(Token-reply.Spare, now)
 	}
 	if reply.Grant > 0 {
 		b.lend(req.LoanID, reply, now)
@@ -221,14 +225,19 @@
 	return true
 }
 
-// grant returns how much the request gets. An urgent request takes any part, as
-// it combines parts of several holders. Other requests take whole tokens only.
-func (b *Bucket) grant(req BorrowRequest, now time.Time) Amount {
-	free := b.level
-	if req.BorrowerZone != b.share.Zone {
-		free -= b.reserve(now)
+// free returns what the bucket can lend to a zone.
+func (b *Bucket) free(zone string, now time.Time) Amount {
+	if zone == b.share.Zone {
+		return b.level
 	}
-	n := max(min(req.Amount, free), 0)
+	return max(b.level-b.reserve(now), 0)
+}
+
+// grant returns how much of the free amount a request gets. An urgent request
+// takes any part, as it combines parts of several holders. Other requests take
+// whole tokens only.
+func grant(req BorrowRequest, free Amount) Amount {
+	n := min(req.Amount, free)
 	if !req.Urgent && n < req.Amount {
 		n -= n % Token
 	}
@@ -249,8 +258,8 @@
 	return min(Amount(part), b.share.Burst/2)
 }
 
-// retry returns when the share will have gained the missing amount, if the
-// borrowers that are active take turns.
+// retry returns how long a borrower that got too little waits: until the share
+// gains the missing amount, and longer with many borrowers.
 func (b *Bucket) retry(missing Amount, now time.Time) time.Duration {
 	active := 0
 	for _, a := range b.borrowers {
@@ -258,8 +267,8 @@
 			active++
 		}
 	}
-	d := after(b.share.Rate, min(missing, Token)) * time.Duration(max(active, 1))
-	return min(max(d, minRetry), maxRetry)
+	d := min(max(after(b.share.Rate, missing), minRetry), maxRetry)
+	return max(d, time.Duration(active)*borrowerRetry)
 }
 
 func (b *Bucket) lend(id LoanID, reply BorrowReply, now time.Time) {
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -21,6 +21,9 @@
 	state   *epoch.State
 	tracker *epoch.Tracker
 	buckets map[ShareID]*owned
+	started map[ShareID]bool // shares that this process ever started
+	sole    tenure
+	read    readTo
 }
 
 type owned struct {
@@ -28,10 +31,52 @@
 	epoch uint64 // latest epoch under which the node is known to own the share
 }
 
+// tenure is since when an epoch is the only one of the zone that is not
+// retired.
+type tenure struct {
+	epoch uint64
+	since time.Time
+}
+
+// readTo is the end of the configuration stream during a tenure.
+type readTo struct {
+	epoch uint64
+	end   uint64
+}
+
 // NewHolder returns a holder without any share. The state and the tracker are
 // those of the node.
 func NewHolder(self epoch.Member, s *epoch.State, t *epoch.Tracker) *Holder {
-	return &Holder{self: self, state: s, tracker: t, buckets: map[ShareID]*owned{}}
+	return &Holder{
+		self:    self,
+		state:   s,
+		tracker: t,
+		buckets: map[ShareID]*owned{},
+		started: map[ShareID]bool{},
+	}
+}
+
+// ReadTo tells that a read of the configuration stream that began at a time
+// found end as the offset after the last record, and that the records before it
+// are folded. Customers that are created later start full, as long as the epoch
+// of the zone is the same and was the only one not retired when the read began:
+// no holder before can have started them.
+func (h *Holder) ReadTo(end uint64, began, now time.Time) {
+	h.settle(now)
+	if h.sole.epoch != h.read.epoch && !began.Before(h.sole.since) {
+		h.read = readTo{epoch: h.sole.epoch, end: end}
+	}
+}
+
+func (h *Holder) settle(now time.Time) {
+	e, ok := h.state.Current(h.self.Zone)
+	if !ok || h.state.Lost(h.self.Zone) || h.tracker.Retired(h.self.Zone, now)+1 < e.Number {
+		h.sole = tenure{}
+		return
+	}
+	if h.sole.epoch != e.Number {
+		h.sole = tenure{epoch: e.Number, since: now}
+	}
 }
 
 // Sync brings the buckets in line with the shares of all customers and the
@@ -42,24 +87,23 @@
 // a second while it reports true: then a share waits for the retirement of an
 // earlier epoch.
 //
-// fresh tells whether a customer was created after this node became the owner
-// of its slot: its first record lies after the end of the configuration stream
-// as read since then. Only such a bucket starts full. In any other case a
-// holder before may have started full, and the bucket starts empty. A nil fresh
-// means none.
-func (h *Holder) Sync(shares []Share, fresh func(customer string) bool, now time.Time) (waits bool) {
+// created returns the offset of the first record of a customer in the
+// configuration stream, if it is known. Buckets of new customers start full,
+// see ReadTo, all others empty. A nil created means that no customer is new.
+func (h *Holder) Sync(shares []Share, created func(customer string) (uint64, bool), now time.Time) (waits bool) {
 	current, ok := h.state.Current(h.self.Zone)
 	if !ok || h.state.Lost(h.self.Zone) {
 		clear(h.buckets)
 		return true
 	}
+	h.settle(now)
 	keep := make(map[ShareID]bool, len(h.buckets))
 	for _, s := range shares {
 		owner := OwnerOf(s.ShareID)
 		if s.Zone != h.self.Zone || !owner(current).Same(h.self) {
 			continue
 		}
-		if h.start(s, owner, current.Number, fresh, now) {
+		if h.start(s, owner, current.Number, created, now) {
 			keep[s.ShareID] = true
 		} else {
 			waits = true
@@ -73,7 +117,7 @@
 	return waits
 }
 
-func (h *Holder) start(s Share, owner epoch.Owner, number uint64, fresh func(string) bool, now time.Time) bool {
+func (h *Holder) start(s Share, owner epoch.Owner, number uint64, created func(string) (uint64, bool), now time.Time) bool {
 	b := h.buckets[s.ShareID]
 	if b != nil && h.state.Continued(h.self, owner, b.epoch) {
 		b.epoch = number
@@ -83,11 +127,21 @@
 	if !h.tracker.MayUse(h.self, owner, now) {
 		return false
 	}
-	full := b == nil && fresh != nil && fresh(s.Customer)
+	full := !h.started[s.ShareID] && h.fresh(s.Customer, number, created)
 	h.buckets[s.ShareID] = &owned{Bucket: NewBucket(s, full, now), epoch: number}
+	h.started[s.ShareID] = true
 	return true
 }
 
+// fresh reports whether a customer was created during the tenure of the epoch.
+func (h *Holder) fresh(customer string, number uint64, created func(string) (uint64, bool)) bool {
+	if created == nil || number == 0 || h.sole.epoch != number || h.read.epoch != number {
+		return false
+	}
+	offset, ok := created(customer)
+	return ok && offset >= h.read.end
+}
+
 // Shares returns the identifiers of the shares, in no order.
 func (h *Holder) Shares() []ShareID {
 	ids := make([]ShareID, 0, len(h.buckets))
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -39,6 +39,8 @@
 	// Valid is how long the loan may be used, counted from the sending of the
 	// request.
 	Valid time.Duration `msgpack:"valid"`
+	// Spare is what the holder could still lend to the borrower's zone.
+	Spare Amount `msgpack:"spare"`
 	// Retry is how long to wait before the next request after a short grant.
 	Retry time.Duration `msgpack:"retry"`
 }
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -17,10 +17,14 @@
 	// reportDelay collects reports. Tokens that are spent but not reported keep
 	// the bucket from refilling.
 	reportDelay = 50 * time.Millisecond
-	// HedgeTime is how long waiting requests rely on an unanswered message before
-	// Next asks another holder: several round trips within a zone, and less than
-	// half of WaitTime, so that a lost holder costs no refusal.
-	HedgeTime = 2 * time.Millisecond
+	// HedgeTime is how long waiting requests rely on an unanswered message to the
+	// own zone before Next asks another holder: several round trips of 0.2 ms.
+	// Half of WaitTime is left for other zones, so that a lost holder costs no
+	// refusal.
+	HedgeTime = time.Millisecond
+	// otherHedgeTime is the same for messages to other zones, whose round trips
+	// take 1.5 ms.
+	otherHedgeTime = 2 * time.Millisecond
 	// answerTime is when an unanswered message counts as lost. Its holder is then
 	// not asked for failureRetry, which doubles with each loss up to
 	// maxFailureRetry. A late answer is used all the same.
@@ -83,6 +87,7 @@
 	asked    time.Time
 	retry    time.Time // not to be asked for tokens before
 	failures int       // unanswered messages in a row
+	spare    Amount    // what the holder had left after its last grant
 	waiting  uint64    // number of the unanswered request; 0 for none
 	dirty    time.Time // when the oldest use that was not sent happened; zero for none
 }
@@ -216,7 +221,7 @@
 
 func (p *Pool) fail(id ShareID, seq uint64, now time.Time) {
 	if s := p.source(id); s.waiting == seq {
-		s.waiting = 0
+		s.waiting, s.spare = 0, 0
 		s.retry = now.Add(min(failureRetry<<min(s.failures, 8), maxFailureRetry))
 		s.failures++
 	}
@@ -225,7 +230,7 @@
 func (p *Pool) source(id ShareID) *source {
 	s := p.sources[id]
 	if s == nil {
-		s = &source{}
+		s = &source{spare: Token}
 		p.sources[id] = s
 	}
 	return s
@@ -251,7 +256,7 @@
 	if s.waiting == reply.Seq {
 		s.waiting = 0
 	}
-	s.failures, s.retry = 0, now.Add(reply.Retry)
+	s.failures, s.spare, s.retry = 0, reply.Spare, now.Add(reply.Retry)
 	if !reply.Holder {
 		s.retry = now.Add(failureRetry)
 		return
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,384 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/model"
+	"github.com/vmihailenco/msgpack/v5"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func zones(weights ...float64) []model.ZoneWeight {
+	var out []model.ZoneWeight
+	for i, w := range weights {
+		out = append(out, model.ZoneWeight{Name: string(rune('a' + i)), Weight: w})
+	}
+	return out
+}
+
+// TestSplit guards against shares that don't add up or hold less than a token.
+func TestSplit(t *testing.T) {
+	for _, c := range []struct {
+		rate    float64
+		burst   int64
+		weights []float64
+		want    string // tokens by zone and slot
+	}{
+		{300, 600, []float64{1. / 3, 1. / 3, 1. / 3}, "a:100+100 b:100+100 c:100+100"},
+		{10, 7, []float64{1. / 3, 1. / 3, 1. / 3}, "a:1+1 b:1+2 c:1+1"},
+		{10, 10, []float64{0.8, 0.1, 0.1}, "a:4+4 b:1 c:1"},
+		{0.1, 3, []float64{0.8, 0.1, 0.1}, "a:1 b:1 c:1"},
+		{10, 8, []float64{0.25, 0.25, 0.25}, "a:1+1 b:1+1 c:1+1"},
+		{10, 8, []float64{0.5, 0, 0.5}, "a:2+2 c:2+2"},
+		{10, 5, nil, ""},
+	} {
+		t.Run(fmt.Sprint(c.burst, c.weights), func(t *testing.T) {
+			got, zone := "", ""
+			for _, s := range SplitCustomer("x", model.Customer{Rate: c.rate, Burst: c.burst}, model.Fleet{Zones: zones(c.weights...)}) {
+				switch {
+				case s.Zone == zone:
+					got += "+"
+				case zone != "":
+					got += " "
+				}
+				if s.Zone != zone {
+					got += s.Zone + ":"
+				}
+				got, zone = got+fmt.Sprint(int64(s.Burst/Token)), s.Zone
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
+
+// TestSplitSums guards against lost or created rate and burst, and against
+// zones that together exceed the higher of two bursts while one lags behind.
+func TestSplitSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 15).Draw(t, "zones")
+		weights := make([]float64, n)
+		for i := range weights {
+			weights[i] = 1 / float64(n)
+		}
+		name := rapid.SampledFrom([]string{"press", "x", "koorbank"}).Draw(t, "customer")
+		rate := rapid.Float64Range(0.01, 1e6).Draw(t, "rate")
+		burst := rapid.Int64Range(1, 100).Draw(t, "burst")
+		if rapid.Bool().Draw(t, "large") {
+			burst *= 999_983
+		}
+		byZone := func(burst int64) map[string]Amount {
+			sums := map[string]Amount{}
+			var r, b Amount
+			for _, s := range Split(name, PerSecond(rate), Tokens(burst), zones(weights...)) {
+				assert.Assert(t, s.Burst >= Token && s.Burst%Token == 0 && s.Rate >= 0)
+				sums[s.Zone] += s.Burst
+				r += s.Rate
+				b += s.Burst
+			}
+			assert.Equal(t, r, PerSecond(rate))
+			assert.Equal(t, b, Tokens(burst))
+			assert.Equal(t, len(sums), int(min(burst, int64(n))))
+			return sums
+		}
+		low, high := byZone(burst), byZone(burst+rapid.Int64Range(1, 3).Draw(t, "more"))
+		for zone, b := range low {
+			assert.Assert(t, high[zone] >= b, "zone %s", zone)
+		}
+	})
+}
+
+// TestNewZoneTakesTheRest guards against a new zone that gets tokens which a
+// partitioned zone still holds after the first of the two changes.
+func TestNewZoneTakesTheRest(t *testing.T) {
+	for burst := int64(1); burst < 60; burst++ {
+		lowered := Split("x", PerSecond(7), Tokens(burst), zones(0.25, 0.25, 0.25))
+		added := Split("x", PerSecond(7), Tokens(burst), zones(0.25, 0.25, 0.25, 0.25))
+		for i, s := range added {
+			if i < len(lowered) {
+				assert.Equal(t, s, lowered[i])
+			} else {
+				assert.Equal(t, s.Zone, "d")
+			}
+		}
+	}
+}
+
+var share = Share{ShareID: ShareID{Customer: "press", Zone: "a"}, Slots: 1, Rate: 10 * Token, Burst: 20 * Token}
+
+func ask(seq uint64, n Amount, reports ...Report) BorrowRequest {
+	return BorrowRequest{
+		ShareID: share.ShareID, LoanID: LoanID{Borrower: "a1", Incarnation: 1, Seq: seq},
+		BorrowerZone: "a", Amount: n, Reports: reports,
+	}
+}
+
+const long = time.Hour // a lease that doesn't end
+
+// TestBucket guards against tokens that a holder creates: by repeated requests
+// and reports, by loans that expire, and by outstanding loans that don't count
+// against the burst.
+func TestBucket(t *testing.T) {
+	type step struct {
+		at          time.Duration
+		req         BorrowRequest
+		grant       Amount
+		level, lent Amount // after the step, in tokens
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"lent tokens keep the bucket from refilling", []step{
+			{0, ask(1, 20*Token), 20, 0, 20},
+			{time.Second, ask(2, Token), 0, 0, 20},
+		}},
+		{"spent tokens are refilled at the rate", []step{
+			{0, ask(1, 20*Token), 20, 0, 20},
+			{0, ask(2, 0, Report{1, 20 * Token, 0}), 0, 0, 0},
+			{time.Second, ask(3, 0), 0, 10, 0},
+		}},
+		{"returned tokens are there at once", []step{
+			{0, ask(1, 20*Token), 20, 0, 20},
+			{0, ask(2, 0, Report{1, 5 * Token, 15 * Token}), 0, 15, 0},
+		}},
+		{"expired tokens are lost", []step{
+			{0, ask(1, 20*Token), 20, 0, 20},
+			{LoanTime + DriftMargin - 1, ask(2, 0), 0, 0, 20},
+			{LoanTime + DriftMargin, ask(3, 0), 0, 0, 0},
+			{LoanTime + DriftMargin, ask(4, 0, Report{1, 0, 20 * Token}), 0, 0, 0},
+		}},
+		{"a repeated request gets the same loan", []step{
+			{0, ask(1, 5*Token), 5, 15, 5},
+			{0, ask(1, 5*Token), 5, 15, 5},
+		}},
+		{"an overtaken request gets nothing", []step{
+			{0, ask(2, 5*Token), 5, 15, 5},
+			{0, ask(1, 5*Token), 0, 15, 5},
+		}},
+		{"repeated and older reports count once", []step{
+			{0, ask(1, 10*Token), 10, 10, 10},
+			{0, ask(3, 0, Report{1, 4 * Token, 2 * Token}), 0, 12, 4},
+			{0, ask(3, 0, Report{1, 4 * Token, 2 * Token}), 0, 12, 4},
+			{0, ask(2, 0, Report{1, 4 * Token, 0}), 0, 12, 4},
+		}},
+		{"a report beyond the loan is ignored", []step{
+			{0, ask(1, 10*Token), 10, 10, 10},
+			{0, ask(2, 0, Report{1, 4 * Token, 7 * Token}), 0, 10, 10},
+			{0, ask(3, 0, Report{9, 0, 7 * Token}), 0, 10, 10},
+		}},
+		{"whole tokens unless a request waits", []step{
+			{0, ask(1, 19*Token+Token/2), 19, 0, 19},
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := NewBucket(share, true, start)
+			for i, s := range c.steps {
+				reply := b.Borrow(s.req, at(long), at(s.at))
+				level, lent := b.Level(at(s.at)), b.Outstanding(at(s.at))
+				assert.Equal(t, reply.Grant/Token, s.grant, "step %d", i)
+				assert.Equal(t, level/Token, s.level, "step %d", i)
+				assert.Equal(t, lent/Token, s.lent, "step %d", i)
+				assert.Assert(t, level+lent <= share.Burst, "step %d", i)
+			}
+		})
+	}
+}
+
+// TestBucketChange guards against tokens that a change of the burst creates.
+func TestBucketChange(t *testing.T) {
+	b := NewBucket(share, true, start)
+	b.Borrow(ask(1, 15*Token), at(long), start)
+	low, high := share, share
+	low.Burst, high.Burst = 10*Token, 100*Token
+	b.Change(low, start)
+	assert.Equal(t, b.Level(at(0)), Amount(0))
+	b.Change(high, start)
+	assert.Equal(t, b.Level(at(0)), Amount(0))
+	assert.Equal(t, b.Level(at(time.Second/2)), 5*Token)
+}
+
+// TestLoanEndsWithLease guards against loans that outlast the lease of their
+// holder, after which a successor may lend the same tokens.
+func TestLoanEndsWithLease(t *testing.T) {
+	b := NewBucket(share, true, start)
+	assert.Equal(t, b.Borrow(ask(1, Token), at(300*time.Millisecond), start).Valid, 300*time.Millisecond)
+	assert.Equal(t, b.Borrow(ask(2, Token), start, start), BorrowReply{ShareID: share.ShareID, Seq: 2})
+}
+
+// TestReserve guards against other zones that take what the own zone needs.
+func TestReserve(t *testing.T) {
+	b := NewBucket(share, true, start)
+	own := ask(1, 0)
+	own.Demand = 20 * Token
+	b.Borrow(own, at(long), start)
+	other := ask(1, 20*Token)
+	other.Borrower, other.BorrowerZone = "b1", "b"
+	assert.Equal(t, b.Borrow(other, at(long), start).Grant, 15*Token)
+	assert.Equal(t, b.Borrow(ask(2, 20*Token), at(long), start).Grant, 5*Token)
+}
+
+func newPool() *Pool {
+	return NewPool(PoolOptions{Customer: "press", Node: "a1", Incarnation: 1, Zone: "a"})
+}
+
+// lend gives the pool a loan that it asked for at start.
+func lend(t *testing.T, p *Pool, waiting int, n Amount, sent, received time.Duration) BorrowReply {
+	req, ok := p.Next([]ShareID{share.ShareID}, waiting, at(sent))
+	assert.Assert(t, ok && req.Amount >= n, "%v", req)
+	reply := BorrowReply{ShareID: req.ShareID, Seq: req.Seq, Holder: true, Grant: n, Valid: time.Second}
+	p.Answer(reply, at(received))
+	return reply
+}
+
+// TestPool guards against tokens that a borrower uses twice or too late.
+func TestPool(t *testing.T) {
+	take := func(p *Pool, d time.Duration) bool {
+		_, ok := p.Retake(at(d))
+		return ok
+	}
+	t.Run("valid from the sending", func(t *testing.T) {
+		p := newPool()
+		lend(t, p, 2, 2*Token, 0, 500*time.Millisecond)
+		assert.Assert(t, take(p, time.Second-1))
+		assert.Assert(t, !take(p, time.Second))
+	})
+	t.Run("late reply", func(t *testing.T) {
+		p := newPool()
+		lend(t, p, 1, Token, 0, time.Second)
+		assert.Equal(t, p.Free(at(time.Second)), Amount(0))
+	})
+	t.Run("repeated reply", func(t *testing.T) {
+		p := newPool()
+		p.Answer(lend(t, p, 1, Token, 0, 1), at(2))
+		assert.Equal(t, p.Free(at(2)), Token)
+	})
+	t.Run("reply not asked for", func(t *testing.T) {
+		p := newPool()
+		p.Answer(BorrowReply{ShareID: share.ShareID, Seq: 7, Holder: true, Grant: Token, Valid: time.Second}, start)
+		assert.Equal(t, p.Free(start), Amount(0))
+	})
+	t.Run("give back", func(t *testing.T) {
+		p := newPool()
+		lend(t, p, 2, 2*Token, 0, 1)
+		ch, ok := p.Retake(at(2))
+		assert.Assert(t, ok)
+		p.GiveBack(&ch, at(3))
+		p.GiveBack(&ch, at(4))
+		assert.Equal(t, p.Free(at(5)), 2*Token)
+	})
+	t.Run("give back after the report", func(t *testing.T) {
+		p := newPool()
+		lend(t, p, 1, Token, 0, 1)
+		ch, _ := p.Retake(at(2))
+		req, ok := p.Next([]ShareID{share.ShareID}, 0, at(time.Second/2))
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, req.Reports, []Report{{Seq: 1, Spent: Token}})
+		p.GiveBack(&ch, at(time.Second/2))
+		assert.Equal(t, p.Free(at(time.Second/2)), Amount(0))
+	})
+	t.Run("returned tokens are gone", func(t *testing.T) {
+		p := newPool()
+		lend(t, p, 1, Token, 0, 1)
+		p.Next(nil, 0, at(Horizon+1))
+		assert.Assert(t, !take(p, Horizon+1))
+		req, ok := p.Next(nil, 0, at(Horizon+1+reportDelay))
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, req.Reports, []Report{{Seq: 1, Returned: Token}})
+	})
+	t.Run("parts make a token", func(t *testing.T) {
+		p := newPool()
+		lend(t, p, 1, Token/2, 0, 1)
+		assert.Assert(t, !take(p, 2))
+		lend(t, p, 1, Token/2, 2, 3)
+		assert.Assert(t, take(p, 4))
+		assert.Equal(t, p.Free(at(5)), Amount(0))
+	})
+}
+
+// TestPoolOrder guards against loans from other zones while the own zone can
+// lend, and against a lost holder that stalls the requests.
+func TestPoolOrder(t *testing.T) {
+	p := newPool()
+	ids := []ShareID{{"press", "b", 0}, {"press", "a", 0}, {"press", "a", 1}}
+	var asked []string
+	for i := range 4 {
+		req, ok := p.Next(ids, 1, at(time.Duration(i)*HedgeTime))
+		if ok {
+			asked = append(asked, fmt.Sprint(req.Zone, req.Slot))
+		}
+	}
+	assert.DeepEqual(t, asked, []string{"a0", "a1", "b0"})
+	assert.Equal(t, p.InFlight(at(4*HedgeTime)), 3)
+	assert.Equal(t, p.InFlight(at(4*HedgeTime+answerTime)), 0)
+}
+
+// TestHolderStart guards against buckets that start full although a holder
+// before may have lent from them, or keep a level from before another owner.
+func TestHolderStart(t *testing.T) {
+	me, other := epoch.Member{Name: "a1", Incarnation: 1, Zone: "a"}, epoch.Member{Name: "a2", Incarnation: 1, Zone: "a"}
+	s := epoch.NewState()
+	tr := epoch.NewTracker(s)
+	h := NewHolder(me, s, tr)
+	shares := []Share{share}
+	epochs := 0
+	next := func(members ...epoch.Member) {
+		data, err := epoch.Encode(epoch.Record{Epoch: &epoch.Epoch{Zone: "a", Number: uint64(epochs + 1), Base: uint64(epochs), Members: members}})
+		assert.NilError(t, err)
+		assert.Equal(t, s.Apply(uint64(epochs), data), "a")
+		epochs++
+	}
+	created := func(offset uint64) func(string) (uint64, bool) {
+		return func(string) (uint64, bool) { return offset, true }
+	}
+	level := func() Amount { return h.Bucket(share.ShareID).Level(start) }
+
+	assert.Assert(t, h.Sync(shares, nil, start), "no epoch yet")
+	next(other)
+	next(me)
+	assert.Assert(t, h.Sync(shares, created(9), start), "the epoch before is not retired")
+	h.ReadTo(5, start, start)
+	tr.Learn("a", 1)
+	h.ReadTo(5, start, at(1))
+	assert.Assert(t, !h.Sync(shares, created(9), at(1)))
+	assert.Equal(t, level(), Amount(0), "the read began before the retirement")
+	h.Sync(nil, nil, at(2))
+	h = NewHolder(me, s, tr)
+	h.ReadTo(5, at(3), at(3))
+	h.ReadTo(5, at(4), at(4))
+	h.Sync(shares, created(4), at(5))
+	assert.Equal(t, level(), Amount(0), "created before the tenure")
+	h = NewHolder(me, s, tr)
+	h.ReadTo(5, at(3), at(3))
+	h.Sync(shares, created(5), at(5))
+	assert.Equal(t, level(), share.Burst)
+	next(other)
+	next(me)
+	tr.Learn("a", 3)
+	h.Sync(shares, created(5), at(6))
+	assert.Equal(t, level(), Amount(0), "another owner in between")
+}
+
+// TestMessageFields guards against messages that lose fields on the wire.
+func TestMessageFields(t *testing.T) {
+	req := ask(3, Token, Report{Seq: 2, Spent: 1, Returned: 2})
+	req.Urgent, req.Demand = true, 5
+	data, err := msgpack.Marshal(req)
+	assert.NilError(t, err)
+	var got BorrowRequest
+	assert.NilError(t, msgpack.Unmarshal(data, &got))
+	assert.DeepEqual(t, got, req)
+	var names map[string]any
+	assert.NilError(t, msgpack.Unmarshal(data, &names))
+	for _, name := range []string{"customer", "zone", "slot", "borrower", "incarnation", "seq", "borrowerZone"} {
+		_, ok := names[name]
+		assert.Assert(t, ok, name)
+	}
+}
