core/claim: wait for the fleet's window with records that already wait

Cause: a node that learned the size of its fleet after its first record appended after the window of a fleet of one. When all nodes restart together that is one append of each within 50 ms. Change: SetNodes moves the next append by the difference of the windows. Conclusion: a restart of the fleet keeps to the limit of the log.

--- a/core/claim/log_test.go
+++ b/core/claim/log_test.go
@@ -130,9 +130,9 @@
 func TestFleetAppends(t *testing.T) {
 	for _, nodes := range []int{1, 13, 300, 9700} {
 		q := NewQueue("n", 1)
-		q.SetNodes(nodes)
 		r := newRig(WithQueue(q))
 		r.run(t, r.key(1), "x")
+		q.SetNodes(nodes) // learned late
 		const span = 10 * time.Minute
 		step := 10 * time.Millisecond
 		appends := 0
--- a/core/claim/queue.go
+++ b/core/claim/queue.go
@@ -27,9 +27,10 @@
 }
 
 // Queue collects the records of one node into batches. While more than a batch
-// waits, it takes only outcomes without their responses, so that 397 keys fit into
-// a batch instead of 154 with responses of 100 bytes. When it is full it drops the oldest records,
-// which are the first to lose their use. It is safe for concurrent use.
+// waits, it takes only outcomes without their responses, so that 397 keys fit
+// into a batch instead of 154 with responses of 100 bytes. When it is full it
+// drops the oldest records, which are the first to lose their use. It is safe
+// for concurrent use.
 type Queue struct {
 	mu          sync.Mutex
 	instance    string
@@ -73,11 +74,15 @@
 	return q
 }
 
-// SetNodes sets the size of the fleet.
+// SetNodes sets the size of the fleet. Records that wait already wait for the
+// new window, so that nodes that restart together and learn the size late don't
+// all append at once.
 func (q *Queue) SetNodes(n int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.window = Window(n)
+	w := Window(n)
+	q.next = q.next.Add(w - q.window)
+	q.window = w
 }
 
 // Add appends a record. An outcome replaces the waiting claim of its key.
