frame: test the confirmation of a shutdown and the credit of reset streams

Cause: of 31 rules broken one by one in a scratch copy, two went unnoticed: the confirmation that waits for an open frame, and the session credit of a reset stream. Change: a test for each. Measured: both tests fail with the rule broken and pass without; the other rules were noticed, one change (a first look at the control ring) was no fault by itself. Conclusion: each invariant test of the package can fail.

--- a/core/frame/fault_test.go
+++ b/core/frame/fault_test.go
@@ -252,6 +252,33 @@
 	assert.NilError(t, s.Err())
 }
 
+// Unread bytes of a reset stream must go back to the session window, or each
+// reset would make it smaller for good.
+func TestResetReturnsCredit(t *testing.T) {
+	raw, s := rawPeer(t, func(st *Stream) { <-st.Context().Done() }, WithWindows(4<<10, 8<<10))
+	for i := range uint32(20) {
+		id := 2*i + 1
+		put(t, raw, open(id), Frame{TypeData, id, make([]byte, 4<<10)}, Frame{TypeReset, id, code(CodeUser)})
+		f := await(t, raw, TypeWindow)
+		assert.Equal(t, f.Stream, uint32(0))
+		assert.DeepEqual(t, f.Payload, window(4<<10, 0))
+	}
+	assert.NilError(t, s.Err())
+}
+
+// The peer may close once it has the confirmation, so the confirmation must not
+// overtake an open frame that is still on its way to the writer.
+func TestGoAwayWaitsForOpen(t *testing.T) {
+	s := bareSession(nil)
+	defer s.fail(errors.New("test ends"))
+	st, err := s.register(bg, 1)
+	assert.NilError(t, err)
+	assert.NilError(t, s.receive(Frame{TypeReset, 0, code(CodeRefused)}))
+	assert.Assert(t, !s.notes.goneAck)
+	assert.NilError(t, st.opened(bg, true))
+	assert.Assert(t, s.notes.goneAck)
+}
+
 // Streams whose readers stopped, more than the session window holds, must not
 // block another one.
 func TestStalledReaders(t *testing.T) {
