frame: smaller buffers for idle sessions; forgive a pause of the process

Cause: an idle session end took 146136 B of heap and stacks, mostly for two buffers of 64 KiB; at the target size a node has hundreds of peers and 64 MB. A process that was paused for 3 s closed all its sessions as silent, although frames were waiting. Change: buffers of 8 KiB (larger payloads pass them by), a control ring of 128 frames; a watcher that is late by more than a ping interval restarts the limit.

--- a/core/frame/bench_test.go
+++ b/core/frame/bench_test.go
@@ -89,6 +89,30 @@
 	b.ReportMetric(float64(times[b.N*99/100].Microseconds()), "p99-µs")
 }
 
+// BenchmarkIdleSession reports the heap and stacks of one end of a session.
+func BenchmarkIdleSession(b *testing.B) {
+	const pairs = 200
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var all []*Session
+		for range pairs {
+			ca, cb := tcpPair(b)
+			cs, ss, _, _ := both(ca, cb, bounce, named("a"), named("b"))
+			if err := roundTrip(cs, nil, nil, make([]byte, 1)); err != nil {
+				b.Fatal(err)
+			}
+			all = append(all, cs, ss)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		used := after.HeapAlloc + after.StackInuse - before.HeapAlloc - before.StackInuse
+		b.ReportMetric(float64(used/(2*pairs)), "B/session")
+		closeAll(all...)
+	}
+}
+
 // A 200 MB body must pass through a small heap, also when its reader is slower
 // than its writer.
 func TestLargeBodyInSmallHeap(t *testing.T) {
--- a/core/frame/fault_test.go
+++ b/core/frame/fault_test.go
@@ -117,6 +117,16 @@
 	})
 }
 
+// A process that was paused must not take its own pause for silence, and a
+// watcher that is only a little late must not extend the limit.
+func TestPauseIsNoSilence(t *testing.T) {
+	s := bareSession(nil)
+	s.forgivePause(10*time.Second, 9*time.Second)
+	assert.Equal(t, s.heard.Load(), int64(0))
+	s.forgivePause(10*time.Second, 8*time.Second)
+	assert.Equal(t, s.heard.Load(), int64(10*time.Second))
+}
+
 // Pings must not hide a stream that is stuck, and an active one must stay.
 func TestProgressTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/frame/reader.go
+++ b/core/frame/reader.go
@@ -6,7 +6,10 @@
 	"encoding/binary"
 )
 
-const readBuffer = 64 << 10 // bytes read from the connection at once
+// readBuffer is the number of bytes read from the connection at once; larger
+// payloads are read without the buffer. A node has sessions with hundreds of
+// peers, and 64 KiB for each buffer would exceed its memory.
+const readBuffer = 8 << 10
 
 // readLoop reads frames until the session ends. It never waits for a stream's
 // reader, for room in a ring or for the writer.
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -15,7 +15,7 @@
 // Capacities of the rings between the streams and the writer, in frames. A full
 // bulk ring of large data frames is 1 MiB.
 const (
-	controlRing = 256
+	controlRing = 128
 	bulkRing    = 32
 )
 
@@ -307,13 +307,15 @@
 func (s *Session) watchLoop() {
 	t := time.NewTimer(s.opt.PingInterval)
 	defer t.Stop()
+	due := s.sinceStart() + s.opt.PingInterval
 	for {
 		select {
 		case <-t.C:
 		case <-s.done:
 			return
 		}
-		now := time.Since(s.start)
+		now := s.sinceStart()
+		s.forgivePause(now, due)
 		quiet := now - time.Duration(s.heard.Load())
 		if quiet >= s.opt.SilenceLimit {
 			s.fail(&SessionError{Reason: "silent", Silent: true})
@@ -323,7 +325,18 @@
 			s.pinged = now
 			s.tick(now)
 		}
-		t.Reset(min(s.pinged+s.opt.PingInterval-now, s.opt.SilenceLimit-quiet))
+		wait := min(s.pinged+s.opt.PingInterval-now, s.opt.SilenceLimit-quiet)
+		due = now + wait
+		t.Reset(wait)
+	}
+}
+
+// forgivePause restarts the silence limit if the watcher runs late by more than
+// a ping interval: then the process was paused, and the frames of that time wait
+// in the kernel.
+func (s *Session) forgivePause(now, due time.Duration) {
+	if now-due > s.opt.PingInterval {
+		s.heard.Store(int64(now))
 	}
 }
 
--- a/core/frame/writer.go
+++ b/core/frame/writer.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 )
 
-const writeBuffer = 64 << 10 // bytes collected before a write to the connection
+const writeBuffer = 8 << 10 // bytes collected before a write to the connection; see readBuffer
 
 // outFrame is a frame on its way to the writer. The payload is in block, or in
 // payload if it is larger than a block.
