--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -7,6 +7,13 @@
 
 // Parameters of a Gate.
 const (
+	// capacityHold is the time after overload in which the capacity is still
+	// known, and capacityFall the decrease in a second of its peak. Fair shares
+	// that followed each dip of throughput would raise ranks, refuse more and
+	// so deepen the dip.
+	capacityHold = 5 * time.Second
+	capacityFall = 0.05
+
 	// DefaultMaxWait bounds the time in the queue. An item that waits longer
 	// keeps losing to lower ranks, and its caller should learn it soon.
 	DefaultMaxWait = 100 * time.Millisecond
@@ -30,24 +37,6 @@
 	Refused                 // it is among the dropped items
 )
 
-// Feedback is what a target returns with each response.
-type Feedback struct {
-	Level    uint32  `msgpack:"level"`    // requests with a higher rank should not be sent
-	InFlight int     `msgpack:"inFlight"` // running and waiting
-	Limit    int     `msgpack:"limit"`    // concurrency limit
-	Demand   float64 `msgpack:"demand"`   // of the calling customer as a multiple of its fair share
-}
-
-// Join returns f with the stricter level and the greater demand of f and that
-// of a service below. A target joins its own feedback with that of the chain
-// calls that the request made, so that entries learn about overload at any
-// depth.
-func (f Feedback) Join(below Feedback) Feedback {
-	f.Level = min(f.Level, below.Level)
-	f.Demand = max(f.Demand, below.Demand)
-	return f
-}
-
 // Gate admits requests to one target within a concurrency limit. The methods
 // take the current limit (limit.Limit.Value), so that it can change at any
 // time.
@@ -59,6 +48,7 @@
 	running   int
 	service   float64 // expected service time in seconds
 	serviceAt time.Time
+	capacity  capacity
 }
 
 // NewGate returns a gate with an empty queue of the given longest wait.
@@ -75,7 +65,7 @@
 		return Refused, []Dropped[T]{{Item: it, Cause: Late}}
 	}
 	if g.running < limit && g.queue.Len() == 0 {
-		g.start(now)
+		g.start(now, limit)
 		return Run, nil
 	}
 	seq := g.queue.seq
@@ -109,7 +99,7 @@
 		if !ok {
 			break
 		}
-		g.start(now)
+		g.start(now, limit)
 		run = append(run, it)
 	}
 	g.refuse(now, dropped)
@@ -136,21 +126,18 @@
 // Feedback returns what the target tells the caller of a request.
 func (g *Gate[T]) Feedback(now time.Time, limit int, customer string) Feedback {
 	level := g.Level.Value(now)
-	capacity := math.Inf(1)
-	if level != Open {
-		capacity = g.Level.Throughput(now)
-	}
 	return Feedback{
 		Level:    level,
+		Path:     level,
 		InFlight: g.running + g.queue.Len(),
 		Limit:    limit,
-		Demand:   g.Shares.Demand(now, customer, capacity),
+		Demand:   g.Shares.Demand(now, customer, g.capacity.value(now, level, g.Level.Throughput(now))),
 	}
 }
 
-func (g *Gate[T]) start(now time.Time) {
+func (g *Gate[T]) start(now time.Time, limit int) {
 	g.running++
-	g.Level.Start(now)
+	g.Level.Start(now, g.running, limit)
 }
 
 func (g *Gate[T]) refuse(now time.Time, dropped []Dropped[T]) {
@@ -173,3 +160,27 @@
 func queueSize(limit int) int {
 	return max(queueMin, limit)
 }
+
+// capacity is the measured capacity of an overloaded target: the peak of its
+// throughput with a slow decay.
+type capacity struct {
+	peak       float64 // requests per second
+	at         time.Time
+	overloaded time.Time // latest time with a level
+}
+
+// value returns the capacity in requests per second, infinite if the target
+// hasn't been overloaded for capacityHold.
+func (c *capacity) value(now time.Time, level uint32, throughput float64) float64 {
+	if level != Open {
+		c.overloaded = now
+	}
+	if c.overloaded.IsZero() || now.Sub(c.overloaded) > capacityHold {
+		c.peak = 0
+		return math.Inf(1)
+	}
+	c.peak *= 1 - capacityFall*min(1, max(0, now.Sub(c.at).Seconds()))
+	c.peak = max(c.peak, throughput)
+	c.at = now
+	return c.peak
+}
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -12,10 +12,13 @@
 	// levelSamples bounds the ranks kept. The level lies at a quantile of
 	// them, with an error of about 1% of demand.
 	levelSamples = 512
-	// levelCalm is the number of intervals without a refusal after which the
-	// level opens. Readers let some demand above the level pass (Margin), so a
-	// demand that still exceeds capacity shows itself earlier.
-	levelCalm = 10
+	// levelCalm is the number of intervals with spare capacity after which the
+	// level opens. Before, it only follows the demand above it that readers let
+	// pass (DefaultMargin). Opening a busy target would admit all demand until
+	// the next level has reached the entries.
+	levelCalm = 5
+	// sparePart of the limit in use is the most that counts as spare capacity.
+	sparePart = 0.7
 )
 
 // Level is the controller of a target's admission level. The level is the rank
@@ -26,7 +29,7 @@
 	level   uint32
 	cells   [levelCells]levelCell
 	current int64 // number of the interval of the newest cell
-	calm    int   // intervals since the last refusal
+	calm    int   // intervals with spare capacity in a row
 	ranks   [levelSamples]rankSample
 	next    int
 	sorted  []uint32
@@ -35,6 +38,7 @@
 type levelCell struct {
 	number                    int64
 	arrived, started, refused int
+	busy                      bool // less than spare capacity at some time
 }
 
 type rankSample struct {
@@ -54,9 +58,12 @@
 	l.next = (l.next + 1) % levelSamples
 }
 
-// Start records a request that was given to the upstream.
-func (l *Level) Start(now time.Time) {
-	l.advance(now).started++
+// Start records a request that was given to the upstream, and the number of
+// those running with it.
+func (l *Level) Start(now time.Time, running, limit int) {
+	c := l.advance(now)
+	c.started++
+	c.busy = c.busy || float64(running) > sparePart*float64(limit)
 }
 
 // Refuse records a request that was refused for lack of capacity.
@@ -101,12 +108,18 @@
 
 func (l *Level) closeInterval(now time.Time) {
 	c := l.cells[uint64(l.current)%levelCells]
-	if c.number == l.current && c.refused > 0 {
+	if c.number != l.current {
+		c = levelCell{}
+	}
+	if c.refused > 0 {
 		l.calm = 0
 		l.lower(now)
 		return
 	}
 	l.calm++
+	if c.busy {
+		l.calm = 0
+	}
 	if l.calm >= levelCalm {
 		l.level = Open
 		return
--- a/core/admit/reader.go
+++ b/core/admit/reader.go
@@ -13,7 +13,7 @@
 	// DefaultMargin is the part of the demand below the level that passes in
 	// addition. A target thus always sees more than it admits and can raise
 	// its level when it has room.
-	DefaultMargin = 0.1
+	DefaultMargin = 0.2
 
 	// demandExpiry is longer than LevelExpiry, as the demand of a customer
 	// changes slowly and few of its requests may pass.
@@ -23,8 +23,9 @@
 	// take less than 1 MB.
 	readerSamples = 256
 	cutRefresh    = 20 * time.Millisecond
-	weightDecay   = 2 // seconds; time constant of offered and passed requests
 	maxWeight     = 1000
+	childPart     = 0.5  // of the calls, from which a service below counts as used
+	childForget   = 0.01 // decayed calls below which a service below is forgotten
 	// readerCustomers bounds the customers kept for each service.
 	readerCustomers = 1024
 )
@@ -43,6 +44,8 @@
 	customers map[string]*customer
 	ranks     []uint32 // ring
 	next      int
+	calls     decayed
+	children  map[string]*decayed
 	cut       uint32
 	cutAt     time.Time
 	sorted    []uint32
@@ -54,9 +57,9 @@
 }
 
 type customer struct {
-	demand          float64
-	demandAt        time.Time
-	offered, passed decayed
+	demand   float64
+	demandAt time.Time
+	refused  int // since the latest Weight
 }
 
 // ReaderOption changes a parameter of a Reader.
@@ -80,16 +83,57 @@
 func (r *Reader) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{targets: map[string]report{}, customers: map[string]*customer{}, cut: Open}
+		s = &service{targets: map[string]report{}, customers: map[string]*customer{}, children: map[string]*decayed{}, cut: Open}
 		r.services[name] = s
 	}
 	return s
 }
 
+// Call records that the node runs a call of a service for the targets of which
+// it speaks, and Child that this call makes a call to another service. Both
+// serve Join.
+func (r *Reader) Call(now time.Time, name string) {
+	r.service(name).calls.add(now, 1)
+}
+
+// Child records a call to a service that a call of name makes; see Call. Of
+// several calls to the same service, record one.
+func (r *Reader) Child(now time.Time, name, child string) {
+	s := r.service(name)
+	d := s.children[child]
+	if d == nil {
+		d = &decayed{}
+		s.children[child] = d
+	}
+	d.add(now, 1)
+}
+
+// Join adds to the feedback of the node's own target what the node knows about
+// the services that calls of name use, so that entries learn about overload at
+// any depth. A service that less than half of the calls use is left out: its
+// overload must not refuse the others.
+func (r *Reader) Join(now time.Time, name, customer string, f Feedback) Feedback {
+	s := r.service(name)
+	calls := s.calls.value(now)
+	for child, d := range s.children {
+		n := d.value(now)
+		if n < childForget {
+			delete(s.children, child)
+			continue
+		}
+		if n < calls*childPart {
+			continue
+		}
+		f.Path = min(f.Path, r.Level(now, child))
+		f.Demand = max(f.Demand, r.known(now, child, customer))
+	}
+	return f
+}
+
 // Report records the feedback of a target to a request of a customer.
 func (r *Reader) Report(now time.Time, name, target, customer string, f Feedback) {
 	s := r.service(name)
-	s.targets[target] = report{level: f.Level, at: now}
+	s.targets[target] = report{level: min(f.Level, f.Path), at: now}
 	if c := s.customer(customer); c != nil && f.Demand > 0 {
 		c.report(now, f.Demand)
 	}
@@ -116,13 +160,21 @@
 // Demand returns the demand of a customer as a multiple of its fair share of
 // the service, for Rank. It is 1 without a fresh report.
 func (r *Reader) Demand(now time.Time, name, customer string) float64 {
+	if d := r.known(now, name, customer); d > 0 {
+		return d
+	}
+	return 1
+}
+
+// known returns the demand of a customer, 0 without a fresh report.
+func (r *Reader) known(now time.Time, name, customer string) float64 {
 	s := r.services[name]
 	if s == nil {
-		return 1
+		return 0
 	}
 	c := s.customers[customer]
 	if c == nil || c.demandAt.IsZero() || now.Sub(c.demandAt) > demandExpiry {
-		return 1
+		return 0
 	}
 	return c.demand
 }
@@ -178,11 +230,8 @@
 		s.cutAt = now
 	}
 	pass := rank <= s.cut
-	if c := s.customer(customer); c != nil {
-		c.offered.add(now, 1)
-		if pass {
-			c.passed.add(now, 1)
-		}
+	if c := s.customer(customer); c != nil && !pass {
+		c.refused++
 	}
 	return pass
 }
@@ -213,10 +262,11 @@
 	return max(level, s.sorted[i])
 }
 
-// Weight returns the number of recent requests of a customer that each passed
-// one stands for, at least 1. It travels with the call, so that targets can
-// measure the demand that entries refuse.
-func (r *Reader) Weight(now time.Time, name, customer string) float64 {
+// Weight returns the number of offered requests that a request stands for which
+// Admit has just let pass: itself and those of the customer refused since the
+// last one. Call it once for each; the weights then add up to the demand. It
+// travels with the call, so that targets can measure what entries refuse.
+func (r *Reader) Weight(name, customer string) float64 {
 	s := r.services[name]
 	if s == nil {
 		return 1
@@ -225,9 +275,7 @@
 	if c == nil {
 		return 1
 	}
-	offered, passed := c.offered.value(now), c.passed.value(now)
-	if passed <= 0 {
-		return 1
-	}
-	return min(max(1, offered/passed), maxWeight)
+	n := min(1+c.refused, maxWeight)
+	c.refused = 0
+	return float64(n)
 }
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -10,9 +10,14 @@
 const (
 	// shareDecay is the time constant of the measured demand. Over 2 s a
 	// customer with 50 requests a second is measured to about 7%.
-	shareDecay = 2 * time.Second
+	shareDecay = 6 * time.Second
+	// shareWarm is the shortest time over which a demand is measured.
+	shareWarm = 200 * time.Millisecond
 	// shareRefresh is the time between two computations of the water level.
 	shareRefresh = 100 * time.Millisecond
+	// shareWeight is the weight of a new water level. Reports to entries are
+	// averaged; a water level that jumps would mix values of different scales.
+	shareWeight = 0.05
 	// shareCustomers bounds the customers with a measured demand. One that
 	// isn't measured counts as within its share.
 	shareCustomers = 1024
@@ -30,8 +35,17 @@
 }
 
 type demand struct {
-	rate float64 // requests per second
-	at   time.Time
+	since time.Time
+	rate  float64 // decayed requests per second
+	at    time.Time
+}
+
+// value returns the requests per second. The decayed rate of a customer that
+// came a short time ago is still rising; the correction makes up for that.
+func (d *demand) value(now time.Time) float64 {
+	d.decay(now)
+	age := max(now.Sub(d.since), shareWarm)
+	return d.rate / (1 - math.Exp(-age.Seconds()/shareDecay.Seconds()))
 }
 
 // NewShares returns an estimate without customers.
@@ -50,7 +64,7 @@
 		if len(s.demand) >= shareCustomers {
 			return
 		}
-		d = &demand{at: now}
+		d = &demand{since: now, at: now}
 		s.demand[customer] = d
 	}
 	d.decay(now)
@@ -85,17 +99,21 @@
 	if d == nil || s.water <= 0 {
 		return 1
 	}
-	d.decay(now)
-	return d.rate / s.water
+	return d.value(now) / s.water
 }
 
 func (s *Shares) refresh(now time.Time, capacity float64) {
 	s.forget(now)
 	rates := make([]float64, 0, len(s.demand))
 	for _, d := range s.demand {
-		rates = append(rates, d.rate)
+		rates = append(rates, d.value(now))
+	}
+	water := WaterLevel(rates, capacity)
+	if s.water <= 0 || water <= 0 {
+		s.water = water
+	} else {
+		s.water += (water - s.water) * shareWeight
 	}
-	s.water = WaterLevel(rates, capacity)
 	s.at = now
 }
 
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -12,32 +12,41 @@
 	DefaultInitial = 8    // first limit of a cold target
 	// DefaultTolerance is the ratio of latency to baseline above which
 	// requests are taken to queue inside the upstream.
-	DefaultTolerance = 1.4
-
-	shortWindow    = 100 * time.Millisecond
-	longWindow     = time.Second // a window of few samples closes after this
-	windowSamples  = 40          // fewer samples make the quantile too noisy to compare
-	windowCap      = 256         // samples kept of one window
-	lowQuantile    = 0.3         // low enough to ignore a tail of slow requests
-	shedPart       = 0.01        // part of shed responses that counts as overload
-	shedFactor     = 0.9         // decrease after a window with shed responses
-	maxDecrease    = 0.7         // largest decrease in one window
-	startGrowth    = 1.5         // growth of a window in slow start
-	steadyGrowth   = 0.05        // growth of a window after slow start, as a part of the limit
-	usedPart       = 0.7         // a limit that isn't used up to this part isn't raised
-	idlePart       = 0.5         // below this part of the limit, latency is taken as unloaded
-	baselineFall   = 0.3         // weight of a lower window in the baseline
-	baselineRise   = 1.25        // largest rise of the baseline in one window
-	loadHintAge    = time.Second
-	loadHintFactor = 0.5 // growth while the load endpoint reports overload
+	DefaultTolerance = 1.25
+
+	shortWindow   = 100 * time.Millisecond
+	longWindow    = time.Second            // a window of few samples closes after this
+	fewSamples    = 16                     // smallest window that closes before longWindow
+	manySamples   = 150                    // the low quantile of these varies by about 6%
+	trustSamples  = 400                    // samples from which the baseline only falls, or rises with a reason
+	windowCap     = 256                    // samples kept of one window
+	lowQuantile   = 0.3                    // low enough to ignore a tail of slow requests
+	shedPart      = 0.005                  // part of shed responses that counts as overload
+	shedFactor    = 0.95                   // decrease after a window with shed responses
+	shedHold      = 3 * time.Second        // time without growth near the limit at which the upstream shed
+	nearPart      = 0.9                    // of the last limit that was too high
+	maxDecrease   = 0.7                    // largest decrease in one window
+	startGrowth   = 1.0                    // growth of a window in slow start, as a part of the limit
+	fastGrowth    = 0.2                    // the same well below the last limit that was too high
+	slowGrowth    = 0.03                   // the same near it, just after the decrease
+	growthTime    = 500 * time.Millisecond // in which the growth near it rises by slowGrowth
+	usedPart      = 0.7                    // a limit that isn't used up to this part isn't raised
+	idlePart      = 0.5                    // below this part of the limit, latency is taken as unloaded
+	baselineFall  = 0.1                    // weight of a lower window in the baseline
+	baselineDrift = 0.1                    // weight of a higher window of a mostly idle target
+	baselineRise  = 1.25                   // largest rise of the baseline in one window
+	loadHintAge   = time.Second
+	minGrowth     = 0.5 // of a window
 )
 
 // Sample is a finished call at the target.
 type Sample struct {
-	// Latency is the time that the upstream itself spent: the duration of the
-	// call without the time in which it waited for its own chain calls. With
-	// that time, a slow service below would shrink every limit above it.
+	// Latency is the duration of the call at the upstream.
 	Latency time.Duration
+	// Below is the part of it in which the upstream waited for its own chain
+	// calls. Only the rest is compared with the baseline: otherwise a slow
+	// service below would shrink every limit above it.
+	Below time.Duration
 	// Shed is set if the upstream refused the request as overloaded. The
 	// latency of such a response is ignored.
 	Shed bool
@@ -54,17 +63,23 @@
 	slots     float64 // announced; 0 if unknown
 	load      float64
 	loadAt    time.Time
-	started   bool // slow start has ended
+	started   bool      // slow start has ended
+	ceiling   float64   // last limit that was too high; 0 before one
+	loweredAt time.Time // time of that
+	holdUntil time.Time // no growth near the ceiling before
 	baseline  float64
+	trust     int // samples that the baseline stands for, up to trustSamples
 
 	start    time.Time // of the window; zero before the first sample
-	samples  []float64 // seconds
+	samples  []float64 // seconds without the time below
+	below    float64   // sum of seconds
 	seen     int       // latencies offered to samples
 	done     int
 	shed     int
 	peak     int     // largest in-flight count of the window
 	lastLow  float64 // low quantile of the previous window
 	lastPeak int
+	high     bool // latency was high in the previous window
 	lowered  bool // the previous window ended with a decrease because of latency
 }
 
@@ -137,7 +152,8 @@
 	case s.Failed:
 		return
 	default:
-		l.add(s.Latency.Seconds())
+		l.add((s.Latency - s.Below).Seconds())
+		l.below += s.Below.Seconds()
 	}
 	l.done++
 	if l.complete(now) {
@@ -157,25 +173,25 @@
 
 func (l *Limit) complete(now time.Time) bool {
 	age := now.Sub(l.start)
-	return age >= shortWindow && l.done >= windowSamples || age >= longWindow
+	enough := min(max(2*l.Value(), fewSamples), manySamples)
+	return age >= shortWindow && l.done >= enough || age >= longWindow
 }
 
 func (l *Limit) close(now time.Time) {
 	low := l.low()
-	peak := float64(l.peak)
 	switch {
 	case float64(l.shed) > shedPart*float64(l.done):
-		l.started = true
-		l.lowered = false
-		l.limit = max(min(l.limit, peak)*shedFactor, l.limit*maxDecrease)
+		l.lower(now, shedFactor)
+		l.holdUntil = now.Add(shedHold)
+		l.high, l.lowered = false, false
 	case low == 0:
-		l.lowered = false
+		l.high, l.lowered = false, false
 	default:
-		l.adapt(now, low, peak)
+		l.adapt(now, low, float64(l.peak))
 	}
 	l.limit = min(max(l.limit, l.min), l.max)
 	l.lastLow, l.lastPeak = low, l.peak
-	l.start, l.seen, l.done, l.shed, l.peak = now, 0, 0, 0, 0
+	l.start, l.seen, l.done, l.shed, l.peak, l.below = now, 0, 0, 0, 0, 0
 	l.samples = l.samples[:0]
 }
 
@@ -187,36 +203,61 @@
 	return l.samples[int(lowQuantile*float64(len(l.samples)-1))]
 }
 
+// lower decreases the limit, from the in-flight count if that didn't reach it.
+func (l *Limit) lower(now time.Time, factor float64) {
+	l.started = true
+	l.loweredAt = now
+	l.ceiling = min(l.limit, float64(l.peak))
+	l.limit = max(l.ceiling*factor, l.limit*maxDecrease)
+}
+
+// adapt changes the limit by the latency of a window. A single window with a
+// high latency may be chance, so only the second in a row lowers the limit. The
+// decrease is that of the whole duration, as a request holds its place during
+// the calls below too.
 func (l *Limit) adapt(now time.Time, low, peak float64) {
 	l.learn(low, peak)
 	ratio := low / l.baseline
-	if ratio > l.tolerance && peak > l.min {
-		l.started = true
-		l.lowered = true
-		l.limit = min(l.limit, peak) * max(maxDecrease, l.tolerance/ratio)
-		return
-	}
-	l.lowered = false
-	if peak < usedPart*l.limit {
-		return
+	high := ratio > l.tolerance && peak > l.min
+	l.lowered = high && l.high
+	l.high = high
+	switch {
+	case l.lowered:
+		below := l.below / float64(l.seen)
+		l.lower(now, max(maxDecrease, (l.baseline*l.tolerance+below)/(low+below)))
+	case !high && peak >= usedPart*l.limit:
+		l.grow(now)
 	}
-	l.grow(now)
 }
 
-// learn updates the baseline. A lower latency is adopted quickly. A higher one
-// counts as a change of the service itself only if it can't be queueing: the
-// target was mostly idle, or latency stayed although the in-flight count fell.
+// learn updates the baseline. A higher latency counts as a change of the
+// service itself only if it can't be queueing: the target was mostly idle, or
+// latency stayed although the in-flight count fell.
 func (l *Limit) learn(low, peak float64) {
 	switch {
 	case l.baseline == 0:
 		l.baseline = low
+		l.trust = len(l.samples)
+	case l.trust < trustSamples:
+		l.average(low)
 	case low <= l.baseline:
 		l.baseline += (low - l.baseline) * baselineFall
-	case peak <= l.min || peak < idlePart*l.limit || l.unaffected(low, peak):
+	case l.unaffected(low, peak):
 		l.baseline = min(low, l.baseline*baselineRise)
+	case peak <= l.min || peak < idlePart*l.limit:
+		l.baseline += (min(low, l.baseline*2) - l.baseline) * baselineDrift
 	}
 }
 
+// average builds the first baseline from several windows. The small windows of
+// a cold target vary too much to take the lowest.
+func (l *Limit) average(low float64) {
+	n := len(l.samples)
+	low = min(low, l.baseline*baselineRise)
+	l.baseline += (low - l.baseline) * float64(n) / float64(n+l.trust)
+	l.trust += n
+}
+
 // unaffected reports whether latency stayed although a decrease of the limit
 // lowered the in-flight count. Latency that comes from a queue falls in
 // proportion to the in-flight count.
@@ -228,13 +269,25 @@
 	return fell > 0.1 && low > l.lastLow*(1-fell/2)
 }
 
+// grow raises the limit. Hints choose between speeds only, so that a stuck one
+// delays the growth of a cold target by a few windows.
 func (l *Limit) grow(now time.Time) {
-	step := max(1, l.limit*steadyGrowth)
-	if !l.started && (l.slots == 0 || l.limit < l.slots) {
-		step = l.limit * (startGrowth - 1)
+	part := slowGrowth
+	switch {
+	case !l.started && (l.slots == 0 || l.limit < l.slots):
+		part = startGrowth
+	case !l.started:
+		part = startGrowth / 2
+	case l.limit < nearPart*l.ceiling:
+		part = fastGrowth
+	case now.Before(l.holdUntil):
+		return
+	default:
+		age := float64(now.Sub(l.loweredAt)) / float64(growthTime)
+		part = min(part*(1+age), fastGrowth)
 	}
 	if l.load >= 1 && now.Sub(l.loadAt) <= loadHintAge {
-		step *= loadHintFactor
+		part = min(part, fastGrowth)
 	}
-	l.limit += step
+	l.limit += max(part*l.limit, minGrowth)
 }
--- a/core/retry/decide.go
+++ b/core/retry/decide.go
@@ -13,7 +13,7 @@
 	Success       Outcome = iota
 	NotDispatched         // the attempt surely reached no upstream: no connection, or draining
 	Refused               // the target refused this call but admits others of its class
-	ClassRefused          // the admission level excludes the whole class of the call
+	Excluded              // the admission level of the service excludes the call, alone or with its class
 	Shed                  // the upstream itself refused the request as overloaded
 	Failed                // the upstream may have run the request: error, reset or truncated response
 	Expired               // the deadline has passed
