--- a/core/admit/reader.go
+++ b/core/admit/reader.go
@@ -13,7 +13,7 @@
 	// DefaultMargin is the part of the demand below the level that passes in
 	// addition. A target thus always sees more than it admits and can raise
 	// its level when it has room.
-	DefaultMargin = 0.1
+	DefaultMargin = 0.2
 
 	// demandExpiry is longer than LevelExpiry, as the demand of a customer
 	// changes slowly and few of its requests may pass.
@@ -23,7 +23,6 @@
 	// take less than 1 MB.
 	readerSamples = 256
 	cutRefresh    = 20 * time.Millisecond
-	weightDecay   = 2 // seconds; time constant of offered and passed requests
 	maxWeight     = 1000
 	childPart     = 0.5  // of the calls, from which a service below counts as used
 	childForget   = 0.01 // decayed calls below which a service below is forgotten
@@ -58,9 +57,9 @@
 }
 
 type customer struct {
-	demand          float64
-	demandAt        time.Time
-	offered, passed decayed
+	demand   float64
+	demandAt time.Time
+	refused  int // since the latest Weight
 }
 
 // ReaderOption changes a parameter of a Reader.
@@ -231,11 +230,8 @@
 		s.cutAt = now
 	}
 	pass := rank <= s.cut
-	if c := s.customer(customer); c != nil {
-		c.offered.add(now, 1)
-		if pass {
-			c.passed.add(now, 1)
-		}
+	if c := s.customer(customer); c != nil && !pass {
+		c.refused++
 	}
 	return pass
 }
@@ -266,10 +262,11 @@
 	return max(level, s.sorted[i])
 }
 
-// Weight returns the number of recent requests of a customer that each passed
-// one stands for, at least 1. It travels with the call, so that targets can
-// measure the demand that entries refuse.
-func (r *Reader) Weight(now time.Time, name, customer string) float64 {
+// Weight returns the number of offered requests that a request stands for which
+// Admit has just let pass: itself and those of the customer refused since the
+// last one. Call it once for each; the weights then add up to the demand. It
+// travels with the call, so that targets can measure what entries refuse.
+func (r *Reader) Weight(name, customer string) float64 {
 	s := r.services[name]
 	if s == nil {
 		return 1
@@ -278,9 +275,7 @@
 	if c == nil {
 		return 1
 	}
-	offered, passed := c.offered.value(now), c.passed.value(now)
-	if passed <= 0 {
-		return 1
-	}
-	return min(max(1, offered/passed), maxWeight)
+	n := min(1+c.refused, maxWeight)
+	c.refused = 0
+	return float64(n)
 }
