core/claim: test that an undone dispatch may be repeated

Cause: in a scratch copy, an Undo that kept the mark of dispatch failed no test; orders refused by one target could then not be tried at another. Change: TestUndo, for both kinds of keys.

--- a/core/claim/table_test.go
+++ b/core/claim/table_test.go
@@ -264,6 +264,20 @@
 	assert.Equal(t, Unproven(refuse.New(refuse.RateLimited, "at entry")).Executed, refuse.Unknown)
 }
 
+// Guards against a request that can't be tried elsewhere although a target
+// proved that it didn't run there.
+func TestUndo(t *testing.T) {
+	r := newRig()
+	for _, k := range []Key{r.key(1), r.issue(t, "c", 1)[0]} {
+		ticket := r.dispatch(t, k)
+		ticket.Undo()
+		assert.Assert(t, ticket.Dispatch(r.now, r.own) == nil)
+		ticket.Undo()
+		assert.Equal(t, ticket.Release(1, refuse.New(refuse.Overloaded, "shed")).Executed, refuse.No)
+		r.run(t, k, "x")
+	}
+}
+
 // Guards against a body that was streamed and is not part of the fingerprint.
 func TestSetBody(t *testing.T) {
 	r := newRig()
