--- a/core/frame/fuzz_test.go
+++ b/core/frame/fuzz_test.go
@@ -45,8 +45,8 @@
 // receive itself and sees its state after each frame.
 func bareSession(h Handler) *Session {
 	o, _ := newOptions(named("b", WithHandler(h), WithWindows(16<<10, 32<<10), WithMaxStreams(8)))
-	s := makeSession(sink{new(bytes.Buffer)}, o, hello{Name: "fuzz", StreamWindow: 16 << 10, SessionWindow: 32 << 10, MaxStreams: 8}, false)
-	return s
+	peer := hello{Name: "fuzz", StreamWindow: 16 << 10, SessionWindow: 32 << 10, MaxStreams: 8}
+	return makeSession(sink{buf: new(bytes.Buffer)}, o, peer, false)
 }
 
 // Any sequence of frames must end in a *WireError or leave a state within all
@@ -55,9 +55,11 @@
 	body := []byte("body")
 	f.Add(wire(open(1), Frame{TypeData, 1, body}, Frame{TypeEnd, 1, nil}, Frame{TypeReset, 1, code(1)}))
 	f.Add(wire(open(1), open(3), Frame{TypeOwnData, 3, body}, Frame{TypeWindow, 3, window(1, 1)}))
-	f.Add(wire(Frame{TypePing, 0, make([]byte, 8)}, Frame{TypeReset, 0, code(CodeRefused)}, Frame{TypeWindow, 0, window(1, 0)}))
+	f.Add(wire(Frame{TypePing, 0, make([]byte, 8)}, Frame{TypeReset, 0, code(CodeRefused)},
+		Frame{TypeWindow, 0, window(1, 0)}))
 	f.Add(wire(Frame{TypeHead, 2, body}, Frame{TypeData, 2, body}, Frame{TypeEnd, 2, body}))
-	f.Add(wire(open(1), open(3), open(5), open(7), open(9), open(11), open(13), open(15), open(17), Frame{TypeData, 17, body}))
+	f.Add(wire(open(1), open(3), open(5), open(7), open(9), open(11), open(13), open(15),
+		open(17), Frame{TypeData, 17, body}))
 	f.Fuzz(func(t *testing.T, p []byte) {
 		s := bareSession(func(st *Stream) { <-st.ctx.Done() })
 		defer s.fail(errors.New("end of input"))
--- a/core/frame/hello_test.go
+++ b/core/frame/hello_test.go
@@ -227,7 +227,9 @@
 	return a
 }
 
-func (a *authority) issue(t testing.TB, name string, change func(*x509.Certificate)) (*x509.Certificate, *ecdsa.PrivateKey) {
+func (a *authority) issue(
+	t testing.TB, name string, change func(*x509.Certificate),
+) (*x509.Certificate, *ecdsa.PrivateKey) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
 	c := &x509.Certificate{
