Fill the stock from the fullest share and make pools deterministic

Change: replies carry how full the share is, and a stock is filled from the fullest share when those of the own zone are less than three quarters full. Waiting requests may ask four holders of other zones within 5 ms. A change of members waits 750 ms instead of 1 s, and confirm replies count as reports of adoption. Pools keep the order of their shares.

--- a/core/epoch/doc.go
+++ b/core/epoch/doc.go
@@ -13,6 +13,10 @@
 // majority of its list has refused in this sense for LeaseTime plus DriftMargin.
 // Two majorities of a list share a member, so every lease under e has ended.
 //
+// A node that adopts an epoch sends its confirm requests at once and passes the
+// replies to Tracker.Observe as well, so that retirement starts without waiting
+// for gossip.
+//
 // Times are local readings of a monotonic clock. No clocks are compared between
 // nodes; they must run at the same speed within DriftMargin per LeaseTime. The
 // clock must not stop while a process is paused.
--- a/core/epoch/propose.go
+++ b/core/epoch/propose.go
@@ -13,7 +13,7 @@
 	MinEpochAge = 5 * time.Second
 	// ChangeDelay is how long the oldest change waits for others, so that
 	// restarts in quick succession make one epoch.
-	ChangeDelay = time.Second
+	ChangeDelay = 750 * time.Millisecond
 	// SettleTime is how long a member must have been present or absent for the
 	// change to join an epoch that another change causes.
 	SettleTime = 500 * time.Millisecond
--- a/core/quota/borrow.go
+++ b/core/quota/borrow.go
@@ -16,12 +16,13 @@
 	p.expire(now)
 	stock := p.stock(now)
 	if n := p.want(stock, waiting, now); n > 0 {
-		if id, ok := p.choose(shares, now); ok {
+		if id, ok := p.choose(shares, waiting > 0, now); ok {
 			return p.request(id, n, waiting > 0, now), true
 		}
 	}
 	p.giveUp(stock+Amount(waiting)*Token, now)
-	for id, s := range p.sources {
+	for _, id := range p.order {
+		s := p.sources[id]
 		if !s.dirty.IsZero() && s.waiting == 0 && now.Sub(s.dirty) >= reportDelay && now.After(s.asked.Add(reportDelay)) {
 			return p.request(id, 0, false, now), true
 		}
@@ -65,7 +66,7 @@
 }
 
 // choose returns the share to ask among those that may be asked.
-func (p *Pool) choose(shares []ShareID, now time.Time) (ShareID, bool) {
+func (p *Pool) choose(shares []ShareID, urgent bool, now time.Time) (ShareID, bool) {
 	var best ShareID
 	found := false
 	for _, id := range shares {
@@ -73,7 +74,7 @@
 		if s.waiting != 0 || now.Before(s.retry) {
 			continue
 		}
-		if !found || p.before(id, best) {
+		if !found || p.before(id, best, urgent, now) {
 			best, found = id, true
 		}
 	}
@@ -81,21 +82,47 @@
 }
 
 // before reports whether to ask a rather than b: own zone first, then holders
-// that answer, then those that had a token left, then the least recently asked.
-func (p *Pool) before(a, b ShareID) bool {
+// that answer, then those that had a token left, then the fullest.
+// The stock is filled from the fullest share, if those of the own zone are not
+// three quarters full. Otherwise those of other zones would overflow while the own ones
+// are empty, and the fleet would hold less than the customer's burst.
+func (p *Pool) before(a, b ShareID, urgent bool, now time.Time) bool {
+	x, y := p.source(a), p.source(b)
+	if !urgent && x.failures == y.failures {
+		if m, n := p.fill(a, now), p.fill(b, now); m != n {
+			return m > n
+		}
+	}
 	if own := a.Zone == p.opts.Zone; own != (b.Zone == p.opts.Zone) {
 		return own
 	}
-	x, y := p.source(a), p.source(b)
 	if x.failures != y.failures {
 		return x.failures < y.failures
 	}
 	if rich := x.spare >= Token; rich != (y.spare >= Token) {
 		return rich
 	}
+	if m, n := p.fill(a, now), p.fill(b, now); m != n {
+		return m > n
+	}
 	return x.asked.Before(y.asked)
 }
 
+// fill estimates how full a share is, from 0 to 1. Shares of the own zone count
+// as full above three quarters. An old answer counts less.
+func (p *Pool) fill(id ShareID, now time.Time) float64 {
+	s := p.source(id)
+	f := s.fill + now.Sub(s.asked).Seconds()*refillGuess
+	if s.asked.IsZero() || f > 1 || id.Zone == p.opts.Zone && f > 0.75 {
+		return 1
+	}
+	return f
+}
+
+// refillGuess is the part of a burst by which a share may fill in a second
+// after its last answer, for a burst of about five seconds of its unused rate.
+const refillGuess = 0.2
+
 func (p *Pool) request(id ShareID, n Amount, urgent bool, now time.Time) BorrowRequest {
 	p.seq++
 	req := BorrowRequest{
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -176,6 +176,7 @@
 	free := b.free(req.BorrowerZone, now)
 	reply.Grant = grant(req, free)
 	reply.Spare = free - reply.Grant
+	reply.Fill = float64(reply.Spare) / float64(b.share.Burst)
 	if reply.Grant < req.Amount {
 		reply.Retry = b.retry(Token-reply.Spare, now)
 	}
--- a/core/quota/message.go
+++ b/core/quota/message.go
@@ -41,6 +41,8 @@
 	Valid time.Duration `msgpack:"valid"`
 	// Spare is what the holder could still lend to the borrower's zone.
 	Spare Amount `msgpack:"spare"`
+	// Fill is Spare as a part of the burst of the share.
+	Fill float64 `msgpack:"fill"`
 	// Retry is how long to wait before the next request after a short grant.
 	Retry time.Duration `msgpack:"retry"`
 }
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -22,9 +22,9 @@
 	// Half of WaitTime is left for other zones, so that a lost holder costs no
 	// refusal.
 	HedgeTime = time.Millisecond
-	// otherHedgeTime is the same for messages to other zones, whose round trips
-	// take 1.5 ms.
-	otherHedgeTime = 2 * time.Millisecond
+	// otherHedgeTime is the same for messages to other zones. It is less than
+	// their round trip of 1.5 ms, so that four holders can be asked in WaitTime.
+	otherHedgeTime = time.Millisecond
 	// answerTime is when an unanswered message counts as lost. Its holder is then
 	// not asked for failureRetry, which doubles with each loss up to
 	// maxFailureRetry. A late answer is used all the same.
@@ -49,6 +49,7 @@
 	credits []*credit // by expiry
 	pending map[uint64]*request
 	sources map[ShareID]*source
+	order   []ShareID // keys of sources, so that equal inputs give equal messages
 }
 
 // PoolOptions are the identity of a pool.
@@ -88,6 +89,7 @@
 	retry    time.Time // not to be asked for tokens before
 	failures int       // unanswered messages in a row
 	spare    Amount    // what the holder had left after its last grant
+	fill     float64   // the same as a part of the burst
 	waiting  uint64    // number of the unanswered request; 0 for none
 	dirty    time.Time // when the oldest use that was not sent happened; zero for none
 }
@@ -230,8 +232,9 @@
 func (p *Pool) source(id ShareID) *source {
 	s := p.sources[id]
 	if s == nil {
-		s = &source{spare: Token}
+		s = &source{spare: Token, fill: 1}
 		p.sources[id] = s
+		p.order = append(p.order, id)
 	}
 	return s
 }
@@ -256,7 +259,7 @@
 	if s.waiting == reply.Seq {
 		s.waiting = 0
 	}
-	s.failures, s.spare, s.retry = 0, reply.Spare, now.Add(reply.Retry)
+	s.failures, s.spare, s.fill, s.retry = 0, reply.Spare, reply.Fill, now.Add(reply.Retry)
 	if !reply.Holder {
 		s.retry = now.Add(failureRetry)
 		return
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -293,6 +293,7 @@
 			q.send(p.me.Name, func(r *proc) {
 				if r == p {
 					p.lease.Confirmed(reply, sent)
+					p.tracker.Observe(reply.Member, reply.Adopted, p.clock())
 				}
 			})
 		})
@@ -351,6 +352,7 @@
 			p.adopted = p.clock()
 			e, _ := p.state.Current(p.me.Zone)
 			p.lease.Adopt(e)
+			p.f.at(200*time.Millisecond, func() { p.do(p.confirm) })
 		}
 	}
 	p.rev = len(p.f.conf) - 1
