admin: publish configuration and read the fleet

Operators could change the configuration only through code.

The new command line publishes customers, keys, services, routes, importance rules and zone weights, applies site files, waits until a change is in force, shows the fleet and tails the configuration stream.

--- /dev/null
+++ b/admin/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the operators' command line.
+package cmds
--- /dev/null
+++ b/admin/nodes/doc.go
@@ -0,0 +1,2 @@
+// Package nodes reads the documents of the nodes' operations listeners.
+package nodes
--- /dev/null
+++ b/admin/show/doc.go
@@ -0,0 +1,2 @@
+// Package show prints results as aligned tables or as JSON.
+package show
--- /dev/null
+++ b/bench/cli/env_test.go
@@ -0,0 +1,153 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/admin/cmds"
+	"dogwoodsill.org/bench/fakes"
+	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/pubsh"
+	"dogwoodsill.org/core/report"
+)
+
+// env is a log service with the command line in front of it.
+type env struct {
+	t     *testing.T
+	log   *fakes.Log
+	nodes []string
+
+	beforeAppend, afterAppend func() // each is called once
+}
+
+func newEnv(t *testing.T) *env {
+	t.Helper()
+	log, err := fakes.StartLog("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = log.Close() })
+	return &env{t: t, log: log}
+}
+
+// RoundTrip implements http.RoundTripper. It calls the hooks around an append.
+func (e *env) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Method != http.MethodPost {
+		return http.DefaultTransport.RoundTrip(r)
+	}
+	once(&e.beforeAppend)
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	once(&e.afterAppend)
+	return resp, err
+}
+
+func once(f *func()) {
+	if g := *f; g != nil {
+		*f = nil
+		g()
+	}
+}
+
+// result is what a command printed and its exit status.
+type result struct {
+	status   int
+	out, err string
+}
+
+// run runs a command line. Words are separated by spaces.
+func (e *env) run(line string, more ...string) result {
+	e.t.Helper()
+	var out, errOut bytes.Buffer
+	args := append(strings.Fields(line), more...)
+	status := cmds.Run(e.t.Context(), args, &out, &errOut,
+		cmds.WithHTTPClient(&http.Client{Transport: e}), cmds.WithEnv(e.getenv))
+	return result{status, out.String(), errOut.String()}
+}
+
+func (e *env) getenv(name string) string {
+	switch name {
+	case cmds.EnvLog:
+		return e.log.URL()
+	case cmds.EnvNodes:
+		return strings.Join(e.nodes, ",")
+	default:
+		return ""
+	}
+}
+
+// ok runs a command that must succeed and returns its output.
+func (e *env) ok(line string, more ...string) string {
+	e.t.Helper()
+	r := e.run(line, more...)
+	assert.Equal(e.t, r.status, cmds.ExitDone, "%s: %s %s", line, r.out, r.err)
+	return r.out
+}
+
+// file writes a file and returns its name.
+func (e *env) file(content string) string {
+	e.t.Helper()
+	name := filepath.Join(e.t.TempDir(), "site.toml")
+	assert.NilError(e.t, os.WriteFile(name, []byte(content), 0o600))
+	return name
+}
+
+func (e *env) client() *logsvc.Client {
+	return logsvc.NewClient(e.log.URL(), &http.Client{})
+}
+
+func (e *env) view() *config.View {
+	e.t.Helper()
+	p := pubsh.New(e.client())
+	assert.NilError(e.t, p.Refresh(e.t.Context()))
+	return p.View()
+}
+
+// records returns the configuration stream as text.
+func (e *env) records() string {
+	e.t.Helper()
+	b, err := e.client().Read(e.t.Context(), logsvc.StreamConfig, 0, 1000, 0)
+	assert.NilError(e.t, err)
+	return string(bytes.Join(b.Records, []byte("\n")))
+}
+
+// node is an operations listener with a status that tests set. step, if set, is
+// called before each answer.
+type node struct {
+	mu     sync.Mutex
+	status report.Status
+	step   func(*report.Status)
+}
+
+// startNode starts an operations listener and adds it to the command line's.
+func (e *env) startNode(s report.Status) *node {
+	e.t.Helper()
+	n := &node{status: s}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status" {
+			http.NotFound(w, r)
+			return
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.step != nil {
+			n.step(&n.status)
+		}
+		_ = json.NewEncoder(w).Encode(n.status)
+	}))
+	e.t.Cleanup(srv.Close)
+	e.nodes = append(e.nodes, srv.Listener.Addr().String())
+	return n
+}
+
+func customerID(name string) config.ObjectID {
+	return config.ObjectID{Kind: model.KindCustomer, Name: name}
+}
