core/burn: count requests in time slots and compute burn rates

Nothing measured whether services meet their objectives or how many requests are refused although inside their customer's rate.

The new package counts finished requests by service, importance and customer in slots of one minute, for six hours.

--- /dev/null
+++ b/core/burn/record.go
@@ -0,0 +1,131 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dogwoodsill.org/core/model"
+)
+
+// Recorder counts the requests of one process in a ring of slots. It is not
+// safe for concurrent use.
+type Recorder struct {
+	ring [slots]recorded
+}
+
+// recorded is the content of one slot.
+type recorded struct {
+	slot   int64
+	counts map[Series]Counts
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{}
+}
+
+// Record counts a request that ended now, with the objectives of its service.
+func (r *Recorder) Record(now time.Time, q Request, objectives []model.SLO) {
+	if q.Outcome == Ignored {
+		return
+	}
+	slot := r.slot(now)
+	if slot == nil {
+		return
+	}
+	base := Series{Service: q.Service, Importance: q.Importance, Customer: q.Customer}
+	slot.add(base, q.counts(0))
+	for i, o := range objectives {
+		if o.LatencyMS > 0 && Applies(o, q.Importance) && !counted(objectives[:i], o.LatencyMS, q.Importance) {
+			limited := base
+			limited.LatencyMS = o.LatencyMS
+			slot.add(limited, q.counts(time.Duration(o.LatencyMS)*time.Millisecond))
+		}
+	}
+}
+
+// counted reports whether an earlier objective has the same limit.
+func counted(earlier []model.SLO, latencyMS int64, importance int) bool {
+	return slices.ContainsFunc(earlier, func(o model.SLO) bool {
+		return o.LatencyMS == latencyMS && Applies(o, importance)
+	})
+}
+
+// counts returns what the request adds to a series with a latency limit.
+func (q Request) counts(limit time.Duration) Counts {
+	switch q.Outcome {
+	case Over:
+		return Counts{Over: 1}
+	case Inside:
+		return Counts{Total: 1, Bad: 1, Inside: 1}
+	case Failed:
+		return Counts{Total: 1, Bad: 1}
+	default:
+		c := Counts{Total: 1}
+		if limit > 0 && q.Latency > limit {
+			c.Bad = 1
+		}
+		return c
+	}
+}
+
+// slot returns the slot of a time, emptied if it held an older one. It returns
+// nil for a time before all kept slots, which a clock that was set back gives.
+func (r *Recorder) slot(now time.Time) *recorded {
+	n := slotOf(now)
+	s := &r.ring[n%slots]
+	if s.slot > n {
+		return nil
+	}
+	if s.slot < n || s.counts == nil {
+		*s = recorded{slot: n, counts: map[Series]Counts{}}
+	}
+	return s
+}
+
+// add counts in a series, or in a shared one if the slot has too many.
+func (s *recorded) add(key Series, c Counts) {
+	if _, ok := s.counts[key]; !ok && len(s.counts) >= maxNamed {
+		key.Customer = Other
+	}
+	if _, ok := s.counts[key]; !ok && len(s.counts) >= MaxSeries {
+		if key.LatencyMS > 0 {
+			return // counted without the limit
+		}
+		key = Series{Service: Other, Customer: Other, Importance: model.MaxLevel}
+	}
+	sum := s.counts[key]
+	sum.Add(c)
+	s.counts[key] = sum
+}
+
+// Series returns the counts of the kept time before now, in a fixed order.
+func (r *Recorder) Series(now time.Time) []SeriesSlots {
+	last := slotOf(now)
+	all := map[Series][]SlotCounts{}
+	for _, s := range r.ring {
+		if s.slot <= last-slots || s.slot > last {
+			continue
+		}
+		for key, c := range s.counts {
+			all[key] = append(all[key], SlotCounts{Slot: s.slot, Counts: c})
+		}
+	}
+	out := make([]SeriesSlots, 0, len(all))
+	for key, list := range all {
+		slices.SortFunc(list, func(a, b SlotCounts) int { return cmp.Compare(a.Slot, b.Slot) })
+		out = append(out, SeriesSlots{Series: key, Slots: list})
+	}
+	slices.SortFunc(out, func(a, b SeriesSlots) int { return compareSeries(a.Series, b.Series) })
+	return out
+}
+
+func compareSeries(a, b Series) int {
+	return cmp.Or(
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Importance, b.Importance),
+		cmp.Compare(a.Customer, b.Customer),
+		cmp.Compare(a.LatencyMS, b.LatencyMS),
+	)
+}
--- /dev/null
+++ b/core/burn/table.go
@@ -0,0 +1,143 @@
+package burn
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"dogwoodsill.org/core/model"
+)
+
+// Table holds the merged documents of several processes. It is not safe for
+// concurrent use.
+type Table struct {
+	now        int64 // slot of the latest document
+	offset     uint64
+	objectives map[string][]model.SLO
+	series     map[string]map[Series]map[int64]Counts // by service and series
+	merged     map[process]bool
+}
+
+// process is one run of an instance.
+type process struct {
+	instance    string
+	incarnation uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{series: map[string]map[Series]map[int64]Counts{}, merged: map[process]bool{}, objectives: map[string][]model.SLO{}}
+}
+
+// SlotError says that a document has slots of another length.
+type SlotError struct {
+	Instance string
+	SlotMS   int64
+}
+
+// Error implements error.
+func (e *SlotError) Error() string {
+	return fmt.Sprintf("instance %s: slots of %d ms, not %d", e.Instance, e.SlotMS, Slot.Milliseconds())
+}
+
+// Merge adds a document. One of a process that was merged already changes
+// nothing. The objectives are those of the newest configuration. It returns a
+// *SlotError if the document does not fit.
+func (t *Table) Merge(d Document) error {
+	if d.SlotMS != Slot.Milliseconds() {
+		return &SlotError{Instance: d.Instance, SlotMS: d.SlotMS}
+	}
+	p := process{d.Instance, d.Incarnation}
+	if t.merged[p] {
+		return nil
+	}
+	t.merged[p] = true
+	t.now = max(t.now, slotOf(d.Now))
+	if d.Objectives != nil && d.Offset >= t.offset {
+		t.objectives, t.offset = d.Objectives, d.Offset
+	}
+	for _, s := range d.Series {
+		sums := t.slots(s.Series)
+		for _, c := range s.Slots {
+			sum := sums[c.Slot]
+			sum.Add(c.Counts)
+			sums[c.Slot] = sum
+		}
+	}
+	return nil
+}
+
+// slots returns the counts of a series by slot.
+func (t *Table) slots(s Series) map[int64]Counts {
+	ofService := t.series[s.Service]
+	if ofService == nil {
+		ofService = map[Series]map[int64]Counts{}
+		t.series[s.Service] = ofService
+	}
+	if ofService[s] == nil {
+		ofService[s] = map[int64]Counts{}
+	}
+	return ofService[s]
+}
+
+// Now returns the time up to which the table reaches.
+func (t *Table) Now() time.Time {
+	return time.Unix(0, (t.now+1)*int64(Slot)).UTC()
+}
+
+// Objectives returns the objectives by service.
+func (t *Table) Objectives() map[string][]model.SLO {
+	return t.objectives
+}
+
+// Services returns the services that have counts or objectives.
+func (t *Table) Services() []string {
+	names := map[string]bool{}
+	for name := range t.series {
+		names[name] = true
+	}
+	for name := range t.objectives {
+		names[name] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// Sum returns the counts of the series of a service that match, in the slots of
+// a window that ends the given number of slots before the last one.
+func (t *Table) Sum(service string, window time.Duration, before int64, match func(Series) bool) Counts {
+	last := t.now - before
+	first := last - int64(window/Slot) + 1
+	var sum Counts
+	for key, bySlot := range t.series[service] {
+		if !match(key) {
+			continue
+		}
+		for slot, c := range bySlot {
+			if slot >= first && slot <= last {
+				sum.Add(c)
+			}
+		}
+	}
+	return sum
+}
+
+// Customers returns the customers of a service with their importance, in the
+// series without a latency limit.
+func (t *Table) Customers(service string) []Series {
+	var out []Series
+	for key := range t.series[service] {
+		if key.LatencyMS == 0 {
+			out = append(out, key)
+		}
+	}
+	slices.SortFunc(out, compareSeries)
+	return out
+}
+
+// countedBy matches the series that an objective counts.
+func countedBy(o model.SLO) func(Series) bool {
+	return func(s Series) bool {
+		return s.LatencyMS == o.LatencyMS && Applies(o, s.Importance)
+	}
+}
