node: count finished requests and serve them at /burn

The entry now records each request whose route is known when it ends, with its outcome and latency. Answers below 500 are good. Faults of the caller count nowhere. The operations listener serves the counts with the objectives in force.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -33,6 +33,7 @@
 	log         hclog.Logger
 	platform    logsvc.Log
 	metrics     *metric.Set
+	burned      *burned
 	tree        *super.Tree
 
 	store  *store.Store
@@ -86,6 +87,7 @@
 		metrics:     metric.New(),
 		store:       store.New(),
 		calls:       chain.NewTable(),
+		burned:      newBurned(),
 	}
 	for _, opt := range opts {
 		opt(a)
@@ -159,9 +161,9 @@
 		return err
 	}
 	a.peers = newPeerServer(a, auth)
-	a.entry = entry.New(a.store, entry.Parts{Sender: a.caller, Claimer: a.claims, Ranker: a.caller, Limiter: a.tokens}, a.metrics, a.cfg.Limits)
+	a.entry = entry.New(a.store, entry.Parts{Sender: a.caller, Claimer: a.claims, Ranker: a.caller, Limiter: a.tokens, Counter: a.burned}, a.metrics, a.cfg.Limits)
 	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes)
-	a.ops = opsapi.New(a.Status, a.metrics)
+	a.ops = opsapi.New(a.Status, a.Burned, a.metrics)
 	return nil
 }
 
--- /dev/null
+++ b/node/agent/burn.go
@@ -0,0 +1,56 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"dogwoodsill.org/core/burn"
+	"dogwoodsill.org/core/model"
+)
+
+// burned counts finished requests. It is safe for concurrent use.
+type burned struct {
+	mu  sync.Mutex
+	rec *burn.Recorder
+}
+
+func newBurned() *burned {
+	return &burned{rec: burn.NewRecorder()}
+}
+
+// Count implements entry.Counter.
+func (b *burned) Count(now time.Time, q burn.Request, objectives []model.SLO) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rec.Record(now, q, objectives)
+}
+
+func (b *burned) series(now time.Time) []burn.SeriesSlots {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rec.Series(now)
+}
+
+// Burned returns what the node counted for the burn report.
+func (a *Agent) Burned() burn.Document {
+	now := time.Now()
+	d := burn.Document{
+		Instance:    a.cfg.Instance.Name,
+		Incarnation: a.incarnation,
+		Now:         now,
+		SlotMS:      burn.Slot.Milliseconds(),
+		Series:      a.burned.series(now),
+	}
+	cur := a.store.Current()
+	if cur == nil {
+		return d
+	}
+	d.Offset = cur.View.Next
+	d.Objectives = map[string][]model.SLO{}
+	for name, s := range cur.View.Services {
+		if len(s.SLOs) > 0 {
+			d.Objectives[name] = s.SLOs
+		}
+	}
+	return d
+}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -27,6 +27,7 @@
 	r      *http.Request
 	now    time.Time // of the arrival
 
+	cur   *store.Current // nil before the node has a configuration
 	id    identity
 	route route.Match
 	call  model.Call
@@ -38,6 +39,7 @@
 	if cur == nil {
 		return q.unproven(refuse.New(refuse.NotReady, "the node has no configuration yet").WithRetry(time.Second))
 	}
+	q.cur = cur
 	if e := q.resolve(cur); e != nil {
 		return e
 	}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/keys"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
@@ -56,6 +57,11 @@
 	Admit(service, customer string, rank uint32, now time.Time) (weight float64, ok bool)
 }
 
+// Counter counts finished requests for the burn report.
+type Counter interface {
+	Count(now time.Time, q burn.Request, objectives []model.SLO)
+}
+
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
 	store   *store.Store
@@ -63,6 +69,7 @@
 	claimer Claimer
 	ranker  Ranker
 	limiter Limiter
+	counter Counter
 	metrics *metric.Set
 	limits  setup.Limits
 	active  *active
@@ -75,11 +82,12 @@
 	Claimer Claimer
 	Ranker  Ranker
 	Limiter Limiter
+	Counter Counter
 }
 
 // New returns a server that is not listening yet.
 func New(st *store.Store, p Parts, m *metric.Set, limits setup.Limits) *Server {
-	s := &Server{store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, metrics: m, limits: limits, active: newActive(limits.RevokeGrace.D())}
+	s := &Server{store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, counter: p.Counter, metrics: m, limits: limits, active: newActive(limits.RevokeGrace.D())}
 	st.OnChange(s.active.revoke)
 	e := echo.New()
 	e.POST(KeysPath, s.issue)
@@ -112,7 +120,11 @@
 	w, r := c.Response(), c.Request()
 	started := time.Now()
 	q := &request{server: s, w: w, r: r, now: started}
-	if e := q.handle(); e != nil {
+	outcome := q.aborted
+	defer func() { q.count(outcome(), time.Since(started)) }()
+	e := q.handle()
+	outcome = func() burn.Outcome { return outcomeOf(e, w.Status) }
+	if e != nil {
 		s.metrics.Add(metric.Refused+string(e.Reason), 1)
 		return e.Write(w)
 	}
--- a/node/opsapi/doc.go
+++ b/node/opsapi/doc.go
@@ -1,3 +1,3 @@
-// Package opsapi is the operations listener of a node: health, status and
-// metrics as JSON.
+// Package opsapi is the operations listener of a node: health, status,
+// metrics and burn report as JSON.
 package opsapi
--- a/node/opsapi/server.go
+++ b/node/opsapi/server.go
@@ -6,15 +6,16 @@
 
 	"github.com/labstack/echo/v4"
 
+	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/report"
 )
 
 const headerTimeout = 5 * time.Second
 
-// New returns an HTTP server that is not listening yet. The status function is
-// called for each request.
-func New(status func() report.Status, m *metric.Set) *http.Server {
+// New returns an HTTP server that is not listening yet. The functions are called
+// for each request.
+func New(status func() report.Status, burned func() burn.Document, m *metric.Set) *http.Server {
 	e := echo.New()
 	e.GET("/health", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, map[string]string{"status": "ok"})
@@ -32,5 +33,8 @@
 	e.GET("/metrics", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, m.Export())
 	})
+	e.GET("/burn", func(c echo.Context) error {
+		return c.JSON(http.StatusOK, burned())
+	})
 	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
 }
