--- /dev/null
+++ b/admin/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart draws the burn report as one HTML page that loads nothing.
+package chart
--- a/admin/cmds/status.go
+++ b/admin/cmds/status.go
@@ -69,11 +69,15 @@
 	return s
 }
 
+// maxAge is above any age of a configuration that was confirmed to be the
+// newest; a node tells the largest duration before that.
+const maxAge = 100 * 365 * 24 * time.Hour
+
 func age(ms *int64) string {
 	switch {
 	case ms == nil:
 		return "-"
-	case *ms < 0:
+	case *ms < 0 || *ms > maxAge.Milliseconds():
 		return "never"
 	default:
 		return (time.Duration(*ms) * time.Millisecond).String()
--- a/admin/nodes/nodes.go
+++ b/admin/nodes/nodes.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/report"
 )
 
@@ -61,6 +62,12 @@
 	return ask[report.Status](ctx, c, "/status")
 }
 
+// Burned asks every node for what it counted for the burn report, in the order
+// of the addresses.
+func (c *Client) Burned(ctx context.Context) []Reply[burn.Document] {
+	return ask[burn.Document](ctx, c, "/burn")
+}
+
 // ask gets a document from every node.
 func ask[T any](ctx context.Context, c *Client, path string) []Reply[T] {
 	out := make([]Reply[T], len(c.addrs))
