admin: keep keys out of all output; complete names; poll less often

A key that another program put into the log, or that a site file holds, could have been shown by a list, a plan or log tail. All output but that of key issue now removes keys, and a site file that holds one is refused with its line. Deleting a customer warns of keys that are not withdrawn, since they work again if the customer is created again. Names of objects complete in the shell.

--- a/admin/cmds/apply.go
+++ b/admin/cmds/apply.go
@@ -79,7 +79,7 @@
 	if len(p.Extra) > 0 {
 		text += fmt.Sprintf("%d objects that the file doesn't name are kept\n", len(p.Extra))
 	}
-	_, err := fmt.Fprint(c.out, text)
+	_, err := fmt.Fprint(c.out, show.Redact(text))
 	return err
 }
 
--- a/admin/cmds/change.go
+++ b/admin/cmds/change.go
@@ -196,6 +196,9 @@
 }
 
 func (e *editor) print() error {
+	if e.ctl.output == show.JSON && e.doc.Key != "" {
+		return show.WriteSecret(e.ctl.out, e.doc)
+	}
 	if e.ctl.output == show.JSON {
 		return show.WriteJSON(e.ctl.out, e.doc)
 	}
--- a/admin/cmds/key.go
+++ b/admin/cmds/key.go
@@ -96,6 +96,7 @@
 	flags.add(cmd)
 	base := baseFlag(cmd)
 	o := &object[model.Key]{kind: model.KindKey, all: func(v *config.View) map[string]model.Key { return v.Keys }}
+	cmd.ValidArgsFunction = o.complete(c)
 	fill := func(k *model.Key) error { k.Revoked = true; return nil }
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
 		return c.edit(cmd, flags, func(ctx context.Context, e *editor) error {
--- a/admin/cmds/kinds.go
+++ b/admin/cmds/kinds.go
@@ -27,6 +27,7 @@
 		all:    func(v *config.View) map[string]model.Customer { return v.Customers },
 		header: []string{"RATE", "BURST", "LABELS"},
 		cells:  func(m model.Customer) []any { return []any{m.Rate, m.Burst, labelText(m.Labels)} },
+		warn:   warnKeys,
 	}
 	o.flags = func(cmd *cobra.Command) func(*model.Customer) error {
 		rate := cmd.Flags().Float64("rate", 0, "requests per second over the whole fleet")
@@ -42,6 +43,21 @@
 	return o.command(c)
 }
 
+// warnKeys counts the keys that become valid again if a deleted customer is
+// created anew.
+func warnKeys(v *config.View, customer string) string {
+	n := 0
+	for _, k := range v.Keys {
+		if k.Customer == customer && !k.Revoked {
+			n++
+		}
+	}
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("warning: %d keys of customer %s are not withdrawn; they work again if the customer is created again\n", n, show.Clean(customer))
+}
+
 func (c *ctl) serviceCommand() *cobra.Command {
 	o := &object[model.Service]{
 		kind: model.KindService, short: "Manage services, their labels and objectives", upsert: true,
--- a/admin/cmds/log.go
+++ b/admin/cmds/log.go
@@ -12,6 +12,7 @@
 	"dogwoodsill.org/admin/show"
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/super"
 )
 
 const (
@@ -90,7 +91,7 @@
 		t.recent = nil
 		if _, err := t.read(ctx, followWait); err != nil && ctx.Err() == nil {
 			_, _ = fmt.Fprintln(t.ctl.errOut, "admin:", show.Redact(err.Error()))
-			pause(ctx, time.Second)
+			super.Pause(ctx, time.Second)
 			continue
 		}
 		if err := t.print(); err != nil {
@@ -100,15 +101,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // read folds the next batch, notes its records and reports whether it reached
 // the end of the log.
 func (t *tail) read(ctx context.Context, wait time.Duration) (bool, error) {
@@ -182,7 +174,7 @@
 		_, err = fmt.Fprintln(t.ctl.out, show.Redact(string(data)))
 		return err
 	}
-	_, err := fmt.Fprintln(t.ctl.out, show.Redact(show.Clean(r.line())))
+	_, err := fmt.Fprintln(t.ctl.out, show.Clean(r.line()))
 	return err
 }
 
--- a/admin/cmds/object.go
+++ b/admin/cmds/object.go
@@ -9,6 +9,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -26,6 +27,9 @@
 	all      func(*config.View) map[string]T
 	header   []string
 	cells    func(T) []any
+	// warn returns what an operator should know before an object is deleted; nil
+	// for nothing.
+	warn func(v *config.View, name string) string
 	// flags declares the flags of set and create and returns a function that
 	// copies those that were given to an object.
 	flags func(*cobra.Command) func(*T) error
@@ -56,6 +60,9 @@
 	flags := &changeFlags{}
 	verb, _, _ := strings.Cut(use, " ")
 	cmd := &cobra.Command{Use: use, Short: short, Example: o.examples[verb], Args: cobra.ExactArgs(1)}
+	if !create {
+		cmd.ValidArgsFunction = o.complete(c)
+	}
 	fill := o.flags(cmd)
 	flags.add(cmd)
 	base := baseFlag(cmd)
@@ -130,6 +137,7 @@
 	flags := &changeFlags{}
 	cmd := &cobra.Command{
 		Use: "delete NAME", Short: fmt.Sprintf("Delete a %s", o.kind), Example: o.examples["delete"], Args: cobra.ExactArgs(1),
+		ValidArgsFunction: o.complete(c),
 	}
 	flags.add(cmd)
 	base := baseFlag(cmd)
@@ -138,6 +146,9 @@
 			if _, ok := o.all(e.pub.View())[args[0]]; !ok && flags.id == "" {
 				return fmt.Errorf("there is no %s %q", o.kind, args[0])
 			}
+			if o.warn != nil {
+				_, _ = fmt.Fprint(c.errOut, show.Redact(o.warn(e.pub.View(), args[0])))
+			}
 			change := e.pub.Delete(o.kind, args[0])
 			if b := base(cmd); b != nil {
 				change.Base = *b
@@ -149,6 +160,27 @@
 	return cmd
 }
 
+// completeTimeout bounds the read of the log for a completion, so that the shell
+// doesn't hang.
+const completeTimeout = 2 * time.Second
+
+// complete returns the function that completes the names of existing objects.
+func (o *object[T]) complete(c *ctl) cobra.CompletionFunc {
+	return func(cmd *cobra.Command, args []string, prefix string) ([]string, cobra.ShellCompDirective) {
+		c.timeout = min(c.timeout, completeTimeout)
+		if len(args) > 0 || c.check() != nil {
+			return nil, cobra.ShellCompDirectiveNoFileComp
+		}
+		v, err := c.view(cmd)
+		if err != nil {
+			return nil, cobra.ShellCompDirectiveNoFileComp
+		}
+		names := slices.Sorted(maps.Keys(o.all(v)))
+		names = slices.DeleteFunc(names, func(name string) bool { return !strings.HasPrefix(name, prefix) })
+		return names, cobra.ShellCompDirectiveNoFileComp
+	}
+}
+
 // baseFlag declares --base and returns a function that reads it.
 func baseFlag(cmd *cobra.Command) func(*cobra.Command) *uint64 {
 	base := cmd.Flags().Uint64("base", 0, "`revision` that the change is based on; rejected if another change came first (default: the current one)")
--- a/admin/cmds/report.go
+++ b/admin/cmds/report.go
@@ -140,7 +140,7 @@
 	if err := page.Write(&buf); err != nil {
 		return err
 	}
-	if err := os.WriteFile(file, buf.Bytes(), 0o644); err != nil {
+	if err := os.WriteFile(file, []byte(show.Redact(buf.String())), 0o644); err != nil {
 		return err
 	}
 	_, err = fmt.Fprintf(c.out, "%s: %d objectives, %d plots\n", file, len(b.Objectives), len(page.Plots))
--- a/admin/nodes/force.go
+++ b/admin/nodes/force.go
@@ -10,10 +10,15 @@
 
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/report"
+	"dogwoodsill.org/core/super"
 )
 
-// pollEvery is the time between two looks at the nodes.
-const pollEvery = 100 * time.Millisecond
+// Times between two looks at the nodes. They double from the first to the last:
+// a status of the target size has megabytes.
+const (
+	firstPoll = 100 * time.Millisecond
+	lastPoll  = 2 * time.Second
+)
 
 // Pending is a zone, instance or address that has not confirmed an offset.
 type Pending struct {
@@ -109,10 +114,8 @@
 // Wait asks the nodes until all have confirmed an offset or ctx ends. It
 // returns those that had not at the last look.
 func (c *Client) Wait(ctx context.Context, fleet model.Fleet, offset uint64) []Pending {
-	tick := time.NewTicker(pollEvery)
-	defer tick.Stop()
 	var last []Pending
-	for {
+	for every := firstPoll; ; every = min(2*every, lastPoll) {
 		replies := c.Statuses(ctx)
 		if ctx.Err() != nil && last != nil {
 			return last // the requests of this look were cut off
@@ -121,10 +124,8 @@
 		if len(last) == 0 {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !super.Pause(ctx, every) {
 			return last
-		case <-tick.C:
 		}
 	}
 }
--- a/admin/show/show.go
+++ b/admin/show/show.go
@@ -49,7 +49,7 @@
 	Cells  [][]string
 }
 
-// Add appends a row. Each value is printed in its default format.
+// Add appends a row. Each value is printed in its default format, without keys.
 func (r *Rows) Add(values ...any) {
 	row := make([]string, len(values))
 	for i, v := range values {
@@ -69,15 +69,26 @@
 	return tw.Flush()
 }
 
-// WriteJSON prints a value as indented JSON.
+// WriteJSON prints a value as indented JSON, without keys.
 func WriteJSON(w io.Writer, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, Redact(string(data)))
+	return err
+}
+
+// WriteSecret prints a value as indented JSON with the key that it holds.
+func WriteSecret(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
 	return enc.Encode(v)
 }
 
-// Clean escapes the characters of s that are not printable.
+// Clean removes keys from s and escapes the characters that are not printable.
 func Clean(s string) string {
+	s = Redact(s)
 	if strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) < 0 {
 		return s
 	}
@@ -94,6 +105,14 @@
 	return keyPattern.MatchString(s)
 }
 
+// FindKey returns the place of the first key in data, or -1.
+func FindKey(data []byte) int {
+	if at := keyPattern.FindIndex(data); at != nil {
+		return at[0]
+	}
+	return -1
+}
+
 // Redact replaces the keys in s.
 func Redact(s string) string {
 	return keyPattern.ReplaceAllString(s, keys.Prefix+"***")
--- a/admin/sites/site.go
+++ b/admin/sites/site.go
@@ -1,6 +1,7 @@
 package sites
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 
 	"k8s.io/apimachinery/pkg/labels"
 
+	"dogwoodsill.org/admin/show"
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/setup"
@@ -63,6 +65,10 @@
 // Parse reads and checks a site. A fault in the file is a *setup.Error with the
 // file, line and key.
 func Parse(name string, data []byte) (*File, error) {
+	if at := show.FindKey(data); at >= 0 {
+		line := 1 + bytes.Count(data[:at], []byte("\n"))
+		return nil, &setup.Error{File: name, Line: line, Key: "(not shown)", Detail: "the line holds a customer's key; keys are issued with: admin key issue"}
+	}
 	f := &File{name: name}
 	if err := setup.Decode(name, data, &f.Site); err != nil {
 		return nil, err
--- a/bench/cli/env_test.go
+++ b/bench/cli/env_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+// downAtAppend starts an outage right before or after the next append.
+func (e *env) downAtAppend(before bool) {
+	down := func() { e.log.SetDown(true) }
+	if before {
+		e.beforeAppend = down
+	} else {
+		e.afterAppend = down
+	}
+}
+
 // result is what a command printed and its exit status.
 type result struct {
 	status   int
