burn: state the time of the counts; label plots with full hours

The report gave the end of the current slot, up to a minute ahead of the clock. It now gives the time of the latest document. Plots have a tick for each hour in place of odd minutes, and no line of the 6 h window, which has a single point.

--- a/admin/chart/page.go
+++ b/admin/chart/page.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"image/color"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -47,7 +48,10 @@
 			lines := []line{}
 			for _, a := range burn.Alerts() {
 				for _, window := range []time.Duration{a.Short, a.Long} {
-					lines = append(lines, line{window, t.History(service, o, window, pointEvery)})
+					points := t.History(service, o, window, pointEvery)
+					if len(points) > 1 { // the longest window has only one
+						lines = append(lines, line{window, points})
+					}
 				}
 			}
 			svg, err := drawLines(t.Now(), lines)
@@ -91,7 +95,7 @@
 // thresholds of the alerts.
 func drawLines(now time.Time, lines []line) (template.HTML, error) {
 	p := plot.New()
-	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04"}
+	p.X.Tick.Marker = plot.TickerFunc(hours)
 	p.X.Label.Text = "UTC"
 	p.Y.Label.Text = "burn rate"
 	p.Y.Min = 0
@@ -112,6 +116,16 @@
 	return encode(p)
 }
 
+// hours returns a tick for each full hour.
+func hours(from, to float64) []plot.Tick {
+	const hour = 3600
+	var out []plot.Tick
+	for at := math.Ceil(from/hour) * hour; at <= to; at += hour {
+		out = append(out, plot.Tick{Value: at, Label: time.Unix(int64(at), 0).UTC().Format("15:04")})
+	}
+	return out
+}
+
 func addLine(p *plot.Plot, name string, points []burn.Point, style draw.LineStyle) error {
 	xys := make(plotter.XYs, len(points))
 	for i, pt := range points {
--- a/core/burn/report.go
+++ b/core/burn/report.go
@@ -66,7 +66,7 @@
 
 // Report is the state of every objective and the counts of every customer.
 type Report struct {
-	Until      time.Time   `json:"until"`
+	Until      time.Time   `json:"until"` // time of the latest document
 	Objectives []Objective `json:"objectives"`
 	Customers  []Objective `json:"customers"` // objectives by customer and importance
 	Usage      []Usage     `json:"usage"`
@@ -74,7 +74,7 @@
 
 // Report computes the report of the table.
 func (t *Table) Report() Report {
-	r := Report{Until: t.Now(), Objectives: []Objective{}, Customers: []Objective{}, Usage: []Usage{}}
+	r := Report{Until: t.until, Objectives: []Objective{}, Customers: []Objective{}, Usage: []Usage{}}
 	for _, service := range t.Services() {
 		for _, o := range t.objectives[service] {
 			r.Objectives = append(r.Objectives, t.objective(service, o, nil))
--- a/core/burn/table.go
+++ b/core/burn/table.go
@@ -12,7 +12,8 @@
 // Table holds the merged documents of several processes. It is not safe for
 // concurrent use.
 type Table struct {
-	now        int64 // slot of the latest document
+	until      time.Time // of the latest document
+	now        int64     // its slot
 	offset     uint64
 	objectives map[string][]model.SLO
 	series     map[string]map[Series]map[int64]Counts // by service and series
@@ -53,7 +54,9 @@
 		return nil
 	}
 	t.merged[p] = true
-	t.now = max(t.now, slotOf(d.Now))
+	if d.Now.After(t.until) {
+		t.until, t.now = d.Now.UTC(), slotOf(d.Now)
+	}
 	if d.Objectives != nil && d.Offset >= t.offset {
 		t.objectives, t.offset = d.Objectives, d.Offset
 	}
@@ -81,7 +84,7 @@
 	return ofService[s]
 }
 
-// Now returns the time up to which the table reaches.
+// Now returns the end of the last slot.
 func (t *Table) Now() time.Time {
 	return time.Unix(0, (t.now+1)*int64(Slot)).UTC()
 }
