--- a/core/burn/burn_test.go
+++ b/core/burn/burn_test.go
@@ -1,227 +1,263 @@
-package burn_test
+package burn
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
+	"math"
+	"runtime"
 	"testing"
 	"time"
 
-	"dogwoodsill.org/core/burn"
-	"dogwoodsill.org/core/model"
 	"gotest.tools/v3/assert"
-	"pgregory.net/rapid"
-)
 
-var (
-	start = time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
-	top   = 0
-	slos  = []model.SLO{{Objective: 0.99, LatencyMS: 100}, {Importance: &top, Objective: 0.999}}
-	shop  = map[string]model.Service{"orders": {SLOs: slos}}
+	"dogwoodsill.org/core/model"
 )
 
-func observe(c *burn.Counters, now time.Time, n int, o burn.Outcome, latency time.Duration) {
+var epoch = time.Unix(1_800_000_000, 0).UTC().Truncate(Slot)
+
+// at returns a time a number of minutes after the start of the tests.
+func at(minutes int) time.Time {
+	return epoch.Add(time.Duration(minutes) * time.Minute)
+}
+
+func record(r *Recorder, now time.Time, n int, q Request, slos ...model.SLO) {
 	for range n {
-		c.Observe(now, burn.Call{Service: "orders", Customer: "press", Outcome: o, Latency: latency}, slos)
+		r.Record(now, q, slos)
 	}
 }
 
-// An objective of 99% within 100 ms is missed by 2 of 100 calls.
-func Example() {
-	c := burn.New()
-	observe(c, start, 98, burn.Served, time.Millisecond)
-	observe(c, start, 1, burn.Served, time.Second)
-	observe(c, start, 1, burn.RefusedInRate, 0)
-	fleet, err := burn.Merge(c.Report(start))
-	if err != nil {
-		fmt.Println(err)
-		return
+func document(r *Recorder, now time.Time, instance string, slos ...model.SLO) Document {
+	return Document{
+		Instance: instance, Incarnation: 1, Now: now, SlotMS: Slot.Milliseconds(),
+		Objectives: map[string][]model.SLO{"orders": slos}, Series: r.Series(now),
+	}
+}
+
+func table(t *testing.T, docs ...Document) *Table {
+	t.Helper()
+	tab := NewTable()
+	for _, d := range docs {
+		data, err := json.Marshal(d) // as between node and operator
+		assert.NilError(t, err)
+		var back Document
+		assert.NilError(t, json.Unmarshal(data, &back))
+		assert.NilError(t, tab.Merge(back))
 	}
-	row := burn.Evaluate(fleet, shop)[0]
-	fmt.Printf("%s %s: burn %.1f, budget left %.1f, refused in rate %.2f\n",
-		row.Service, row.Scope, row.Rates[0].Burn, row.Budget, row.Rates[0].RefusedFraction())
-	// Output: orders service: burn 2.0, budget left -1.0, refused in rate 0.01
+	return tab
+}
+
+func near(t *testing.T, got, want float64) {
+	t.Helper()
+	assert.Assert(t, math.Abs(got-want) < 1e-9, "%g, want %g", got, want)
 }
 
-// Guards against calls that are counted for the wrong objective, and against a
-// customer's excess that is counted at all.
+// Guards against a request that counts for or against the wrong objective.
 func TestOutcomes(t *testing.T) {
-	tests := []struct {
-		name                    string
-		outcome                 burn.Outcome
-		latency                 time.Duration
-		total, slow, bad, refus uint64 // slow: missed the objective with a limit
+	zero, three := 0, 3
+	all := model.SLO{Objective: 0.9}
+	fast := model.SLO{Objective: 0.9, LatencyMS: 100}
+	first := model.SLO{Objective: 0.5, LatencyMS: 100, Importance: &zero}
+	other := model.SLO{Objective: 0.5, LatencyMS: 200, Importance: &three}
+	q := Request{Service: "orders", Customer: "theatre"}
+	for _, test := range []struct {
+		outcome   Outcome
+		latency   time.Duration
+		want      Counts
+		wantOfFst Counts
 	}{
-		{"served", burn.Served, 100 * time.Millisecond, 1, 0, 0, 0},
-		{"slow", burn.Served, 101 * time.Millisecond, 1, 1, 0, 0},
-		{"failed", burn.Failed, 0, 1, 1, 1, 0},
-		{"refused in rate", burn.RefusedInRate, 0, 1, 1, 1, 1},
-		{"refused over rate", burn.RefusedOverRate, 0, 0, 0, 0, 0},
-	}
-	for _, tt := range tests {
-		c := burn.New()
-		observe(c, start, 1, tt.outcome, tt.latency)
-		var limited, plain burn.Count
-		for _, s := range c.Report(start).Series {
-			if s.LatencyMS == 0 {
-				plain = s.Counts[0]
-			} else {
-				limited = s.Counts[0]
-			}
-		}
-		assert.Equal(t, plain, burn.Count{Total: tt.total, Bad: tt.bad, Refused: tt.refus}, tt.name)
-		assert.Equal(t, limited, burn.Count{Total: tt.total, Bad: tt.slow, Refused: tt.refus}, tt.name)
+		{Good, 100 * time.Millisecond, Counts{Total: 1}, Counts{Total: 1}},
+		{Good, 101 * time.Millisecond, Counts{Total: 1}, Counts{Total: 1, Bad: 1}},
+		{Failed, 0, Counts{Total: 1, Bad: 1}, Counts{Total: 1, Bad: 1}},
+		{Inside, 0, Counts{Total: 1, Bad: 1, Inside: 1}, Counts{Total: 1, Bad: 1, Inside: 1}},
+		{Over, 0, Counts{Over: 1}, Counts{Over: 1}},
+		{Ignored, 0, Counts{}, Counts{}},
+	} {
+		r := NewRecorder()
+		q.Outcome, q.Latency = test.outcome, test.latency
+		record(r, at(0), 1, q, all, fast, first, other)
+		tab := table(t, document(r, at(0), "a", all, fast, first, other))
+		o := tab.Report().Objectives
+		assert.DeepEqual(t, o[0].Counts, test.want)
+		assert.DeepEqual(t, o[1].Counts, test.wantOfFst)
+		assert.DeepEqual(t, o[2].Counts, test.wantOfFst)
+		assert.DeepEqual(t, o[3].Counts, Counts{})
 	}
 }
 
-// Guards against calls that stay in a window after it has passed, or leave it
-// before, also when the clock is set back.
+// Guards against wrong windows and budgets and against an alert that is raised
+// by one window alone, late, or for long after the fault.
 func TestWindows(t *testing.T) {
-	c := burn.New()
-	observe(c, start, 1, burn.Failed, 0)
-	for i, w := range burn.Windows() {
-		assert.Equal(t, c.Report(start.Add(w)).Series[0].Counts[i].Total, uint64(1), "%v", w)
-		for _, s := range c.Report(start.Add(w + w/12)).Series {
-			assert.Equal(t, s.Counts[i].Total, uint64(0), "%v", w)
+	slo := model.SLO{Objective: 0.99}
+	good := Request{Service: "orders", Customer: "theatre"}
+	bad := good
+	bad.Outcome = Failed
+	for _, test := range []struct {
+		name     string
+		from, to int // minutes of the fault, of 360
+		burn     Windows
+		alert    string
+	}{
+		{"no fault", 0, 0, Windows{}, ""},
+		{"one minute", 359, 360, Windows{Min5: 4, Hour1: 20. / 60, Min30: 20. / 30, Hour6: 20. / 360}, ""},
+		{"five minutes", 355, 360, Windows{Min5: 20, Hour1: 100. / 60, Min30: 100. / 30, Hour6: 100. / 360}, ""},
+		{"an hour", 300, 360, Windows{Min5: 20, Hour1: 20, Min30: 20, Hour6: 1200. / 360}, "page"},
+		{"two hours", 240, 360, Windows{Min5: 20, Hour1: 20, Min30: 20, Hour6: 2400. / 360}, "page"},
+		{"two hours until 5 minutes ago", 235, 355, Windows{Hour1: 1100. / 60, Min30: 500. / 30, Hour6: 2400. / 360}, "ticket"},
+		{"two hours until 30 minutes ago", 210, 330, Windows{Hour1: 10, Hour6: 2400. / 360}, ""},
+	} {
+		r := NewRecorder()
+		for m := range 360 {
+			failed := 0
+			if m >= test.from && m < test.to {
+				failed = 2 // of 10: a burn rate of 20
+			}
+			record(r, at(m), 10-failed, good)
+			record(r, at(m), failed, bad)
+		}
+		got := table(t, document(r, at(359), "a", slo)).Report()
+		for _, o := range []Objective{got.Objectives[0], got.Customers[0]} {
+			near(t, o.Burn.Min5, test.burn.Min5)
+			near(t, o.Burn.Hour1, test.burn.Hour1)
+			near(t, o.Burn.Min30, test.burn.Min30)
+			near(t, o.Burn.Hour6, test.burn.Hour6)
+			near(t, o.BudgetLeft, 1-test.burn.Hour6)
+			assert.Equal(t, o.Alert, test.alert, test.name)
 		}
 	}
-	observe(c, start.Add(-325*time.Second), 1, burn.Failed, 0) // its slot now holds newer calls
-	assert.Equal(t, c.Report(start).Series[0].Counts[0].Total, uint64(2))
-	observe(c, start.Add(1000*time.Hour), 1, burn.Failed, 0)
-	assert.Equal(t, c.Report(start.Add(1000 * time.Hour)).Series[0].Counts[4].Total, uint64(1))
 }
 
-// Guards against a fleet report that differs from the report of one node that
-// saw all calls, or that depends on the order of the nodes.
+// Guards against counts that are lost, doubled or mixed when documents of
+// several processes are merged.
 func TestMerge(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		all := burn.New()
-		nodes := []*burn.Counters{burn.New(), burn.New(), burn.New()}
-		now := start
-		for range rapid.IntRange(0, 60).Draw(t, "calls") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 3600).Draw(t, "s")) * time.Second)
-			call := burn.Call{
-				Service:    "orders",
-				Importance: rapid.IntRange(0, 2).Draw(t, "importance"),
-				Customer:   rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "customer"),
-				Outcome:    burn.Outcome(rapid.IntRange(1, 4).Draw(t, "outcome")),
-				Latency:    time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond,
-			}
-			all.Observe(now, call, slos)
-			rapid.SampledFrom(nodes).Draw(t, "node").Observe(now, call, slos)
-		}
-		a, b, c := nodes[0].Report(now), nodes[1].Report(now), nodes[2].Report(now)
-		forth, err := burn.Merge(a, b, c)
-		assert.NilError(t, err)
-		part, _ := burn.Merge(c, b)
-		back, _ := burn.Merge(part, a)
-		assert.DeepEqual(t, forth, back)
-		want := all.Report(now)
-		want.Nodes = 3
-		assert.DeepEqual(t, forth.Series, want.Series)
-		assert.DeepEqual(t, burn.Evaluate(forth, shop), burn.Evaluate(want, shop))
+	slo, newer := model.SLO{Objective: 0.9}, model.SLO{Objective: 0.5}
+	a, b := NewRecorder(), NewRecorder()
+	record(a, at(0), 3, Request{Service: "orders", Customer: "theatre"})
+	record(b, at(0), 4, Request{Service: "orders", Customer: "theatre", Outcome: Inside})
+	record(b, at(1), 5, Request{Service: "orders", Customer: "buses", Importance: 2, Outcome: Over})
+	da, db := document(a, at(1), "a", slo), document(b, at(1), "b", newer)
+	db.Offset = 9
+	restarted := da
+	restarted.Incarnation = 2
+	tab := table(t, da, db, da, restarted)
+	r := tab.Report()
+	assert.Equal(t, r.Objectives[0].Objective, 0.5)
+	assert.DeepEqual(t, r.Usage, []Usage{
+		{Service: "orders", Customer: "theatre", Counts: Counts{Total: 10, Bad: 4, Inside: 4}},
+		{Service: "orders", Importance: 2, Customer: "buses", Counts: Counts{Over: 5}},
 	})
-	good := burn.New()
-	observe(good, start, 1, burn.Served, 0)
-	bad := good.Report(start)
-	bad.Series[0].Counts = bad.Series[0].Counts[:1]
-	sum, err := burn.Merge(bad, good.Report(start), burn.Report{})
-	var mergeErr *burn.MergeError
-	assert.Assert(t, errors.As(err, &mergeErr))
-	assert.Equal(t, sum.Nodes, 1)
+	var bad *SlotError
+	assert.Assert(t, errors.As(tab.Merge(Document{Instance: "c", SlotMS: 1}), &bad))
 }
 
-// Guards against alerts that are missing, too urgent, raised by a single call,
-// or that stay after the cause has ended.
-func TestAlerts(t *testing.T) {
-	tests := []struct {
-		name          string
-		before, while int // minutes without failures, then with them
-		failed        int // of 1000 calls a minute
-		after         int // minutes without failures
-		want          burn.Alert
-	}{
-		{"none", 0, 60, 5, 0, burn.AlertNone},
-		{"ticket", 0, 60, 20, 0, burn.AlertTicket},
-		{"six hours", 0, 60, 70, 0, burn.AlertPage},
-		{"one hour", 0, 60, 150, 0, burn.AlertPage},
-		{"spike", 55, 5, 200, 0, burn.AlertTicket},
-		{"ended", 0, 60, 150, 40, burn.AlertTicket},
+// Guards against memory that grows with customers or time, and against counts
+// that the bound loses.
+func TestBounds(t *testing.T) {
+	r := NewRecorder()
+	slo := model.SLO{Objective: 0.9, LatencyMS: 5}
+	for m := range 2 * int(Slots) {
+		for i := range 3 * MaxSeries {
+			record(r, at(m), 1, Request{Service: fmt.Sprintf("s%d", i%200), Customer: fmt.Sprint(i)}, slo)
+		}
+	}
+	for _, s := range r.ring {
+		assert.Assert(t, len(s.counts) <= MaxSeries+1, "%d series", len(s.counts))
 	}
-	for _, tt := range tests {
-		c := burn.New()
-		now := start
-		minutes := func(n, failed int) {
-			for range n {
-				now = now.Add(time.Minute)
-				observe(c, now, 1000-failed, burn.Served, 0)
-				observe(c, now, failed, burn.Failed, 0)
+	last := at(2*int(Slots) - 1)
+	var total int64
+	for _, s := range r.Series(last) {
+		assert.Assert(t, len(s.Slots) <= int(Slots))
+		for _, c := range s.Slots {
+			if s.LatencyMS == 0 {
+				total += c.Total
 			}
 		}
-		minutes(tt.before, 0)
-		minutes(tt.while, tt.failed)
-		minutes(tt.after, 0)
-		rows := burn.Evaluate(c.Report(now), map[string]model.Service{"orders": {SLOs: slos[:1]}})
-		assert.Equal(t, len(rows), 3)
-		assert.Equal(t, rows[0].Alert, tt.want, tt.name)
 	}
-	c := burn.New()
-	observe(c, start, 19, burn.Failed, 0)
-	assert.Equal(t, burn.Evaluate(c.Report(start), shop)[0].Alert, burn.AlertNone)
+	assert.Equal(t, total, Slots*3*MaxSeries)
+	assert.Equal(t, len(r.Series(last.Add(Kept+Slot))), 0)
 }
 
-// Guards against rows that mix importances or customers, and against calls that
-// two objectives with one limit count twice.
-func TestScopes(t *testing.T) {
-	three := append(slices.Clone(slos), model.SLO{Objective: 0.9, LatencyMS: 100})
-	c := burn.New()
-	for i, customer := range []string{"a", "b", "b"} {
-		c.Observe(start, burn.Call{Service: "orders", Importance: i / 2, Customer: customer, Outcome: burn.Failed}, three)
-	}
-	var got []string
-	for _, r := range burn.Evaluate(c.Report(start), map[string]model.Service{"orders": {SLOs: three[1:]}}) {
-		got = append(got, fmt.Sprint(r.Scope, r.Importance, r.Customer, " ", r.Rates[0].Total))
-	}
-	assert.DeepEqual(t, got, []string{
-		"service0 2", "importance0 2", "customer0a 1", "customer0b 1",
-		"service0 3", "importance0 2", "importance1 1", "customer0a 1", "customer0b 1", "customer1b 1",
-	})
+// Guards against slots of the past that are cleared or filled by a clock that
+// is set back.
+func TestClockSetBack(t *testing.T) {
+	r := NewRecorder()
+	q := Request{Service: "orders"}
+	record(r, at(int(Slots)), 1, q)
+	record(r, at(0), 1, q) // the place of a newer slot
+	record(r, at(5), 1, q)
+	assert.Equal(t, table(t, document(r, at(int(Slots)), "a")).Report().Usage[0].Counts.Total, int64(2))
 }
 
-// Guards against series without bound and against idle ones that are kept.
-func TestSeriesBound(t *testing.T) {
-	c := burn.New(burn.WithSeries(2))
-	add := func(now time.Time, customer string) {
-		c.Observe(now, burn.Call{Service: "orders", Customer: customer, Outcome: burn.Served}, nil)
+// Guards against a history whose end differs from the report.
+func TestHistory(t *testing.T) {
+	slo := model.SLO{Objective: 0.5}
+	r := NewRecorder()
+	record(r, at(0), 1, Request{Service: "orders", Outcome: Failed})
+	record(r, at(10), 1, Request{Service: "orders"})
+	points := table(t, document(r, at(10), "a", slo)).History("orders", slo, 5*time.Minute, 5*time.Minute)
+	assert.Equal(t, len(points), 72)
+	n := len(points)
+	assert.DeepEqual(t, points[n-3:], []Point{{at(1), 2}, {at(6), 0}, {at(11), 0}})
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := NewRecorder()
+	slos := []model.SLO{{Objective: 0.99, LatencyMS: 500}}
+	q := Request{Service: "orders", Customer: "theatre"}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Record(epoch, q, slos)
 	}
-	for _, customer := range []string{"a", "b", "c", "d"} {
-		add(start, customer)
+}
+
+// BenchmarkFull measures the memory of a recorder with all slots full, and for
+// how long the copy of one of them keeps a node from recording.
+func BenchmarkFull(b *testing.B) {
+	var names [3 * MaxSeries]string
+	for i := range names {
+		names[i] = fmt.Sprintf("customer%d", i)
 	}
-	names := func(now time.Time) (out []string) {
-		for _, s := range c.Report(now).Series {
-			out = append(out, fmt.Sprint(s.Customer, s.Counts[0].Total))
+	fill := func() *Recorder {
+		r := NewRecorder()
+		for m := range int(Slots) {
+			for i, name := range names {
+				r.Record(at(m), Request{Service: names[i%50], Customer: name}, nil)
+			}
 		}
-		return out
+		return r
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	r := fill()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for i := 0; b.Loop(); i++ {
+		r.Place(i%int(Slots), at(int(Slots)-1))
 	}
-	assert.DeepEqual(t, names(start), []string{"(other)2", "a1", "b1"})
-	later := start.Add(100 * time.Hour)
-	add(later, "e")
-	assert.Assert(t, slices.Equal(names(later), []string{"e1"}))
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "heapMB")
 }
 
-func BenchmarkObserve(b *testing.B) {
-	for _, n := range []int{1e3, 1e5} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := burn.New(burn.WithSeries(n))
-			calls := make([]burn.Call, n/2)
-			for i := range calls {
-				calls[i] = burn.Call{Service: "orders", Customer: fmt.Sprint(i), Outcome: burn.Served}
-				c.Observe(start, calls[i], slos)
-			}
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				c.Observe(start, calls[i%len(calls)], slos)
-			}
-		})
+func Example() {
+	r := NewRecorder()
+	slos := []model.SLO{{Objective: 0.9}}
+	for i := range 100 {
+		q := Request{Service: "orders", Customer: "theatre"}
+		if i%5 == 0 {
+			q.Outcome = Failed
+		}
+		r.Record(epoch, q, slos)
+	}
+	t := NewTable()
+	err := t.Merge(Document{
+		Instance: "a", Now: epoch, SlotMS: Slot.Milliseconds(), Series: r.Series(epoch),
+		Objectives: map[string][]model.SLO{"orders": slos},
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
 	}
+	o := t.Report().Objectives[0]
+	fmt.Printf("burn %.1f, budget left %.1f", o.Burn.Min5, o.BudgetLeft)
+	// Output: burn 2.0, budget left -1.0
 }
--- a/core/burn/doc.go
+++ b/core/burn/doc.go
@@ -1,15 +1,10 @@
-// Package burn computes how fast services use up the error budget of their
-// service level objectives.
+// Package burn counts finished requests in time slots and computes from the
+// counts how fast services use up the error budgets of their objectives.
 //
-// Counters of a node count calls by service, importance and customer over
-// several windows. Reports of all nodes add up to the report of the fleet, and
-// Evaluate compares a report with the objectives of model.SLO.
-//
-// The burn rate is the fraction of bad calls divided by the fraction that the
-// objective allows: at rate 1 the budget lasts exactly for its period. Alerts
-// use two windows each, a long one so that a short spike raises none and a
-// short one so that the alert ends soon after its cause.
-//
-// Processes persist nothing, so a window covers at most the time since a node
-// started.
+// A Recorder counts at one node. Its documents are merged into a Table, which
+// gives the counts and burn rates of any window within the kept time. A burn
+// rate of 1 uses up the budget exactly within the period of the objective. The
+// method is that of multi-window, multi-burn-rate alerts: an alert holds while
+// both a long and a short window burn faster than its threshold, so it is
+// raised for losses that matter and ends soon after them.
 package burn
--- a/core/burn/report.go
+++ b/core/burn/report.go
@@ -1,134 +1,135 @@
 package burn
 
 import (
-	"cmp"
-	"errors"
-	"fmt"
-	"slices"
 	"time"
-)
 
-// Count counts the calls of one window.
-type Count struct {
-	Total   uint64 `json:"total" msgpack:"total"`     // calls, except those above their customer's rate
-	Bad     uint64 `json:"bad" msgpack:"bad"`         // calls that missed the objective
-	Refused uint64 `json:"refused" msgpack:"refused"` // calls refused within their customer's rate; they are bad too
-}
+	"dogwoodsill.org/core/model"
+)
 
-// Add adds another count.
-func (c *Count) Add(o Count) {
-	c.Total += o.Total
-	c.Bad += o.Bad
-	c.Refused += o.Refused
+// Alert is a pair of windows with the burn rate above which it holds.
+type Alert struct {
+	Name      string
+	Short     time.Duration
+	Long      time.Duration
+	Threshold float64
 }
 
-// RefusedFraction returns the fraction of calls that were refused although
-// within their customer's rate.
-func (c Count) RefusedFraction() float64 {
-	return fraction(c.Refused, c.Total)
+// Alerts returns the alerts in the order of their urgency. The thresholds are
+// those for a period of 30 days: 2% of the budget used within one hour, and 5%
+// within six hours.
+func Alerts() []Alert {
+	return []Alert{
+		{Name: "page", Short: 5 * time.Minute, Long: time.Hour, Threshold: 14.4},
+		{Name: "ticket", Short: 30 * time.Minute, Long: 6 * time.Hour, Threshold: 6},
+	}
 }
 
-func fraction(part, total uint64) float64 {
-	if total == 0 {
+// Rate returns the burn rate of counts under an objective: the part of bad
+// requests in relation to the part that the objective allows. It is 0 without
+// requests.
+func Rate(c Counts, objective float64) float64 {
+	if c.Total == 0 {
 		return 0
 	}
-	return float64(part) / float64(total)
+	return float64(c.Bad) / float64(c.Total) / (1 - objective)
 }
 
-// Series counts the calls of one service, importance and customer against a
-// latency limit.
-type Series struct {
-	Service    string  `json:"service" msgpack:"service"`
-	Importance int     `json:"importance" msgpack:"importance"`
-	Customer   string  `json:"customer" msgpack:"customer"`
-	LatencyMS  int64   `json:"latencyMs" msgpack:"latencyMs"` // 0 for no limit
-	Counts     []Count `json:"counts" msgpack:"counts"`       // by window
+// Windows holds the burn rates of the windows of the alerts.
+type Windows struct {
+	Min5  float64 `json:"5m"`
+	Hour1 float64 `json:"1h"`
+	Min30 float64 `json:"30m"`
+	Hour6 float64 `json:"6h"`
 }
 
-// Report is the state of the counters of one or several nodes.
+// Objective is the state of one objective, for all requests that it counts or
+// for those of one customer and importance.
+type Objective struct {
+	Service    string  `json:"service"`
+	Importance *int    `json:"importance,omitempty"` // nil for every importance
+	Customer   *string `json:"customer,omitempty"`   // nil for every customer; empty for requests without a key
+	Objective  float64 `json:"objective"`
+	LatencyMS  int64   `json:"latencyMs,omitempty"`
+	Counts     Counts  `json:"counts"`     // over the kept time
+	BudgetLeft float64 `json:"budgetLeft"` // part of the budget of the kept time; negative if overspent
+	Burn       Windows `json:"burn"`
+	Alert      string  `json:"alert,omitempty"` // the most urgent alert that holds
+}
+
+// Usage are the counts of one customer at one service and importance.
+type Usage struct {
+	Service    string `json:"service"`
+	Importance int    `json:"importance"`
+	Customer   string `json:"customer"`
+	Counts     Counts `json:"counts"` // over the kept time, without a latency limit
+}
+
+// Report is the state of every objective and the counts of every customer.
 type Report struct {
-	Windows []time.Duration `json:"windows" msgpack:"windows"` // nanoseconds
-	Nodes   int             `json:"nodes" msgpack:"nodes"`     // nodes that the report covers
-	Series  []Series        `json:"series" msgpack:"series"`   // in a fixed order
+	Until      time.Time   `json:"until"` // time of the latest document
+	Objectives []Objective `json:"objectives"`
+	Customers  []Objective `json:"customers"` // objectives by customer and importance
+	Usage      []Usage     `json:"usage"`
 }
 
-// Report returns the counts of the node.
-func (c *Counters) Report(now time.Time) Report {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := Report{Windows: Windows(), Nodes: 1}
-	for id, s := range c.series {
-		out := Series{Service: id.service, Importance: id.importance, Customer: id.customer, LatencyMS: id.latencyMS}
-		for i := range windows {
-			out.Counts = append(out.Counts, s.sum(now, i))
+// Report computes the report of the table.
+func (t *Table) Report() Report {
+	r := Report{Until: t.until, Objectives: []Objective{}, Customers: []Objective{}, Usage: []Usage{}}
+	for _, service := range t.Services() {
+		for _, o := range t.objectives[service] {
+			r.Objectives = append(r.Objectives, t.objective(service, o, nil))
+			for _, s := range t.Customers(service) {
+				if Applies(o, s.Importance) {
+					r.Customers = append(r.Customers, t.objective(service, o, &s))
+				}
+			}
 		}
-		if out.Counts[windowCount-1].Total > 0 {
-			r.Series = append(r.Series, out)
+		for _, s := range t.Customers(service) {
+			counts := t.Sum(service, Kept, 0, func(other Series) bool { return other == s })
+			r.Usage = append(r.Usage, Usage{Service: service, Importance: s.Importance, Customer: s.Customer, Counts: counts})
 		}
 	}
-	r.sort()
 	return r
 }
 
-// MergeError says that a report can't be merged, as its windows differ from
-// those of this version or a series lacks some.
-type MergeError struct {
-	Windows []time.Duration
-}
-
-// Error implements error.
-func (e *MergeError) Error() string {
-	return fmt.Sprintf("burn report: windows %v or a series don't match %v", e.Windows, windows)
-}
-
-// Merge adds reports in any order. Reports that can't be merged are left out,
-// and the error joins a *MergeError for each of them.
-func Merge(reports ...Report) (Report, error) {
-	sum := Report{Windows: Windows()}
-	place := map[seriesID]int{}
-	var err error
-	for i := range reports {
-		if !reports[i].complete() {
-			err = errors.Join(err, &MergeError{Windows: reports[i].Windows})
-			continue
+// objective computes the state of an objective, for one customer and importance
+// if one is given.
+func (t *Table) objective(service string, o model.SLO, one *Series) Objective {
+	match := countedBy(o)
+	out := Objective{Service: service, Importance: o.Importance, Objective: o.Objective, LatencyMS: o.LatencyMS}
+	if one != nil {
+		out.Importance, out.Customer = &one.Importance, &one.Customer
+		all := match
+		match = func(s Series) bool {
+			return all(s) && s.Customer == one.Customer && s.Importance == one.Importance
 		}
-		sum.add(&reports[i], place)
 	}
-	sum.sort()
-	return sum, err
-}
-
-// add adds a complete report. place is the index of each series.
-func (r *Report) add(o *Report, place map[seriesID]int) {
-	r.Nodes += o.Nodes
-	for _, s := range o.Series {
-		i, ok := place[s.id()]
-		if ok {
-			addCounts(r.Series[i].Counts, s.Counts)
-			continue
+	rate := func(window time.Duration) float64 { return Rate(t.Sum(service, window, 0, match), o.Objective) }
+	out.Counts = t.Sum(service, Kept, 0, match)
+	out.Burn = Windows{Min5: rate(5 * time.Minute), Hour1: rate(time.Hour), Min30: rate(30 * time.Minute), Hour6: rate(Kept)}
+	out.BudgetLeft = 1 - out.Burn.Hour6
+	for _, a := range Alerts() {
+		if out.Alert == "" && rate(a.Short) > a.Threshold && rate(a.Long) > a.Threshold {
+			out.Alert = a.Name
 		}
-		place[s.id()] = len(r.Series)
-		s.Counts = slices.Clone(s.Counts)
-		r.Series = append(r.Series, s)
 	}
+	return out
 }
 
-// complete reports whether every series has a count for each window.
-func (r *Report) complete() bool {
-	return slices.Equal(r.Windows, windows[:]) && !slices.ContainsFunc(r.Series, func(s Series) bool { return len(s.Counts) != windowCount })
-}
-
-func (s *Series) id() seriesID {
-	return seriesID{s.Service, s.Importance, s.Customer, s.LatencyMS}
+// Point is the burn rate of a window that ends at a time.
+type Point struct {
+	At   time.Time
+	Rate float64
 }
 
-func (r *Report) sort() {
-	slices.SortFunc(r.Series, func(a, b Series) int {
-		return cmp.Or(
-			cmp.Compare(a.Service, b.Service),
-			cmp.Compare(a.LatencyMS, b.LatencyMS),
-			cmp.Compare(a.Importance, b.Importance),
-			cmp.Compare(a.Customer, b.Customer),
-		)
-	})
+// History returns the burn rates of an objective over the kept time, for
+// windows of the given length that end one step apart.
+func (t *Table) History(service string, o model.SLO, window, step time.Duration) []Point {
+	match := countedBy(o)
+	var out []Point
+	for back := Kept - window; back >= 0; back -= step {
+		c := t.Sum(service, window, int64(back/Slot), match)
+		out = append(out, Point{At: t.Now().Add(-back), Rate: Rate(c, o.Objective)})
+	}
+	return out
 }
