--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -32,7 +32,7 @@
 		base = append(base, frame.WithSecret([]byte(cfg.Secret)))
 		return &auth{client: base, server: base}, nil
 	}
-	server, client, err := frame.TLSConfigs(cfg.TLS.CA, cfg.TLS.Cert, cfg.TLS.Key)
+	client, server, err := frame.TLSConfigs(cfg.TLS.Cert, cfg.TLS.Key, cfg.TLS.CA)
 	if err != nil {
 		return nil, err
 	}
