--- /dev/null
+++ b/bench/serve.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"dogwoodsill.org/bench/site"
+)
+
+func newServeCommand() *cobra.Command {
+	name := "press"
+	cmd := &cobra.Command{
+		Use:     "serve",
+		Short:   "Run a deployment in one process until it is interrupted",
+		Example: "  bench serve\n  bench serve --site koorbank",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, ok := site.ByName(name)
+			if !ok {
+				return fmt.Errorf("no site %q; use press or koorbank", name)
+			}
+			cmd.SilenceUsage = true
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			r, err := site.Start(ctx, s)
+			if err != nil {
+				return err
+			}
+			defer r.Stop()
+			if err := describe(cmd.OutOrStdout(), r); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&name, "site", name, "deployment: press or koorbank")
+	return cmd
+}
+
+// describe prints what a caller and an operator need.
+func describe(w io.Writer, r *site.Running) error {
+	var ops []string
+	for _, n := range r.Nodes {
+		ops = append(ops, n.Addrs().Operations)
+	}
+	customer := slices.Sorted(maps.Keys(r.Keys))[0]
+	_, err := fmt.Fprintf(w, "export NODE=%s KEY=%s   # customer %s\nexport DOGWOODSILL_LOG=%s DOGWOODSILL_NODES=%s\n",
+		r.Nodes[0].Addrs().Callers, r.Keys[customer], customer, r.Log.URL(), strings.Join(ops, ","))
+	return err
+}
