Test the decision packages and keep the level from undershooting

The level took its quantile from the latest ranks but its part of admitted requests from a whole second, so after a surge it fell too low, below the important class in a test. Change: each interval of a level keeps a reservoir of ranks with weights. The baseline falls quickly after two low windows.

--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -9,9 +10,9 @@
 const (
 	levelInterval = 100 * time.Millisecond
 	levelCells    = 10 // the level follows the last second
-	// levelSamples bounds the ranks kept. The level lies at a quantile of
-	// them, with an error of about 1% of demand.
-	levelSamples = 512
+	// cellSamples bounds the ranks kept of one interval. The level lies at a
+	// quantile of those of all intervals, with an error of about 1% of demand.
+	cellSamples = 64
 	// levelCalm is the number of intervals with spare capacity after which the
 	// level opens. Before, it only follows the demand above it that readers let
 	// pass (DefaultMargin). Opening a busy target would admit all demand until
@@ -30,32 +31,53 @@
 	cells   [levelCells]levelCell
 	current int64 // number of the interval of the newest cell
 	calm    int   // intervals with spare capacity in a row
-	ranks   [levelSamples]rankSample
-	next    int
-	sorted  []uint32
+	sorted  []weighted
 }
 
 type levelCell struct {
 	number                    int64
 	arrived, started, refused int
 	busy                      bool // less than spare capacity at some time
+	ranks                     [cellSamples]uint32
 }
 
-type rankSample struct {
-	at   time.Time
-	rank uint32
+// sample counts an arrival and keeps its rank in a reservoir, in which every
+// arrival of the interval has the same chance to stay.
+func (c *levelCell) sample(rank uint32) {
+	i := c.arrived
+	if i >= cellSamples {
+		i = int(mix(uint64(i)) % uint64(i+1))
+	}
+	if i < cellSamples {
+		c.ranks[i] = rank
+	}
+	c.arrived++
+}
+
+// mix is the finalizer of SplitMix64. It replaces a random source: ranks don't
+// depend on the order of arrival.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// weighted is a rank that stands for a number of arrivals. An interval with
+// many arrivals keeps as few ranks as one with few.
+type weighted struct {
+	rank   uint32
+	weight float64
 }
 
 // NewLevel returns an open level.
 func NewLevel() *Level {
-	return &Level{level: Open, sorted: make([]uint32, 0, levelSamples)}
+	return &Level{level: Open, sorted: make([]weighted, 0, levelCells*cellSamples)}
 }
 
 // Arrive records a request that reached the target.
 func (l *Level) Arrive(now time.Time, rank uint32) {
-	l.advance(now).arrived++
-	l.ranks[l.next] = rankSample{at: now, rank: rank}
-	l.next = (l.next + 1) % levelSamples
+	l.advance(now).sample(rank)
 }
 
 // Start records a request that was given to the upstream, and the number of
@@ -96,7 +118,7 @@
 		l.current = n
 	}
 	for l.current < n {
-		l.closeInterval(now)
+		l.closeInterval()
 		l.current++
 	}
 	c := &l.cells[uint64(l.current)%levelCells]
@@ -106,14 +128,14 @@
 	return c
 }
 
-func (l *Level) closeInterval(now time.Time) {
+func (l *Level) closeInterval() {
 	c := l.cells[uint64(l.current)%levelCells]
 	if c.number != l.current {
 		c = levelCell{}
 	}
 	if c.refused > 0 {
 		l.calm = 0
-		l.lower(now)
+		l.lower()
 		return
 	}
 	l.calm++
@@ -124,37 +146,43 @@
 		l.level = Open
 		return
 	}
-	if ranks := l.recent(now); len(ranks) > 0 {
-		l.level = max(l.level, ranks[len(ranks)-1])
+	if ranks := l.recent(); len(ranks) > 0 {
+		l.level = max(l.level, ranks[len(ranks)-1].rank)
 	}
 }
 
 // lower puts the level at the quantile of recent ranks that the throughput of
 // the last second covers.
-func (l *Level) lower(now time.Time) {
-	ranks := l.recent(now)
-	arrived, started := l.sums()
-	if len(ranks) == 0 || arrived == 0 {
-		return
+func (l *Level) lower() {
+	ranks := l.recent()
+	_, started := l.sums()
+	covered := 0.0
+	for _, r := range ranks {
+		covered += r.weight
+		if covered > float64(started) {
+			l.level = r.rank
+			return
+		}
 	}
-	i := len(ranks) * started / arrived
-	if i >= len(ranks) {
-		l.level = max(l.level, ranks[len(ranks)-1])
-		return
+	if len(ranks) > 0 {
+		l.level = max(l.level, ranks[len(ranks)-1].rank)
 	}
-	l.level = ranks[i]
 }
 
 // recent returns the ranks of the last second in increasing order.
-func (l *Level) recent(now time.Time) []uint32 {
+func (l *Level) recent() []weighted {
 	l.sorted = l.sorted[:0]
-	for i := range l.ranks {
-		s := &l.ranks[i]
-		if !s.at.IsZero() && now.Sub(s.at) <= levelCells*levelInterval {
-			l.sorted = append(l.sorted, s.rank)
+	for i := range l.cells {
+		c := &l.cells[i]
+		n := min(c.arrived, cellSamples)
+		if c.number <= l.current-levelCells || c.number > l.current {
+			continue
+		}
+		for _, r := range c.ranks[:n] {
+			l.sorted = append(l.sorted, weighted{rank: r, weight: float64(c.arrived) / float64(n)})
 		}
 	}
-	slices.Sort(l.sorted)
+	slices.SortFunc(l.sorted, func(a, b weighted) int { return cmp.Compare(a.rank, b.rank) })
 	return l.sorted
 }
 
--- a/core/admit/reader.go
+++ b/core/admit/reader.go
@@ -13,7 +13,7 @@
 	// DefaultMargin is the part of the demand below the level that passes in
 	// addition. A target thus always sees more than it admits and can raise
 	// its level when it has room.
-	DefaultMargin = 0.2
+	DefaultMargin = 0.1
 
 	// demandExpiry is longer than LevelExpiry, as the demand of a customer
 	// changes slowly and few of its requests may pass.
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -10,7 +10,7 @@
 const (
 	// shareDecay is the time constant of the measured demand. Over 2 s a
 	// customer with 50 requests a second is measured to about 7%.
-	shareDecay = 6 * time.Second
+	shareDecay = 2 * time.Second
 	// shareWarm is the shortest time over which a demand is measured.
 	shareWarm = 200 * time.Millisecond
 	// shareRefresh is the time between two computations of the water level.
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -33,6 +33,8 @@
 	usedPart      = 0.7                    // a limit that isn't used up to this part isn't raised
 	idlePart      = 0.5                    // below this part of the limit, latency is taken as unloaded
 	baselineFall  = 0.1                    // weight of a lower window in the baseline
+	baselineDrop  = 0.5                    // weight of the second in a row that is too low for chance
+	dropPart      = 0.75                   // of the baseline, below which a window is too low for chance
 	baselineDrift = 0.1                    // weight of a higher window of a mostly idle target
 	baselineRise  = 1.25                   // largest rise of the baseline in one window
 	loadHintAge   = time.Second
@@ -238,6 +240,8 @@
 	case l.baseline == 0:
 		l.baseline = low
 		l.trust = len(l.samples)
+	case low < l.baseline*dropPart && l.lastLow < l.baseline*dropPart:
+		l.baseline += (low - l.baseline) * baselineDrop
 	case l.trust < trustSamples:
 		l.average(low)
 	case low <= l.baseline:
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,203 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000_000, 0)
+
+// tree makes calls as upstreams do and counts attempts. Every call retries as
+// long as it has a token.
+type tree struct {
+	depth, fanout int
+	fails         func() bool
+	claims        func(left int) int // unused tokens that a node reports
+	attempts      int
+}
+
+func (tr *tree) call(left, depth int) (unused int) {
+	b := NewBudget(left)
+	for {
+		below, ok := b.Begin()
+		if !ok {
+			return 0
+		}
+		tr.attempts++
+		rest := below
+		if depth < tr.depth {
+			for i := range tr.fanout {
+				grant := Split(rest, tr.fanout-i)
+				rest += tr.call(grant, depth+1) - grant
+			}
+		}
+		b.End(tr.claims(rest))
+		if !tr.fails() {
+			return b.Left()
+		}
+	}
+}
+
+// Guards against retries that multiply: the attempts of a tree of calls exceed
+// the budget of its root, also when a remote node claims more unused tokens
+// than it was lent.
+func TestBudgetBoundsTree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.IntRange(0, 200).Draw(t, "budget")
+		extra := rapid.IntRange(0, 50).Draw(t, "extra")
+		tr := &tree{
+			depth:  rapid.IntRange(1, 13).Draw(t, "depth"),
+			fanout: rapid.IntRange(1, 5).Draw(t, "fanout"),
+			fails:  func() bool { return rapid.Bool().Draw(t, "fails") },
+			claims: func(left int) int { return left },
+		}
+		unused := tr.call(budget, 1)
+		assert.Assert(t, tr.attempts+unused <= budget, "%d attempts, %d unused of %d", tr.attempts, unused, budget)
+
+		b := NewBudget(budget)
+		below, ok := b.Begin()
+		b.End(below + extra)
+		assert.Assert(t, !ok || b.Left() == below)
+	})
+}
+
+// Guards against a retry storm through a chain of 13 with a fan-out in which
+// every call fails and is repeated.
+func TestBudgetStormOfFailures(t *testing.T) {
+	tr := &tree{depth: 13, fanout: 3, fails: func() bool { return true }, claims: func(n int) int { return n }}
+	tr.call(40, 1)
+	assert.Equal(t, tr.attempts, 40)
+}
+
+// Guards against a split that starves a deep chain without failures.
+func TestBudgetReachesDepth(t *testing.T) {
+	tr := &tree{depth: 13, fanout: 1, fails: func() bool { return false }, claims: func(n int) int { return n }}
+	assert.Equal(t, tr.call(16, 1), 3)
+	assert.Equal(t, tr.attempts, 13)
+}
+
+func TestFanoutRisesAtOnce(t *testing.T) {
+	var f Fanout
+	assert.Equal(t, f.Open(0), 1)
+	f.Observe(4)
+	assert.Equal(t, f.Open(0), 4)
+	assert.Equal(t, f.Open(3), 1)
+	for range 100 {
+		f.Observe(1)
+	}
+	assert.Equal(t, f.Open(0), 1)
+}
+
+// Guards against a node whose retries exceed a tenth of its first attempts, and
+// against an idle node that can't retry at all.
+func TestRatio(t *testing.T) {
+	for _, c := range []struct{ first, want int }{{0, 10}, {50, 10}, {1000, 100}, {10_000, 1000}} {
+		r := NewRatio()
+		for range c.first {
+			r.First(start)
+		}
+		got := 0
+		for range c.first + 100 {
+			if r.Take(start.Add(time.Second)) {
+				got++
+			}
+		}
+		assert.Equal(t, got, c.want, "first attempts %d", c.first)
+		later := start.Add(time.Second + DefaultWindow)
+		assert.Assert(t, r.Take(later), "window doesn't slide")
+	}
+}
+
+// Guards against a second run of a request that is not idempotent, and against
+// retries after a refusal of the whole class.
+func TestSafe(t *testing.T) {
+	for _, c := range []struct {
+		o         Outcome
+		idem, not bool
+	}{
+		{Success, false, false},
+		{NotDispatched, true, true},
+		{Refused, true, true},
+		{Excluded, false, false},
+		{Shed, true, false},
+		{Failed, true, false},
+		{Expired, false, false},
+		{Rejected, false, false},
+	} {
+		assert.Equal(t, c.o.Safe(true), c.idem, "outcome %d, idempotent", c.o)
+		assert.Equal(t, c.o.Safe(false), c.not, "outcome %d, not idempotent", c.o)
+	}
+}
+
+func TestNext(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	base := Attempt{Outcome: Failed, Idempotent: true, Left: 1, Deadline: start.Add(time.Minute)}
+	for _, c := range []struct {
+		name   string
+		change func(a *Attempt)
+		want   Reason
+	}{
+		{"again", func(*Attempt) {}, Again},
+		{"budget exceeded", func(a *Attempt) { a.Left = 0 }, NoBudget},
+		{"class refused", func(a *Attempt) { a.Outcome = Excluded }, Final},
+		{"not idempotent", func(a *Attempt) { a.Idempotent = false }, Final},
+		{"past deadline", func(a *Attempt) { a.Deadline = start }, PastDue},
+		{"no time to serve", func(a *Attempt) { a.Expected = time.Minute }, PastDue},
+	} {
+		a := base
+		c.change(&a)
+		assert.Equal(t, NewPolicy().Next(start, a, rng).Reason, c.want, c.name)
+	}
+	p := &Policy{Ratio: NewRatio(WithMinimum(0)), Backoff: DefaultBackoff()}
+	assert.Equal(t, p.Next(start, base, rng).Reason, RatioSpent)
+}
+
+// Guards against delays outside [0, min(Max, Base*2^n)], at large n too, where
+// the shift would overflow.
+func TestBackoffBounds(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := DefaultBackoff()
+	for n := range 100 {
+		top := b.Max
+		if n < 6 {
+			top = min(b.Max, b.Base<<n)
+		}
+		longest := time.Duration(0)
+		for range 200 {
+			d := b.Delay(n, rng)
+			assert.Assert(t, d >= 0 && d <= top)
+			longest = max(longest, d)
+		}
+		assert.Assert(t, longest > top/2, "no full jitter at %d", n)
+	}
+}
+
+func ExampleBudget() {
+	b := NewBudget(3)
+	below, _ := b.Begin() // first attempt
+	fmt.Println("tokens for calls below:", below)
+	b.End(1) // it failed after its calls used one token
+	_, ok := b.Begin()
+	fmt.Println("retry:", ok)
+	b.End(0)
+	_, ok = b.Begin()
+	fmt.Println("another retry:", ok)
+	// Output:
+	// tokens for calls below: 2
+	// retry: true
+	// another retry: false
+}
+
+func BenchmarkRatioTake(b *testing.B) {
+	r := NewRatio()
+	for i := 0; b.Loop(); i++ {
+		now := start.Add(time.Duration(i) * time.Microsecond)
+		r.First(now)
+		r.Take(now)
+	}
+}
