--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -125,14 +125,15 @@
 }
 
 // HintSlots records the slots that the upstream announced; 0 withdraws them.
-// Up to this number slow start may continue, above it growth is additive.
+// Up to this number slow start doubles the limit, above it growth is half as
+// fast until a first decrease.
 func (l *Limit) HintSlots(n int) {
 	l.slots = float64(max(0, n))
 }
 
 // HintLoad records the load that the upstream's endpoint reports, 1 being
-// full. A fresh load of 1 or more halves growth; it never stops it, as the
-// endpoint may be stuck.
+// full. A fresh load of 1 or more slows the growth of a cold target; it never
+// stops it, as the endpoint may be stuck.
 func (l *Limit) HintLoad(now time.Time, load float64) {
 	l.load, l.loadAt = load, now
 }
