--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -33,6 +33,8 @@
 	usedPart      = 0.7                    // a limit that isn't used up to this part isn't raised
 	idlePart      = 0.5                    // below this part of the limit, latency is taken as unloaded
 	baselineFall  = 0.1                    // weight of a lower window in the baseline
+	baselineDrop  = 0.5                    // weight of the second in a row that is too low for chance
+	dropPart      = 0.75                   // of the baseline, below which a window is too low for chance
 	baselineDrift = 0.1                    // weight of a higher window of a mostly idle target
 	baselineRise  = 1.25                   // largest rise of the baseline in one window
 	loadHintAge   = time.Second
@@ -123,14 +125,15 @@
 }
 
 // HintSlots records the slots that the upstream announced; 0 withdraws them.
-// Up to this number slow start may continue, above it growth is additive.
+// Up to this number slow start doubles the limit, above it growth is half as
+// fast until a first decrease.
 func (l *Limit) HintSlots(n int) {
 	l.slots = float64(max(0, n))
 }
 
 // HintLoad records the load that the upstream's endpoint reports, 1 being
-// full. A fresh load of 1 or more halves growth; it never stops it, as the
-// endpoint may be stuck.
+// full. A fresh load of 1 or more slows the growth of a cold target; it never
+// stops it, as the endpoint may be stuck.
 func (l *Limit) HintLoad(now time.Time, load float64) {
 	l.load, l.loadAt = load, now
 }
@@ -238,6 +241,8 @@
 	case l.baseline == 0:
 		l.baseline = low
 		l.trust = len(l.samples)
+	case low < l.baseline*dropPart && l.lastLow < l.baseline*dropPart:
+		l.baseline += (low - l.baseline) * baselineDrop
 	case l.trust < trustSamples:
 		l.average(low)
 	case low <= l.baseline:
