--- /dev/null
+++ b/bench/cli/tail_test.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"dogwoodsill.org/admin/cmds"
+)
+
+// Guards against a tail that calls a repeated or undecided record accepted, or
+// that stops at a record that it can't decode.
+func TestTailOutcomes(t *testing.T) {
+	e := newEnv(t)
+	e.ok("customer create theatre --rate 1 --burst 1")
+	for _, data := range []string{e.records(), "{}"} {
+		_, err := e.client().Append(t.Context(), "config", []byte(data))
+		assert.NilError(t, err)
+	}
+	out := e.ok("log tail")
+	for _, text := range []string{"0 accepted: set customer theatre", "1 repeat: set customer theatre", "2 invalid: "} {
+		assert.Assert(t, cmp.Contains(out, text))
+	}
+	e.log.Expire("config", 1)
+	assert.Assert(t, cmp.Contains(e.ok("log tail"), "1 unknown: set customer theatre"))
+}
+
+// notify is a writer that reports each write.
+type notify struct {
+	bytes.Buffer
+	wrote chan struct{}
+}
+
+func (n *notify) Write(p []byte) (int, error) {
+	defer func() { n.wrote <- struct{}{} }()
+	return n.Buffer.Write(p)
+}
+
+// Guards against a tail that doesn't show new records, doesn't end, or ends with
+// an outage of the log.
+func TestTailFollow(t *testing.T) {
+	e := newEnv(t)
+	e.ok("customer create theatre --rate 1 --burst 1")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	out, errOut := &notify{wrote: make(chan struct{})}, &notify{wrote: make(chan struct{})}
+	status := make(chan int)
+	go func() {
+		status <- cmds.Run(ctx, []string{"log", "tail", "--follow"}, out, errOut,
+			cmds.WithEnv(e.getenv), cmds.WithHTTPClient(&http.Client{}))
+	}()
+	<-out.wrote
+	e.log.SetDown(true)
+	<-errOut.wrote
+	e.log.SetDown(false)
+	e.ok("customer set theatre --rate 2")
+	<-out.wrote
+	cancel()
+	go func() { // errors after the cancellation
+		for range errOut.wrote {
+		}
+	}()
+	assert.Equal(t, <-status, cmds.ExitDone)
+	text, err := io.ReadAll(&out.Buffer)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(text), "accepted: set customer theatre"), 2)
+}
