Fix a deadlock between zones and gossip and a misuse of wait groups in shutdown

Cause: TestConfigurationSurvives hung in two runs with the race detector. zones called the gossip with its lock held, and gossip asked zones for the epoch with its own lock held. The race detector also found that a drain could wait on a wait group while work was added. Change: zones calls its peers without its lock, the fleet reads the epoch before it takes its lock; super.Drainer refuses new work and waits for the rest, for the target and the claims.

--- a/bench/site/whole_test.go
+++ b/bench/site/whole_test.go
@@ -19,6 +19,7 @@
 	"dogwoodsill.org/bench/site"
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 )
 
 // sum adds a count over all upstreams.
@@ -59,6 +60,10 @@
 func testTruncated(ctx context.Context, t *testing.T, r *site.Running) {
 	for _, query := range []string{"fake=truncate", "fake=truncate&chunked"} {
 		resp, err := send(ctx, t, r, "GET", "/runs/1?"+query, nil)
+		for err == nil && resp.StatusCode == http.StatusTooManyRequests && super.Pause(ctx, 50*time.Millisecond) {
+			assert.NilError(t, resp.Body.Close())
+			resp, err = send(ctx, t, r, "GET", "/runs/1?"+query, nil)
+		}
 		if err == nil {
 			_, err = io.ReadAll(resp.Body)
 			assert.NilError(t, resp.Body.Close())
--- /dev/null
+++ b/core/super/drain.go
@@ -0,0 +1,69 @@
+package super
+
+import (
+	"context"
+	"sync"
+)
+
+// Drainer counts running work, so that a shutdown can refuse new work and wait
+// for the rest. The zero value is ready. It is safe for concurrent use.
+type Drainer struct {
+	mu     sync.Mutex
+	n      int
+	closed bool
+	idle   chan struct{} // closed when closed is set and n is 0
+}
+
+// Enter begins a piece of work. It reports false after Drain was called.
+func (d *Drainer) Enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return false
+	}
+	d.n++
+	return true
+}
+
+// Leave ends a piece of work that Enter began.
+func (d *Drainer) Leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.n--
+	if d.closed && d.n == 0 {
+		close(d.idle)
+	}
+}
+
+// Draining reports whether Drain was called.
+func (d *Drainer) Draining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.closed
+}
+
+// Close refuses new work from now on.
+func (d *Drainer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	d.closed = true
+	d.idle = make(chan struct{})
+	if d.n == 0 {
+		close(d.idle)
+	}
+}
+
+// Drain refuses new work and waits for the end of what runs. It returns the
+// error of ctx if that ends first.
+func (d *Drainer) Drain(ctx context.Context) error {
+	d.Close()
+	select {
+	case <-d.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -76,9 +76,11 @@
 	if up, ok := f.agent.target.Upstream(now); ok {
 		t = &member.Target{Service: up.Service, Labels: up.Labels, Slots: up.Slots, State: targetState(up.State)}
 	}
+	// Read before the lock is taken: zones calls the fleet with its own lock held.
+	offset, epoch := f.agent.store.Offset(), f.agent.zones.Adopted()
 	f.step(context.Background(), func() []member.Send {
 		out := f.machine.Announce(now, t)
-		return append(out, f.machine.SetProgress(now, f.agent.store.Offset(), f.agent.zones.Adopted())...)
+		return append(out, f.machine.SetProgress(now, offset, epoch)...)
 	})
 }
 
--- a/node/claims/claims.go
+++ b/node/claims/claims.go
@@ -11,6 +11,7 @@
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 	"dogwoodsill.org/node/zones"
@@ -43,7 +44,7 @@
 
 	mu      sync.Mutex
 	retired map[uint64]time.Time // by epoch: when all earlier ones were first seen retired
-	running sync.WaitGroup
+	work    super.Drainer
 }
 
 // indexBytes bounds the outcomes of other nodes in memory.
--- a/node/claims/run.go
+++ b/node/claims/run.go
@@ -15,7 +15,9 @@
 // run dispatches a request of a claimed key. From then on the request no longer
 // ends with its caller: a repeat of the key must get the outcome.
 func (c *Claims) run(ctx context.Context, key claim.Key, req *relay.Request, ticket *claim.Ticket) (*relay.Response, int, *refuse.Error) {
-	c.running.Add(1)
+	if !c.work.Enter() {
+		return nil, req.Call.Attempts, ticket.Release(ticket.Attempts, refuse.New(refuse.NotReady, "the owner of the key is shutting down"))
+	}
 	call := *req
 	call.Call.Root, call.Call.Attempts = ticket.Root, ticket.Attempts
 	call.Repeatable = false
@@ -23,7 +25,7 @@
 	call.Undo = ticket.Undo
 	resp, left, e := c.caller.Do(context.WithoutCancel(ctx), &call)
 	if e != nil {
-		defer c.running.Done()
+		defer c.work.Leave()
 		if e.Executed == refuse.No {
 			return nil, left, ticket.Release(left, e)
 		}
@@ -75,7 +77,7 @@
 		return
 	}
 	r.ended = true
-	defer r.claims.running.Done()
+	defer r.claims.work.Leave()
 	if !errors.Is(err, io.EOF) {
 		r.ticket.Lost(refuse.New(refuse.OutcomeUnknown, "the answer of the upstream is incomplete"))
 		return
@@ -103,17 +105,8 @@
 	}
 }
 
-// Drain waits until the requests that this node dispatched have ended.
+// Drain refuses to run further keys and waits until the requests that this node
+// dispatched have ended.
 func (c *Claims) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		c.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return c.work.Drain(ctx)
 }
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -18,6 +18,7 @@
 	"dogwoodsill.org/core/limit"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/store"
 )
 
@@ -57,8 +58,7 @@
 
 	incarnation uint64
 
-	draining atomic.Bool
-	running  sync.WaitGroup
+	work super.Drainer
 
 	mu      sync.Mutex
 	up      *Upstream
@@ -125,7 +125,7 @@
 		return Upstream{}, false
 	}
 	u := *t.up
-	if t.draining.Load() {
+	if t.work.Draining() {
 		u.State = Draining
 	}
 	return u, true
@@ -133,19 +133,9 @@
 
 // Drain refuses new calls from now on and waits for those that run.
 func (t *Target) Drain(ctx context.Context) error {
-	t.draining.Store(true)
+	t.work.Close()
 	t.onState()
-	done := make(chan struct{})
-	go func() {
-		t.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return t.work.Drain(ctx)
 }
 
 // Close ends idle connections to the upstream.
@@ -203,6 +193,11 @@
 func (t *Target) run(a *attempt, s *frame.Stream, h *CallHead, now time.Time) {
 	defer func() { t.attempts.end(a, time.Now()) }()
 	t.balancer.StartCall(h.Service, now)
+	if !t.work.Enter() {
+		t.refuse(a, h, refuse.New(refuse.NoUpstream, "the target is draining"), h.Call.Attempts)
+		return
+	}
+	defer t.work.Leave()
 	up, refusal := t.check(h, now)
 	if refusal == nil {
 		refusal = t.gate.enter(a.ctx, h, now)
@@ -211,8 +206,6 @@
 		t.refuse(a, h, refusal, h.Call.Attempts)
 		return
 	}
-	t.running.Add(1)
-	defer t.running.Done()
 	x := &exchange{target: t, attempt: a, stream: s, head: h, active: t.calls.Begin(a.ctx, h.Route, h.Call), began: time.Now()}
 	defer t.calls.End(x.active)
 	x.dispatch(up)
@@ -220,9 +213,6 @@
 
 // check decides whether a call may start.
 func (t *Target) check(h *CallHead, now time.Time) (Upstream, *refuse.Error) {
-	if t.draining.Load() {
-		return Upstream{}, refuse.New(refuse.NoUpstream, "the target is draining")
-	}
 	up, ok := t.Upstream(now)
 	if !ok || up.Service != h.Service || up.State == Draining {
 		return Upstream{}, refuse.New(refuse.NoUpstream, "no upstream of service %q at this node", h.Service)
@@ -265,7 +255,7 @@
 func (t *Target) feedback(h *CallHead) Feedback {
 	now := time.Now()
 	f := t.balancer.Join(h.Service, h.Call.Customer, t.gate.feedback(h.Call.Customer, now), now)
-	return Feedback{Feedback: f, Draining: t.draining.Load()}
+	return Feedback{Feedback: f, Draining: t.work.Draining()}
 }
 
 // exchange is one call at the upstream.
--- a/node/zones/duties.go
+++ b/node/zones/duties.go
@@ -119,7 +119,11 @@
 }
 
 func (z *Zones) proposeOnce(ctx context.Context, now time.Time) {
-	rec, ok := z.due(z.peers.Members(z.self.Zone), z.peers.Retired(), now)
+	known := z.peers.Retired()
+	rec, ok := z.due(z.peers.Members(z.self.Zone), known, now)
+	if n := z.retired(now); n > known[z.self.Zone] {
+		z.peers.Retire(z.self.Zone, n)
+	}
 	if !ok {
 		return
 	}
@@ -173,9 +177,13 @@
 	for zone, through := range retired {
 		z.tracker.Learn(zone, through)
 	}
-	if n := z.tracker.Retired(z.self.Zone, now); n > retired[z.self.Zone] {
-		z.peers.Retire(z.self.Zone, n)
-	}
+}
+
+// retired returns the number up to which the epochs of the own zone are retired.
+func (z *Zones) retired(now time.Time) uint64 {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.tracker.Retired(z.self.Zone, now)
 }
 
 func (z *Zones) view(now time.Time) epoch.View {
--- a/node/zones/zones.go
+++ b/node/zones/zones.go
@@ -10,7 +10,8 @@
 	"dogwoodsill.org/core/member"
 )
 
-// Peers reaches the other nodes.
+// Peers reaches the other nodes. Its methods are called without any lock of
+// this package, as they take locks of their own.
 type Peers interface {
 	// Confirm sends a confirm request to a peer address.
 	Confirm(ctx context.Context, addr string, req epoch.ConfirmRequest) (epoch.ConfirmReply, error)
--- /dev/null
+++ b/node/zones/zones_test.go
@@ -0,0 +1,105 @@
+package zones
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/member"
+)
+
+// fakePeers asks the zones for their state in every method, as the gossip of a
+// node does while it holds its own lock.
+type fakePeers struct {
+	zones       *Zones
+	retireCalls int
+}
+
+func (p *fakePeers) Confirm(context.Context, string, epoch.ConfirmRequest) (epoch.ConfirmReply, error) {
+	p.zones.Adopted()
+	return epoch.ConfirmReply{}, context.Canceled
+}
+
+func (p *fakePeers) Members(zone string) []member.Entry {
+	p.zones.Adopted()
+	list := []member.Entry{{Name: "a", Incarnation: 1, Addr: "127.0.0.1:1", Zone: zone}}
+	if p.zones.Adopted() > 0 {
+		list = append(list, member.Entry{Name: "b", Incarnation: 1, Addr: "127.0.0.1:2", Zone: zone, Epoch: p.zones.Adopted()})
+	}
+	return list
+}
+
+func (p *fakePeers) Retire(string, uint64) {
+	p.zones.Adopted()
+	p.retireCalls++
+}
+
+func (p *fakePeers) Retired() map[string]uint64 {
+	p.zones.Adopted()
+	return nil
+}
+
+// fakeLog keeps one stream in memory.
+type fakeLog struct {
+	records [][]byte
+}
+
+func (l *fakeLog) Append(_ context.Context, _ string, records ...[]byte) (uint64, error) {
+	l.records = append(l.records, records...)
+	return uint64(len(l.records) - len(records)), nil
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from uint64, _ int, _ time.Duration) (logsvc.Batch, error) {
+	end := uint64(len(l.records))
+	return logsvc.Batch{First: from, Next: end, End: end, Records: l.records[from:]}, nil
+}
+
+// Guards against a call to the gossip with the lock of the zones held. Gossip
+// asks the zones for the adopted epoch under its own lock, so both would wait
+// for each other.
+func TestPeersAreCalledWithoutLock(t *testing.T) {
+	self := epoch.Member{Name: "a", Incarnation: 1, Address: "127.0.0.1:1", Zone: "z"}
+	peers := &fakePeers{}
+	log := &fakeLog{}
+	z := New(self, log, peers, time.Hour, func(err error) { t.Error(err) })
+	peers.zones = z
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		now := time.Now()
+		for range 100 {
+			z.proposeOnce(t.Context(), now)
+			b, _ := log.Read(t.Context(), logsvc.StreamEpochs, z.state.Next, 10, 0)
+			z.apply(b, now)
+			now = now.Add(epoch.TurnTime)
+		}
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case <-done:
+			return poll.Success()
+		default:
+			return poll.Continue("the zones wait for the gossip")
+		}
+	}, poll.WithTimeout(20*time.Second))
+	assert.Assert(t, z.Adopted() > 1)
+	assert.Assert(t, peers.retireCalls > 0)
+}
+
+// Guards against a member that confirms an epoch older than the one that it
+// adopted.
+func TestConfirmNamesAdoptedEpoch(t *testing.T) {
+	self := epoch.Member{Name: "a", Incarnation: 1, Address: "127.0.0.1:1", Zone: "z"}
+	z := New(self, &fakeLog{}, &fakePeers{}, time.Hour, func(err error) { t.Error(err) })
+	rec, err := epoch.Encode(epoch.Record{Epoch: &epoch.Epoch{Zone: "z", Number: 1, Members: []epoch.Member{self}}})
+	assert.NilError(t, err)
+	z.apply(logsvc.Batch{Next: 1, End: 1, Records: [][]byte{rec}}, time.Now())
+	reply := z.Confirm(epoch.ConfirmRequest{Zone: "z", Epoch: 0})
+	assert.Equal(t, reply.Adopted, uint64(1))
+	assert.Assert(t, reply.Member.Same(self))
+}
