bench/cli: fail at once when a followed log tail ends early

The test waited for output that never came and ended only by the time-out of the test run. It now fails with the exit status of the command.

--- a/bench/cli/tail_test.go
+++ b/bench/cli/tail_test.go
@@ -49,23 +49,27 @@
 	e.ok("customer create theatre --rate 1 --burst 1")
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	out, errOut := &notify{wrote: make(chan struct{})}, &notify{wrote: make(chan struct{})}
-	status := make(chan int)
+	out, errOut := &notify{wrote: make(chan struct{}, 64)}, &notify{wrote: make(chan struct{}, 64)}
+	status := make(chan int, 1)
 	go func() {
 		status <- cmds.Run(ctx, []string{"log", "tail", "--follow"}, out, errOut,
 			cmds.WithEnv(e.getenv), cmds.WithHTTPClient(&http.Client{}))
 	}()
-	<-out.wrote
+	written := func(n *notify) {
+		t.Helper()
+		select {
+		case <-n.wrote:
+		case s := <-status:
+			t.Fatalf("ended with status %d", s)
+		}
+	}
+	written(out)
 	e.log.SetDown(true)
-	<-errOut.wrote
+	written(errOut)
 	e.log.SetDown(false)
 	e.ok("customer set theatre --rate 2")
-	<-out.wrote
+	written(out)
 	cancel()
-	go func() { // errors after the cancellation
-		for range errOut.wrote {
-		}
-	}()
 	assert.Equal(t, <-status, cmds.ExitDone)
 	text, err := io.ReadAll(&out.Buffer)
 	assert.NilError(t, err)
