--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -19,10 +19,12 @@
 	"dogwoodsill.org/core/keys"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/quota"
 	"dogwoodsill.org/core/report"
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/agent"
 	"dogwoodsill.org/node/entry"
+	"dogwoodsill.org/node/tokens"
 )
 
 // Secret is the fleet secret of the deployments.
@@ -200,15 +202,33 @@
 		}
 	}
 	return r.Await(ctx, func() bool {
+		shares := 0
 		for _, n := range r.Nodes {
-			if !r.settled(n.Status()) {
+			s := n.Status()
+			if !r.settled(s) {
 				return false
 			}
+			shares += s.Shares
 		}
-		return true
+		return shares == r.shares()
 	})
 }
 
+// shares returns the number of shares of all customers and open routes.
+func (r *Running) shares() int {
+	n := 0
+	for name, c := range r.Site.Customers {
+		n += len(quota.SplitCustomer(name, c, r.fleet()))
+	}
+	for name, route := range r.Site.Routes {
+		if route.Open {
+			c := model.Customer{Rate: route.OpenRate, Burst: route.OpenBurst}
+			n += len(quota.SplitCustomer(tokens.OpenAccount(name), c, r.fleet()))
+		}
+	}
+	return n
+}
+
 // settled reports whether a node knows all targets and its zone holds leases.
 func (r *Running) settled(s report.Status) bool {
 	known := 0
@@ -273,13 +293,18 @@
 	r.LogWires[zone].Cut(func(netip.Addr) bool { return cut })
 }
 
+// fleet gives each zone the same weight.
+func (r *Running) fleet() model.Fleet {
+	var f model.Fleet
+	for _, z := range r.Site.Zones {
+		f.Zones = append(f.Zones, model.ZoneWeight{Name: z, Weight: 1 / float64(len(r.Site.Zones))})
+	}
+	return f
+}
+
 func (r *Running) publishAll(ctx context.Context) error {
 	s := r.Site
-	fleet := model.Fleet{}
-	for _, z := range s.Zones {
-		fleet.Zones = append(fleet.Zones, model.ZoneWeight{Name: z, Weight: 1 / float64(len(s.Zones))})
-	}
-	if err := r.Publish(ctx, model.KindFleet, "fleet", fleet); err != nil {
+	if err := r.Publish(ctx, model.KindFleet, "fleet", r.fleet()); err != nil {
 		return err
 	}
 	for name, c := range s.Customers {
--- a/core/epoch/propose.go
+++ b/core/epoch/propose.go
@@ -14,6 +14,10 @@
 	// ChangeDelay is how long the oldest change waits for others, so that
 	// restarts in quick succession make one epoch.
 	ChangeDelay = 750 * time.Millisecond
+	// FirstDelay takes the place of ChangeDelay in a zone without an epoch. The
+	// nodes of a zone that starts find each other within about a second; a first
+	// list that lacks some of them would move shares when the next one follows.
+	FirstDelay = 2 * time.Second
 	// SettleTime is how long a member must have been present or absent for the
 	// change to join an epoch that another change causes.
 	SettleTime = 500 * time.Millisecond
@@ -66,6 +70,9 @@
 		return Epoch{}, false
 	}
 	ready := d.since.Add(ChangeDelay)
+	if v.Current.Number == 0 {
+		ready = d.since.Add(FirstDelay)
+	}
 	if earliest := v.Adopted.Add(MinEpochAge); v.Current.Number > 0 && earliest.After(ready) {
 		ready = earliest
 	}
