--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -43,7 +43,7 @@
 	Kind     string
 	Sent     time.Time
 	Took     time.Duration
-	Status   int             // 0 if there was no whole answer
+	Status   int             // 0 if there was no complete response
 	Reason   string          // type of the problem, without its prefix
 	Executed refuse.Executed // of a refusal
 	Answer   fakes.Answer    // of a success
@@ -51,7 +51,7 @@
 	Err      error
 }
 
-// OK reports whether the request got a whole answer of an upstream.
+// OK reports whether the request got a complete response of an upstream.
 func (o Outcome) OK() bool {
 	return o.Status == http.StatusOK
 }
@@ -146,7 +146,7 @@
 	r.outcomes = append(r.outcomes, o)
 }
 
-// Send sends one request and reads the whole answer.
+// Send sends one request and reads the complete response.
 func Send(ctx context.Context, client *http.Client, base, key string, q Request) (o Outcome) {
 	o = Outcome{Request: q, Sent: time.Now()}
 	defer func() { o.Took = time.Since(o.Sent) }()
--- a/bench/matrix/fault.go
+++ b/bench/matrix/fault.go
@@ -31,7 +31,7 @@
 	slowLog    = time.Second
 )
 
-// Faults returns the faults of the brief that a process can cause to itself. A
+// Faults returns the faults of docs/design.md, 1.5, that a process can cause to itself. A
 // paused holder is left to the histories of packages epoch, quota and claim, as
 // all nodes share this process.
 func Faults() []Fault {
@@ -50,7 +50,7 @@
 		{Name: "instance killed", Inject: kill, Heal: restart},
 		{Name: "upstream draining", Inject: drain, Heal: undrain},
 		{Name: "cold start", Inject: coldStart, Heal: warm},
-		{Name: "misleading load", Inject: mislead, Heal: honest},
+		{Name: "misleading load", Inject: mislead, Heal: truthful},
 	}
 }
 
@@ -186,6 +186,6 @@
 	return c.upstreams("archive", func(u *fakes.Upstream) error { return u.SetHints(100*u.Slots, 0.01) })
 }
 
-func honest(_ context.Context, c *cell) error {
+func truthful(_ context.Context, c *cell) error {
 	return c.upstreams("archive", func(u *fakes.Upstream) error { return u.SetHints(u.Slots, 0) })
 }
--- a/bench/site/path_test.go
+++ b/bench/site/path_test.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// decode reads a whole answer.
+// decode reads a complete response.
 func decode(t *testing.T, resp *http.Response) answer {
 	t.Helper()
 	defer func() { _ = resp.Body.Close() }()
--- a/core/claim/issue.go
+++ b/core/claim/issue.go
@@ -15,7 +15,7 @@
 const (
 	// MaxBatch is the largest number of keys in one batch.
 	MaxBatch = 256
-	// DefaultWindow is the number of sequence numbers that an issuer remembers.
+	// DefaultWindow is the number of sequence numbers that an issuer keeps.
 	// It allows 870 keys a second with MaxAge and takes 64 KB.
 	DefaultWindow = 1 << 19
 	// customerParts is the part of the window that one customer may fill, so
@@ -50,7 +50,7 @@
 // IssuerOption changes a setting of an issuer.
 type IssuerOption func(*Issuer)
 
-// WithWindow sets the number of sequence numbers that are remembered. It is
+// WithWindow sets the number of sequence numbers that are kept. It is
 // rounded up to a multiple of 64.
 func WithWindow(n int) IssuerOption {
 	return func(i *Issuer) { i.window = uint64(max(n, 1)+63) / 64 * 64 }
@@ -196,7 +196,7 @@
 }
 
 // dispatch marks the key as dispatched. It reports false if it already was or
-// if its number is no longer remembered.
+// if its number is no longer kept.
 func (i *Issuer) dispatch(k Key) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/core/pubsh/pubsh.go
+++ b/core/pubsh/pubsh.go
@@ -143,7 +143,7 @@
 
 // Publish appends a change and waits until the fold decides it or ctx ends. It
 // is safe to publish the same change again, also from another process, as long
-// as the fold remembers its identifier.
+// as the fold keeps its identifier.
 func (p *Publisher) Publish(ctx context.Context, c config.Change) Result {
 	res := Result{Change: c}
 	data, err := json.Marshal(config.Record{Change: &c})
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -56,7 +56,7 @@
 	incarnation uint64
 }
 
-// account is what a holder remembers of a borrower.
+// account is what a holder keeps about a borrower.
 type account struct {
 	seq    uint64 // highest number that was seen
 	own    bool   // the borrower is in the zone of the holder
