--- a/bench/cost/cost.go
+++ b/bench/cost/cost.go
@@ -23,7 +23,7 @@
 	Idle      time.Duration // time of each idle measurement
 }
 
-// DefaultOptions take about two minutes.
+// DefaultOptions take about three minutes.
 func DefaultOptions() Options {
 	return Options{Calls: 5000, Sizes: []int{9, 18, 36, 72, 126}, Customers: []int{8, 64, 512}, Idle: 8 * time.Second}
 }
@@ -130,8 +130,11 @@
 		if err := row(ctx, t, n, 8, n, o.Idle); err != nil {
 			return err
 		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
 	}
-	return t.Flush()
+	return nil
 }
 
 // customers measures fleets of one size with several numbers of customers, each
@@ -147,8 +150,11 @@
 		if err := row(ctx, t, nodes, n, n, o.Idle); err != nil {
 			return err
 		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
 	}
-	return t.Flush()
+	return nil
 }
 
 // row measures one fleet.
