Read the time after what it dates; one loop for periodic duties; test the limiter

Cause: reading through, several duties passed the time of a ticker or of a request's arrival to decisions. After a pause of the process that time is old: an observation dated too early could retire an epoch while a lease under it still holds, and a loan could look valid. Change: super.Every reads the time when it calls; proposals read it after the reports of others, the limiter when it takes a token, the holder under its lock. Conclusion: a pause between reading the time and using it remains possible, as short as a few instructions; loans and leases bound its effect.

--- a/core/super/tree.go
+++ b/core/super/tree.go
@@ -175,3 +175,19 @@
 		return true
 	}
 }
+
+// Every calls f each period until ctx ends. It is the body of a duty that works
+// at fixed times. The time is read when f is called: the one that a ticker sends
+// is old after a pause of the process.
+func Every(ctx context.Context, period time.Duration, f func(now time.Time)) error {
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			f(time.Now())
+		}
+	}
+}
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -10,6 +10,7 @@
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 )
@@ -53,19 +54,13 @@
 // the own zone regularly, and any node of any zone while the log is
 // unreachable.
 func (a *Agent) pullConfig(ctx context.Context) error {
-	tick := time.NewTicker(pullEvery)
-	defer tick.Stop()
-	started := time.Now()
-	for turn := 0; ; turn++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+	started, turn := time.Now(), 0
+	return super.Every(ctx, pullEvery, func(now time.Time) {
+		turn++
 		if addr, ok := a.recordSource(turn); ok {
-			a.pullFrom(ctx, addr, time.Since(started) > joinTime)
+			a.pullFrom(ctx, addr, now.Sub(started) > joinTime)
 		}
-	}
+	})
 }
 
 // recordSource returns the peer to ask, or false if there is nothing to ask
@@ -95,21 +90,14 @@
 // snapshotConfig is the duty that appends snapshots of the configuration
 // before the log drops the records that they cover.
 func (a *Agent) snapshotConfig(ctx context.Context) error {
-	tick := time.NewTicker(snapshotEvery)
-	defer tick.Stop()
 	policy := config.DefaultSnapshotPolicy(a.cfg.Log.Retention.D())
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-		records, err := a.store.Snapshot(time.Now(), policy, a.cfg.Instance.Name, a.logReaders(), uuid.NewString())
+	return super.Every(ctx, snapshotEvery, func(now time.Time) {
+		records, err := a.store.Snapshot(now, policy, a.cfg.Instance.Name, a.logReaders(), uuid.NewString())
 		if err == nil && len(records) > 0 {
 			_, err = a.platform.Append(ctx, logsvc.StreamConfig, records...)
 		}
 		if err != nil && ctx.Err() == nil {
 			a.log.Warn("configuration snapshot not appended", "error", err)
 		}
-	}
+	})
 }
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -12,6 +12,7 @@
 	"dogwoodsill.org/core/member"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/report"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 )
 
@@ -56,17 +57,10 @@
 
 // gossip is the duty that sends what the state machine asks for.
 func (f *fleet) gossip(ctx context.Context) error {
-	tick := time.NewTicker(member.TickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			f.announce(now)
-			f.step(ctx, func() []member.Send { return f.machine.Tick(now) })
-		}
-	}
+	return super.Every(ctx, member.TickEvery, func(now time.Time) {
+		f.announce(now)
+		f.step(ctx, func() []member.Send { return f.machine.Tick(now) })
+	})
 }
 
 // announce tells the state machine about the local target and the progress of
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -10,6 +10,7 @@
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/quota"
 	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 )
 
@@ -106,18 +107,11 @@
 
 // sweep is the duty that closes links that were not used for a while.
 func (l *links) sweep(ctx context.Context) error {
-	tick := time.NewTicker(linkSweepEach)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			for _, p := range l.idle(now) {
-				_ = p.Close()
-			}
+	return super.Every(ctx, linkSweepEach, func(now time.Time) {
+		for _, p := range l.idle(now) {
+			_ = p.Close()
 		}
-	}
+	})
 }
 
 // idle removes the links that were not used for a while and returns them.
--- a/node/claims/duties.go
+++ b/node/claims/duties.go
@@ -21,16 +21,7 @@
 
 // Flush is the duty that appends claims and outcomes to the log.
 func (c *Claims) Flush(ctx context.Context) error {
-	tick := time.NewTicker(flushEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			c.flushOnce(ctx, now)
-		}
-	}
+	return super.Every(ctx, flushEvery, func(now time.Time) { c.flushOnce(ctx, now) })
 }
 
 func (c *Claims) flushOnce(ctx context.Context, now time.Time) {
@@ -83,19 +74,13 @@
 // Watch is the duty that notes retired epochs, drops old keys and follows the
 // size of the fleet.
 func (c *Claims) Watch(ctx context.Context) error {
-	observe := time.NewTicker(observeEvery)
-	defer observe.Stop()
-	size := time.NewTicker(sizeEvery)
-	defer size.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-observe.C:
-			c.Observe(now)
-			c.table.Sweep(now)
-		case <-size.C:
+	var sized time.Time
+	return super.Every(ctx, observeEvery, func(now time.Time) {
+		c.Observe(now)
+		c.table.Sweep(now)
+		if now.Sub(sized) >= sizeEvery {
+			sized = now
 			c.queue.SetNodes(max(1, c.peers.Size()))
 		}
-	}
+	})
 }
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -138,7 +138,9 @@
 	if account == "" {
 		account = tokens.OpenAccount(q.route.Name)
 	}
-	if giveBack, e = s.limiter.Take(q.r.Context(), account, q.now); e != nil {
+	// Not the time of the arrival: the process may have been paused since, and a
+	// loan must be valid when it is used.
+	if giveBack, e = s.limiter.Take(q.r.Context(), account, time.Now()); e != nil {
 		return nil, e
 	}
 	s.metrics.Add(metric.Admitted, 1)
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -60,11 +60,13 @@
 	if err != nil {
 		return err
 	}
-	s.take(b, sent, time.Now())
+	s.Take(b, sent)
 	return nil
 }
 
-func (s *Store) take(b logsvc.Batch, sent, now time.Time) {
+// Take takes a batch of the log. sent is when its read was sent.
+func (s *Store) Take(b logsvc.Batch, sent time.Time) {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// An empty batch comes at the end of a long poll and is true of the time of
--- a/node/tokens/holder.go
+++ b/node/tokens/holder.go
@@ -10,6 +10,7 @@
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/quota"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/store"
 	"dogwoodsill.org/node/zones"
 )
@@ -63,18 +64,11 @@
 
 // watch is the duty that looks again at waiting shares.
 func (h *holder) watch(ctx context.Context) error {
-	tick := time.NewTicker(syncEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			age := h.store.Age(now)
-			end := h.store.End()
-			h.zones.With(func(zones.View) { h.look(now, age, end) })
-		}
-	}
+	return super.Every(ctx, syncEvery, func(now time.Time) {
+		age := h.store.Age(now)
+		end := h.store.End()
+		h.zones.With(func(zones.View) { h.look(now, age, end) })
+	})
 }
 
 // look tells the holder how far the stream is read and starts the shares that
@@ -88,10 +82,12 @@
 	}
 }
 
-// borrow answers a borrow request.
-func (h *holder) borrow(req quota.BorrowRequest, now time.Time) quota.BorrowReply {
+// borrow answers a borrow request. The time is read under the lock, so that a
+// wait for it can't make the lease look valid.
+func (h *holder) borrow(req quota.BorrowRequest) quota.BorrowReply {
 	var reply quota.BorrowReply
 	h.zones.With(func(v zones.View) {
+		now := time.Now()
 		reply = h.quota.Borrow(req, v.Lease.Until(now), now)
 	})
 	h.metrics.Add(metric.TokensLent, milli(reply.Grant))
--- a/node/tokens/tokens.go
+++ b/node/tokens/tokens.go
@@ -78,7 +78,7 @@
 
 // Borrow answers a borrow request of a peer.
 func (t *Tokens) Borrow(req quota.BorrowRequest) quota.BorrowReply {
-	return t.holder.borrow(req, time.Now())
+	return t.holder.borrow(req)
 }
 
 // Take charges one request to an account. It waits up to quota.WaitTime for
@@ -203,7 +203,7 @@
 		case !ok:
 			p.quota.Fail(req.Seq, now)
 		case m.Same(t.zones.Self()):
-			p.answer(t.holder.borrow(req, now), now)
+			p.answer(t.holder.borrow(req), now)
 		default:
 			go t.exchange(context.WithoutCancel(ctx), p, m.Address, req)
 		}
--- /dev/null
+++ b/node/tokens/tokens_test.go
@@ -0,0 +1,144 @@
+package tokens
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/member"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/quota"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/node/store"
+	"dogwoodsill.org/node/zones"
+)
+
+// alone stands in for the peers of a node that has none.
+type alone struct{ self epoch.Member }
+
+func (alone) Confirm(context.Context, string, epoch.ConfirmRequest) (epoch.ConfirmReply, error) {
+	return epoch.ConfirmReply{}, context.Canceled
+}
+
+func (a alone) Members(string) []member.Entry {
+	return []member.Entry{{Name: a.self.Name, Incarnation: a.self.Incarnation, Addr: a.self.Address, Zone: a.self.Zone}}
+}
+
+func (alone) Retire(string, uint64)      {}
+func (alone) Retired() map[string]uint64 { return nil }
+
+func (alone) Borrow(context.Context, string, quota.BorrowRequest) (quota.BorrowReply, error) {
+	return quota.BorrowReply{}, context.Canceled
+}
+
+// memoryLog holds one stream of each name.
+type memoryLog map[string][][]byte
+
+func (l memoryLog) Append(_ context.Context, stream string, records ...[]byte) (uint64, error) {
+	first := uint64(len(l[stream]))
+	l[stream] = append(l[stream], records...)
+	return first, nil
+}
+
+func (l memoryLog) Read(_ context.Context, stream string, from uint64, _ int, _ time.Duration) (logsvc.Batch, error) {
+	end := uint64(len(l[stream]))
+	return logsvc.Batch{First: from, Next: end, End: end, Records: l[stream][from:]}, nil
+}
+
+func record(t *testing.T, kind model.Kind, name string, body any) []byte {
+	t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+	rec, err := json.Marshal(config.Record{Change: &config.Change{ID: name, Kind: kind, Name: name, Body: data}})
+	assert.NilError(t, err)
+	return rec
+}
+
+// single returns the tokens of a node that holds every share of customer "c".
+// With fresh set the customer is created after the node became the holder.
+func single(t *testing.T, rate float64, burst int64, fresh bool) *Tokens {
+	t.Helper()
+	ctx := t.Context()
+	log := memoryLog{}
+	self := epoch.Member{Name: "a", Incarnation: 1, Address: "127.0.0.1:1", Zone: "z"}
+	st := store.New()
+	z := zones.New(self, log, alone{self}, time.Hour, func(err error) { t.Error(err) })
+	tk := New(z, st, alone{self}, metric.New())
+	fleet := record(t, model.KindFleet, config.FleetName, model.Fleet{Zones: []model.ZoneWeight{{Name: "z", Weight: 1}}})
+	customer := record(t, model.KindCustomer, "c", model.Customer{Rate: rate, Burst: burst})
+	log[logsvc.StreamConfig] = [][]byte{fleet}
+	if !fresh {
+		log[logsvc.StreamConfig] = append(log[logsvc.StreamConfig], customer)
+	}
+	rec, err := epoch.Encode(epoch.Record{Epoch: &epoch.Epoch{Zone: "z", Number: 1, Members: []epoch.Member{self}}})
+	assert.NilError(t, err)
+	log[logsvc.StreamEpochs] = [][]byte{rec}
+	z.Fold(logsvc.Batch{Next: 1, End: 1, Records: log[logsvc.StreamEpochs]}, time.Now())
+	// Twice: the end of the stream counts only if it was read after the holder saw
+	// that its epoch is the only one.
+	for range 2 {
+		readAll(ctx, st, log)
+		tk.holder.look(time.Now(), st.Age(time.Now()), st.End())
+	}
+	if fresh {
+		log[logsvc.StreamConfig] = append(log[logsvc.StreamConfig], customer)
+		readAll(ctx, st, log)
+	}
+	return tk
+}
+
+func readAll(ctx context.Context, st *store.Store, log memoryLog) {
+	b, _ := log.Read(ctx, logsvc.StreamConfig, st.Offset(), 0, 0)
+	st.Take(b, time.Now())
+}
+
+// Guards against a holder that gives a customer more than its burst, gives a
+// successor a full bucket, or refuses a new customer its burst.
+func TestBurst(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		fresh    bool
+		min, max int
+	}{
+		{"new customer starts full", true, 10, 10},
+		{"known customer starts empty", false, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tk := single(t, 0.001, 10, c.fresh)
+			n := 0
+			var e *refuse.Error
+			for e == nil && n < 100 {
+				if _, e = tk.Take(t.Context(), "c", time.Now()); e == nil {
+					n++
+				}
+			}
+			assert.Equal(t, e.Reason, refuse.RateLimited)
+			assert.Equal(t, e.Executed, refuse.No)
+			assert.Assert(t, n >= c.min && n <= c.max, "%d admitted", n)
+		})
+	}
+}
+
+// Guards against an account that nobody created and that is admitted.
+func TestUnknownAccount(t *testing.T) {
+	tk := single(t, 100, 10, true)
+	_, e := tk.Take(t.Context(), "nobody", time.Now())
+	assert.Equal(t, e.Reason, refuse.RateLimited)
+}
+
+// Guards against a refused request that costs its customer a token.
+func TestGiveBack(t *testing.T) {
+	tk := single(t, 0.001, 1, true)
+	giveBack, e := tk.Take(t.Context(), "c", time.Now())
+	assert.Assert(t, e == nil, "%v", e)
+	giveBack(time.Now())
+	_, e = tk.Take(t.Context(), "c", time.Now())
+	assert.Assert(t, e == nil, "%v", e)
+}
--- a/node/zones/duties.go
+++ b/node/zones/duties.go
@@ -26,7 +26,7 @@
 		z.mu.Unlock()
 		b, err := z.log.Read(ctx, logsvc.StreamEpochs, next, readBatch, readWait)
 		if err == nil {
-			z.apply(b, time.Now())
+			z.Fold(b, time.Now())
 			continue
 		}
 		var expired *logsvc.ExpiredError
@@ -44,7 +44,8 @@
 	return nil
 }
 
-func (z *Zones) apply(b logsvc.Batch, now time.Time) {
+// Fold takes a batch of the log stream "epochs".
+func (z *Zones) Fold(b logsvc.Batch, now time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	for i, rec := range b.Records {
@@ -60,16 +61,7 @@
 // Renew is the duty that asks the other members of the zone to confirm the
 // epoch.
 func (z *Zones) Renew(ctx context.Context) error {
-	tick := time.NewTicker(epoch.ConfirmInterval)
-	defer tick.Stop()
-	for {
-		z.renewOnce(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
+	return super.Every(ctx, epoch.ConfirmInterval, func(time.Time) { z.renewOnce(ctx) })
 }
 
 func (z *Zones) renewOnce(ctx context.Context) {
@@ -107,21 +99,16 @@
 
 // Propose is the duty that appends new epochs and snapshots.
 func (z *Zones) Propose(ctx context.Context) error {
-	tick := time.NewTicker(proposeWait)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			z.proposeOnce(ctx, time.Now())
-		}
-	}
+	return super.Every(ctx, proposeWait, func(time.Time) {
+		entries, known := z.peers.Members(z.self.Zone), z.peers.Retired()
+		// The time is read after what others report: an observation dated earlier
+		// than the report would retire an epoch while a lease under it may hold.
+		z.proposeOnce(ctx, entries, known, time.Now())
+	})
 }
 
-func (z *Zones) proposeOnce(ctx context.Context, now time.Time) {
-	known := z.peers.Retired()
-	rec, ok := z.due(z.peers.Members(z.self.Zone), known, now)
+func (z *Zones) proposeOnce(ctx context.Context, entries []member.Entry, known map[string]uint64, now time.Time) {
+	rec, ok := z.due(entries, known, now)
 	if n := z.retired(now); n > known[z.self.Zone] {
 		z.peers.Retire(z.self.Zone, n)
 	}
--- a/node/zones/zones_test.go
+++ b/node/zones/zones_test.go
@@ -73,9 +73,9 @@
 		defer close(done)
 		now := time.Now()
 		for range 100 {
-			z.proposeOnce(t.Context(), now)
+			z.proposeOnce(t.Context(), peers.Members("z"), peers.Retired(), now)
 			b, _ := log.Read(t.Context(), logsvc.StreamEpochs, z.state.Next, 10, 0)
-			z.apply(b, now)
+			z.Fold(b, now)
 			now = now.Add(epoch.TurnTime)
 		}
 	}()
@@ -98,7 +98,7 @@
 	z := New(self, &fakeLog{}, &fakePeers{}, time.Hour, func(err error) { t.Error(err) })
 	rec, err := epoch.Encode(epoch.Record{Epoch: &epoch.Epoch{Zone: "z", Number: 1, Members: []epoch.Member{self}}})
 	assert.NilError(t, err)
-	z.apply(logsvc.Batch{Next: 1, End: 1, Records: [][]byte{rec}}, time.Now())
+	z.Fold(logsvc.Batch{Next: 1, End: 1, Records: [][]byte{rec}}, time.Now())
 	reply := z.Confirm(epoch.ConfirmRequest{Zone: "z", Epoch: 0})
 	assert.Equal(t, reply.Adopted, uint64(1))
 	assert.Equal(t, reply.Member.Name, self.Name)
