--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -104,6 +104,7 @@
 		{"log.retention", positive(int64(n.Log.Retention))},
 		{"peers.secret", n.peerAuth()},
 		{"peers.seeds", addresses(n.Peers.Seeds)},
+		{"callersTls", callersTLS(n.CallersTLS)},
 		{"limits.headerBytes", positive(int64(n.Limits.HeaderBytes))},
 		{"limits.bodyBytes", notNegative(n.Limits.BodyBytes)},
 		{"limits.connectionsPerCaller", positive(int64(n.Limits.ConnectionsPerCaller))},
@@ -130,6 +131,18 @@
 	return ""
 }
 
+// callersTLS checks the certificate for callers. They need none themselves.
+func callersTLS(t TLSFiles) string {
+	switch {
+	case t.CA != "":
+		return "ca is not used for callers"
+	case (t.Cert == "") != (t.Key == ""):
+		return "needs both cert and key"
+	default:
+		return ""
+	}
+}
+
 // Lines returns the line of each dotted key of a TOML document.
 func Lines(data []byte) map[string]int {
 	lines := map[string]int{}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -52,6 +53,8 @@
 	ops   *http.Server
 	lns   listeners
 
+	callersTLS *tls.Config // nil for plain text
+
 	stopping atomic.Bool
 }
 
@@ -92,6 +95,9 @@
 	for _, opt := range opts {
 		opt(a)
 	}
+	if err := a.loadCallersTLS(); err != nil {
+		return nil, err
+	}
 	if err := a.listen(); err != nil {
 		a.lns.close()
 		return nil, err
@@ -187,7 +193,7 @@
 		a.log.Error("duty failed", "duty", duty, "error", err)
 	}))
 	ls := a.tree.Sub("listeners")
-	ls.Start("callers", serveHTTP(a.entry.HTTP(), limitConns(a.lns.callers, a.cfg.Limits.ConnectionsPerCaller)))
+	ls.Start("callers", serveHTTP(a.entry.HTTP(), a.callersListener()))
 	ls.Start("local", serveHTTP(a.local.HTTP(), a.lns.local))
 	ls.Start("operations", serveHTTP(a.ops, a.lns.ops))
 	ls.Start("peers", a.peers.serve(a.lns.peers))
@@ -213,6 +219,34 @@
 	a.tree.Sub("target").Start("poll", a.target.Poll)
 }
 
+// callersListener returns the listener of callers with its connection limit, and
+// with TLS if a certificate is configured.
+func (a *Agent) callersListener() net.Listener {
+	ln := limitConns(a.lns.callers, a.cfg.Limits.ConnectionsPerCaller)
+	if a.callersTLS == nil {
+		return ln
+	}
+	return tls.NewListener(ln, a.callersTLS)
+}
+
+// loadCallersTLS reads the certificate for callers, if there is one.
+func (a *Agent) loadCallersTLS() error {
+	files := a.cfg.CallersTLS
+	if !files.Set() {
+		return nil
+	}
+	cert, err := tls.LoadX509KeyPair(files.Cert, files.Key)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	a.callersTLS = &tls.Config{
+		Certificates: []tls.Certificate{cert},
+		MinVersion:   tls.VersionTLS12,
+		NextProtos:   []string{"h2", "http/1.1"},
+	}
+	return nil
+}
+
 // Addrs returns the addresses on which the agent listens.
 func (a *Agent) Addrs() Addrs {
 	return Addrs{
