Test attempts over a chain, revocation before a chain call, trailers, entry shutdown

Change: four tests on sockets; words that are not the field's replaced; demo and serve share the flag that selects a deployment.

--- a/bench/demo.go
+++ b/bench/demo.go
@@ -10,21 +10,34 @@
 )
 
 func newDemoCommand() *cobra.Command {
-	name := "press"
+	var selected func() (site.Site, error)
 	cmd := &cobra.Command{
 		Use:     "demo",
 		Short:   "Run a deployment in one process and check what the users were promised",
 		Example: "  bench demo\n  bench demo --site koorbank",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, ok := site.ByName(name)
-			if !ok {
-				return fmt.Errorf("no site %q; use press or koorbank", name)
+			s, err := selected()
+			if err != nil {
+				return err
 			}
 			cmd.SilenceUsage = true
 			return demo.Run(cmd.Context(), cmd.OutOrStdout(), s)
 		},
 	}
-	cmd.Flags().StringVar(&name, "site", name, "deployment: press or koorbank")
+	selected = siteFlag(cmd)
 	return cmd
 }
+
+// siteFlag adds the flag that selects a deployment to a command. It returns a
+// function that gives the selected one.
+func siteFlag(cmd *cobra.Command) func() (site.Site, error) {
+	name := cmd.Flags().String("site", "press", "deployment: press or koorbank")
+	return func() (site.Site, error) {
+		s, ok := site.ByName(*name)
+		if !ok {
+			return site.Site{}, fmt.Errorf("no site %q; use press or koorbank", *name)
+		}
+		return s, nil
+	}
+}
--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -29,7 +29,7 @@
 	Service string
 	Slots   int
 	Queue   int      // waiting requests above which it sheds load
-	Calls   []string // paths called through the node for each request
+	Calls   []string // paths called through the node for each request; set before the requests
 
 	local    string // base URL of the node's local listener
 	listener *tap
@@ -48,6 +48,7 @@
 	state relay.State
 	stop  context.CancelFunc
 
+	hold      <-chan struct{} // chain calls wait until it is closed
 	slotsHint int
 	loadHint  float64
 }
@@ -166,6 +167,27 @@
 	return u.Announce()
 }
 
+// HoldCalls lets requests wait before their chain calls until a channel is
+// closed.
+func (u *Upstream) HoldCalls(until <-chan struct{}) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.hold = until
+}
+
+func (u *Upstream) awaitCalls(ctx context.Context) {
+	u.mu.Lock()
+	hold := u.hold
+	u.mu.Unlock()
+	if hold == nil {
+		return
+	}
+	select {
+	case <-hold:
+	case <-ctx.Done():
+	}
+}
+
 // SetHints announces other slots and another load than the true ones.
 func (u *Upstream) SetHints(slots int, load float64) error {
 	u.mu.Lock()
@@ -263,6 +285,7 @@
 	if !u.work(r.Context()) || u.behave(w, r) {
 		return
 	}
+	u.awaitCalls(r.Context())
 	for _, path := range u.Calls {
 		if status := u.callDown(r, path); status != http.StatusOK {
 			w.WriteHeader(status)
--- a/bench/serve.go
+++ b/bench/serve.go
@@ -15,16 +15,16 @@
 )
 
 func newServeCommand() *cobra.Command {
-	name := "press"
+	var selected func() (site.Site, error)
 	cmd := &cobra.Command{
 		Use:     "serve",
 		Short:   "Run a deployment in one process until it is interrupted",
 		Example: "  bench serve\n  bench serve --site koorbank",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, ok := site.ByName(name)
-			if !ok {
-				return fmt.Errorf("no site %q; use press or koorbank", name)
+			s, err := selected()
+			if err != nil {
+				return err
 			}
 			cmd.SilenceUsage = true
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
@@ -41,7 +41,7 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&name, "site", name, "deployment: press or koorbank")
+	selected = siteFlag(cmd)
 	return cmd
 }
 
--- /dev/null
+++ b/bench/site/chain_test.go
@@ -0,0 +1,97 @@
+package site_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/bench/fakes"
+	"dogwoodsill.org/core/model"
+)
+
+// Guards against attempts that multiply along a chain: every target of the
+// service below drops its connections, and the request has three attempts.
+func TestAttemptsOverChain(t *testing.T) {
+	const budget = 3
+	ctx, r := startParallel(t)
+	route := r.Site.Routes["quickOrder"]
+	route.Attempts = budget
+	assert.NilError(t, r.Publish(ctx, model.KindRoute, "quickOrder", route))
+	assert.NilError(t, r.InForce(ctx))
+	for _, n := range r.Nodes {
+		if n.Service == "orders" {
+			n.Upstream.Calls = []string{"/internal/catalogue/check?fake=" + fakes.Reject}
+		}
+	}
+	n := nodeOf(r, "archive", false)
+	got := do(ctx, t, http.DefaultClient, "POST", "http://"+n.Addrs().Callers+"/orders/quick", r.Keys["theatre"], "200 stubs")
+	assert.Equal(t, got.status, 502, "%v", got)
+	attempts := sum(r, (*fakes.Upstream).Started)
+	assert.Assert(t, attempts > 1 && attempts <= budget, "%d attempts", attempts)
+}
+
+// Guards against chain calls that go on for a key that was revoked while the
+// request was running, in the upstream that serves it.
+func TestRevokedKeyEndsChain(t *testing.T) {
+	ctx, r := startParallel(t)
+	gate := make(chan struct{})
+	for _, n := range r.Nodes {
+		if n.Service == "orders" {
+			n.Upstream.HoldCalls(gate)
+		}
+	}
+	n := nodeOf(r, "archive", false)
+	done := make(chan answer, 1)
+	go func() {
+		done <- do(ctx, t, http.DefaultClient, "POST", "http://"+n.Addrs().Callers+"/orders/quick", r.Keys["theatre"], "200 stubs")
+	}()
+	awaitRunning(t, r, "orders", 1)
+	assert.NilError(t, r.RevokeKey(ctx, "theatre"))
+	assert.NilError(t, r.InForce(ctx))
+	close(gate)
+	assert.Equal(t, (<-done).status, 401)
+	for _, n := range r.Nodes {
+		if n.Service == "catalogue" {
+			assert.Equal(t, n.Upstream.Started(), int64(0))
+		}
+	}
+}
+
+// Guards against a key that reaches an upstream in a trailer, which arrives after
+// the header was cleaned.
+func TestTrailerCarriesNoKey(t *testing.T) {
+	ctx, r := startParallel(t)
+	key := r.Keys["theatre"]
+	n := nodeOf(r, "archive", false)
+	got := admitted(ctx, t, http.DefaultClient, func() *http.Request {
+		body := &trailerBody{text: "artwork"}
+		req, err := http.NewRequestWithContext(ctx, "PUT", "http://"+n.Addrs().Callers+"/artwork/3", body)
+		assert.NilError(t, err)
+		req.Header.Set("X-Api-Key", key)
+		req.Trailer = http.Header{"X-Api-Key": {key}, "X-Copy": {key}, "X-Checksum": {"abc123"}}
+		return req
+	})
+	assert.Equal(t, got.status, 200, "%v", got.problem)
+	seen := false
+	for _, n := range r.Nodes {
+		assert.Assert(t, !n.Upstream.Saw(key), n.Service)
+		seen = seen || n.Upstream.Saw("abc123")
+	}
+	assert.Assert(t, seen, "the trailer did not arrive")
+}
+
+// trailerBody is a body of unknown length, which is sent in chunks with a trailer.
+type trailerBody struct {
+	text string
+}
+
+func (b *trailerBody) Read(p []byte) (int, error) {
+	if b.text == "" {
+		return 0, io.EOF
+	}
+	n := copy(p, b.text)
+	b.text = b.text[n:]
+	return n, nil
+}
--- a/bench/site/config_test.go
+++ b/bench/site/config_test.go
@@ -149,6 +149,29 @@
 	assert.NilError(t, <-ended)
 }
 
+// Guards against an upload that a graceful shutdown of the node where it enters
+// cuts off.
+func TestEntryShutdownFinishesUpload(t *testing.T) {
+	ctx, r := startParallel(t)
+	pw, done := startUpload(ctx, t, r, "first half, ")
+	entry := nodeOf(r, "archive", false)
+	ended := make(chan error, 1)
+	go func() { ended <- entry.Shutdown(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if entry.Status().Draining {
+			return poll.Success()
+		}
+		return poll.Continue("the node doesn't shut down")
+	}, poll.WithDelay(5*time.Millisecond))
+	_, err := io.WriteString(pw, "second half")
+	assert.NilError(t, err)
+	assert.NilError(t, pw.Close())
+	got := <-done
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body.Bytes, int64(len("first half, second half")))
+	assert.NilError(t, <-ended)
+}
+
 // startUpload starts an upload and returns once it runs at an upstream. The
 // answer follows when the writer is closed.
 func startUpload(ctx context.Context, t *testing.T, r *site.Running, part string) (*io.PipeWriter, <-chan answer) {
--- a/core/admit/share.go
+++ b/core/admit/share.go
@@ -59,7 +59,7 @@
 	d := s.demand[customer]
 	if d == nil {
 		if len(s.demand) >= shareCustomers {
-			s.forget(now)
+			s.expire(now)
 		}
 		if len(s.demand) >= shareCustomers {
 			return
@@ -78,7 +78,7 @@
 	}
 }
 
-func (s *Shares) forget(now time.Time) {
+func (s *Shares) expire(now time.Time) {
 	for name, d := range s.demand {
 		d.decay(now)
 		if d.rate < shareForget {
@@ -103,7 +103,7 @@
 }
 
 func (s *Shares) refresh(now time.Time, capacity float64) {
-	s.forget(now)
+	s.expire(now)
 	rates := make([]float64, 0, len(s.demand))
 	for _, d := range s.demand {
 		rates = append(rates, d.value(now))
--- a/core/claim/doc.go
+++ b/core/claim/doc.go
@@ -22,7 +22,7 @@
 // in which another node owned them. With clocks that differ by at most Skew, the
 // sets of keys that two owners run are therefore disjoint, even if an owner
 // pauses between its last check and the dispatch. Within one owner's memory the
-// table never forgets a key before it is too old to run.
+// table never drops a key before it is too old to run.
 //
 // An issued key is marked in the issuer's window of sequence numbers when it is
 // dispatched. A number below the window is never run.
--- a/core/claim/table_test.go
+++ b/core/claim/table_test.go
@@ -189,7 +189,7 @@
 	}
 }
 
-// Guards against memory that grows and against eviction that forgets that a key
+// Guards against memory that grows and against eviction that loses that a key
 // ran.
 func TestEviction(t *testing.T) {
 	r := newRig(WithBodyBytes(20, 10), WithEntries(4))
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -418,8 +418,8 @@
 	return nil
 }
 
-// forget removes a finished stream. s.mu is held.
-func (s *Session) forget(st *Stream) {
+// remove drops a finished stream. s.mu is held.
+func (s *Session) remove(st *Stream) {
 	delete(s.streams, st.id)
 	if st.local {
 		s.opened--
--- a/core/frame/stream.go
+++ b/core/frame/stream.go
@@ -174,7 +174,7 @@
 	if st.starving {
 		st.s.starved = slices.DeleteFunc(st.s.starved, func(o *Stream) bool { return o == st })
 	}
-	st.s.forget(st)
+	st.s.remove(st)
 	if st.stop != nil {
 		st.stop()
 	}
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// prune forgets borrowers that reported nothing for ten times demandTime.
+// prune drops borrowers that reported nothing for ten times demandTime.
 func (b *Bucket) prune(now time.Time) {
 	if now.Sub(b.pruned) < demandTime {
 		return
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -55,7 +55,7 @@
 }
 
 // fanoutDecay is the part of the distance by which the expected fan-out falls
-// after each call with fewer parallel children; it forgets a rare wide call
+// after each call with fewer parallel children; it drops a rare wide call
 // after about 50 narrow ones.
 const fanoutDecay = 1.0 / 16
 
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -222,7 +222,7 @@
 	return len(a.head) + len(a.body) + len(a.trailer)
 }
 
-// drop forgets the reply and returns its size.
+// drop removes the kept reply and returns its size.
 func (a *attempt) drop() int {
 	n := a.size()
 	a.mu.Lock()
