--- a/bench/site/config_test.go
+++ b/bench/site/config_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"dogwoodsill.org/bench/fakes"
 	"dogwoodsill.org/bench/site"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
@@ -172,6 +173,22 @@
 	assert.NilError(t, <-ended)
 }
 
+// Guards against a caller that holds an upstream by a body that stops arriving.
+func TestStalledUploadEnds(t *testing.T) {
+	ctx, r := startParallel(t)
+	pw, done := startUpload(ctx, t, r, "first half, ")
+	got := <-done // limits.progressTimeout is 10 s
+	assert.Assert(t, got.status >= 400, "status %d", got.status)
+	assert.Equal(t, got.problem.Executed, refuse.Unknown)
+	assert.NilError(t, pw.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if sum(r, (*fakes.Upstream).Broken) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the upstream still waits for the body")
+	})
+}
+
 // startUpload starts an upload and returns once it runs at an upstream. The
 // answer follows when the writer is closed.
 func startUpload(ctx context.Context, t *testing.T, r *site.Running, part string) (*io.PipeWriter, <-chan answer) {
