Write the gauges and gossip bytes that were only named

Cause: some measurements had names and no values. Change: gauges are set when the metrics are read, gossip packets are measured; a name without a source is gone. Measured: go test ./node/... ./core/metric passes. Conclusion: every name in core/metric is written somewhere.

--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -17,7 +17,6 @@
 	Served         = "served"            // calls dispatched to the local upstream
 	UpstreamErrors = "upstreamErrors"    // failed exchanges with the local upstream
 	TokensBorrowed = "tokensBorrowed"    // millitokens received as loans
-	TokensExpired  = "tokensExpired"     // millitokens of loans that expired unspent
 	TokensLent     = "tokensLent"        // millitokens granted by this node's holders
 	Claims         = "claims"            // idempotency keys claimed
 	ClaimsUnknown  = "claimsUnknown"     // repeats answered with an unknown outcome
@@ -26,7 +25,7 @@
 	Epoch          = "epoch"             // member list epoch of the own zone
 	GossipPackets  = "gossipPackets"     // gossip packets sent
 	GossipBytes    = "gossipBytes"       // gossip bytes sent
-	Latency        = "addedLatency"      // time between the caller's request and its answer
+	RequestTime    = "requestTime"       // from the arrival of a request to the end of its answer
 	Limit          = "concurrencyLimit"  // of the local upstream
 	InFlight       = "inFlight"          // calls at the local upstream
 )
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -169,7 +169,7 @@
 	a.peers = newPeerServer(a, auth)
 	a.entry = entry.New(a.store, entry.Parts{Sender: a.caller, Claimer: a.claims, Ranker: a.caller, Limiter: a.tokens, Counter: a.burned}, a.metrics, a.cfg.Limits)
 	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes)
-	a.ops = opsapi.New(a.Status, a.Burned, a.metrics)
+	a.ops = opsapi.New(a.Status, a.Burned, a.Metrics)
 	return nil
 }
 
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/member"
@@ -129,11 +131,20 @@
 		}
 		return
 	}
+	f.count(s.Packet)
 	reply, err := frame.Call[member.Packet, member.Packet](ctx, session, relay.KindGossip, *s.Packet)
 	if err == nil {
 		f.step(context.WithoutCancel(ctx), func() []member.Send { return f.machine.Reply(time.Now(), s.ID, reply) })
 	}
+}
+
+// count measures a packet that is sent. A node sends a few each second, so that
+// the second encoding costs little.
+func (f *fleet) count(p *member.Packet) {
 	f.agent.metrics.Add(metric.GossipPackets, 1)
+	if data, err := msgpack.Marshal(p); err == nil {
+		f.agent.metrics.Add(metric.GossipBytes, int64(len(data)))
+	}
 }
 
 func (f *fleet) locked(change func()) {
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -42,8 +42,17 @@
 	return s
 }
 
-// Metrics returns the measurements of the node.
+// Metrics returns the measurements of the node, with gauges as of now.
 func (a *Agent) Metrics() *metric.Set {
+	now := time.Now()
+	a.metrics.Put(metric.ConfigOffset, int64(a.store.Offset()))
+	if a.store.Current() != nil {
+		a.metrics.Put(metric.ConfigAge, a.store.Age(now).Milliseconds())
+	}
+	a.metrics.Put(metric.Epoch, int64(a.zones.Adopted()))
+	running, limit := a.target.Load()
+	a.metrics.Put(metric.InFlight, int64(running))
+	a.metrics.Put(metric.Limit, int64(limit))
 	return a.metrics
 }
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -128,7 +128,7 @@
 		s.metrics.Add(metric.Refused+string(e.Reason), 1)
 		return e.Write(w)
 	}
-	s.metrics.Observe(metric.Latency, time.Since(started))
+	s.metrics.Observe(metric.RequestTime, time.Since(started))
 	return nil
 }
 
--- a/node/opsapi/server.go
+++ b/node/opsapi/server.go
@@ -15,7 +15,7 @@
 
 // New returns an HTTP server that is not listening yet. The functions are called
 // for each request.
-func New(status func() report.Status, burned func() burn.Document, m *metric.Set) *http.Server {
+func New(status func() report.Status, burned func() burn.Document, measured func() *metric.Set) *http.Server {
 	e := echo.New()
 	e.GET("/health", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, map[string]string{"status": "ok"})
@@ -31,7 +31,7 @@
 		return c.JSON(http.StatusOK, status())
 	})
 	e.GET("/metrics", func(c echo.Context) error {
-		return c.JSON(http.StatusOK, m.Export())
+		return c.JSON(http.StatusOK, measured().Export())
 	})
 	e.GET("/burn", func(c echo.Context) error {
 		return c.JSON(http.StatusOK, burned())
