--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -17,6 +17,7 @@
 	Served         = "served"            // calls dispatched to the local upstream
 	UpstreamErrors = "upstreamErrors"    // failed exchanges with the local upstream
 	TokensBorrowed = "tokensBorrowed"    // millitokens received as loans
+	TokensExpired  = "tokensExpired"     // millitokens of loans that ended unused
 	TokensLent     = "tokensLent"        // millitokens granted by this node's holders
 	Claims         = "claims"            // idempotency keys claimed
 	ClaimsUnknown  = "claimsUnknown"     // repeats answered with an unknown outcome
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -50,6 +50,7 @@
 	pending map[uint64]*request
 	sources map[ShareID]*source
 	order   []ShareID // keys of sources, so that equal inputs give equal messages
+	expired Amount    // tokens of loans that ended unused
 }
 
 // PoolOptions are the identity of a pool.
@@ -156,6 +157,13 @@
 	ch.parts = nil
 }
 
+// TakeExpired returns the tokens of loans that ended unused since the last call.
+func (p *Pool) TakeExpired() Amount {
+	n := p.expired
+	p.expired = 0
+	return n
+}
+
 // Demand returns the estimated demand in tokens per second.
 func (p *Pool) Demand(now time.Time) Amount {
 	return p.demand.rate(now)
@@ -208,7 +216,13 @@
 
 // expire drops the loans that ended and marks requests as lost.
 func (p *Pool) expire(now time.Time) {
-	p.credits = slices.DeleteFunc(p.credits, func(c *credit) bool { return !now.Before(c.expires) })
+	p.credits = slices.DeleteFunc(p.credits, func(c *credit) bool {
+		if now.Before(c.expires) {
+			return false
+		}
+		p.expired += c.free()
+		return true
+	})
 	for seq, r := range p.pending {
 		age := now.Sub(r.sent)
 		if age >= LoanTime {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -249,6 +249,8 @@
 		lend(t, p, 2, 2*Token, 0, 500*time.Millisecond)
 		assert.Assert(t, take(p, time.Second-1))
 		assert.Assert(t, !take(p, time.Second))
+		assert.Equal(t, p.TakeExpired(), Token)
+		assert.Equal(t, p.TakeExpired(), Amount(0))
 	})
 	t.Run("late reply", func(t *testing.T) {
 		p := newPool()
--- a/node/tokens/tokens.go
+++ b/node/tokens/tokens.go
@@ -284,6 +284,9 @@
 func (t *Tokens) sweep(ctx context.Context, p *pool, now time.Time) {
 	p.mu.Lock()
 	t.send(ctx, p, now)
+	if n := milli(p.quota.TakeExpired()); n > 0 {
+		t.metrics.Add(metric.TokensExpired, n)
+	}
 	idle := p.waiting == 0 && p.quota.Idle(now)
 	p.mu.Unlock()
 	if idle {
