relay: send claims by the same exchange as calls

Cause: Caller.Forward repeated how a call is opened, sent and its head awaited; two upload tests repeated their ending. Change: exchange and open take the kind of the stream; the tests share finishUpload. Two details of refusals now name the node in place of the target, as they serve both.

--- a/bench/site/config_test.go
+++ b/bench/site/config_test.go
@@ -141,12 +141,7 @@
 		assert.Equal(t, do(ctx, t, http.DefaultClient, "PUT", url, r.Keys["theatre"], "").status, 200)
 	}
 	assert.Equal(t, target.Upstream.Started(), before)
-	_, err := io.WriteString(pw, "second half")
-	assert.NilError(t, err)
-	assert.NilError(t, pw.Close())
-	got := <-done
-	assert.Equal(t, got.status, 200)
-	assert.Equal(t, got.body.Bytes, int64(len("first half, second half")))
+	finishUpload(t, pw, done)
 	assert.NilError(t, <-ended)
 }
 
@@ -164,12 +159,7 @@
 		}
 		return poll.Continue("the node doesn't shut down")
 	}, poll.WithDelay(5*time.Millisecond))
-	_, err := io.WriteString(pw, "second half")
-	assert.NilError(t, err)
-	assert.NilError(t, pw.Close())
-	got := <-done
-	assert.Equal(t, got.status, 200)
-	assert.Equal(t, got.body.Bytes, int64(len("first half, second half")))
+	finishUpload(t, pw, done)
 	assert.NilError(t, <-ended)
 }
 
@@ -212,6 +202,18 @@
 	}
 }
 
+// finishUpload sends the rest of an upload that began with "first half, " and
+// checks that all of it arrived.
+func finishUpload(t *testing.T, pw *io.PipeWriter, done <-chan answer) {
+	t.Helper()
+	_, err := io.WriteString(pw, "second half")
+	assert.NilError(t, err)
+	assert.NilError(t, pw.Close())
+	got := <-done
+	assert.Equal(t, got.status, 200)
+	assert.Equal(t, got.body.Bytes, int64(len("first half, second half")))
+}
+
 func draining(n, target *site.Node) bool {
 	for _, m := range n.Status().Members {
 		if m.Instance == target.Settings.Instance.Name {
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -212,11 +212,11 @@
 		}
 	}
 	h := head(req, to, below)
-	s, reply, fail := c.exchange(ctx, req, to.Addr, h)
+	s, reply, fail := c.exchange(ctx, req, to.Addr, KindCall, h)
 	if fail != nil && fail.silent && req.Body.whole && ctx.Err() == nil {
 		c.metrics.Add(metric.Resumed, 1)
 		h.Resume, h.Remaining = true, time.Until(req.Call.Deadline).Microseconds()
-		s, reply, fail = c.exchange(ctx, req, to.Addr, h)
+		s, reply, fail = c.exchange(ctx, req, to.Addr, KindCall, h)
 		if fail != nil {
 			fail.refusal = fail.refusal.WithExecuted(refuse.Unknown)
 			fail.outcome = retry.Failed
@@ -230,8 +230,8 @@
 }
 
 // exchange sends a call and waits for the head of its answer.
-func (c *Caller) exchange(ctx context.Context, req *Request, addr string, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
-	s, fail := c.open(ctx, addr, h)
+func (c *Caller) exchange(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
+	s, fail := c.open(ctx, addr, kind, h)
 	if fail != nil {
 		return nil, ReplyHead{}, fail
 	}
@@ -249,19 +249,19 @@
 	return s, reply, nil
 }
 
-// open opens the stream of an attempt.
-func (c *Caller) open(ctx context.Context, addr string, h CallHead) (*frame.Stream, *attemptError) {
+// open opens the stream of a call or a claim.
+func (c *Caller) open(ctx context.Context, addr string, kind uint8, h CallHead) (*frame.Stream, *attemptError) {
 	session, err := c.links.Session(ctx, addr)
 	if err != nil {
-		return nil, notSent(ctx, h.Call.Attempts, "the node of the target is unreachable")
+		return nil, notSent(ctx, h.Call.Attempts, "the node to call is unreachable")
 	}
 	data, err := pack(h)
 	if err != nil {
 		return nil, rejected(refuse.New(refuse.BadRequest, "request head: %v", err), h.Call.Attempts)
 	}
-	s, err := session.Open(ctx, KindCall, data)
+	s, err := session.Open(ctx, kind, data)
 	if err != nil {
-		return nil, notSent(ctx, h.Call.Attempts, "the link to the target failed")
+		return nil, notSent(ctx, h.Call.Attempts, "the link to the node failed")
 	}
 	return s, nil
 }
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -15,41 +15,16 @@
 // request.
 func (c *Caller) Forward(ctx context.Context, req *Request, key, addr string) (resp *Response, left int, sent bool, e *refuse.Error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
-	s, err := c.openClaim(ctx, req, key, addr)
-	if err != nil {
-		defer cancel()
-		return nil, req.Call.Attempts, false, notSent(ctx, 0, "the node that owns the idempotency key is unreachable").refusal
-	}
-	body, _ := req.Body.open()
-	go send(s, body, req.Body)
-	reply, err := receiveHead(ctx, s)
-	if err != nil {
-		s.Reset(frame.CodeCanceled)
-		defer cancel()
-		fail := lost(ctx, err)
-		return nil, 0, fail.refusal.Executed == refuse.Unknown, fail.refusal
-	}
-	if reply.Refusal != nil {
-		s.Reset(frame.CodeDone)
-		cancel()
-		return nil, reply.AttemptsLeft, true, reply.Refusal
-	}
-	return c.newResponse(req, Candidate{}, s, reply, cancel), 0, true, nil
-}
-
-func (c *Caller) openClaim(ctx context.Context, req *Request, key, addr string) (*frame.Stream, error) {
-	session, err := c.links.Session(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
 	h := head(req, Candidate{}, req.Call.Attempts)
 	h.Call.Depth--
 	h.Key, h.Repeatable = key, req.Repeatable
-	data, err := pack(h)
-	if err != nil {
-		return nil, err
+	s, reply, fail := c.exchange(ctx, req, addr, KindClaim, h)
+	if fail != nil {
+		defer cancel()
+		answered := fail.feedback != nil
+		return nil, fail.left, answered || fail.refusal.Executed == refuse.Unknown, fail.refusal
 	}
-	return session.Open(ctx, KindClaim, data)
+	return c.newResponse(req, Candidate{}, s, reply, cancel), 0, true, nil
 }
 
 // ReadClaim returns the request and the idempotency key of a claim stream.
