quota: ask short shares again sooner at first

Cause: a share that had less than a token told its borrower to wait until it gains a whole one, up to 250 ms, although a request combines parts of several shares. A trace of core/quota TestUnevenDemand/low_rate shows requests refused while the shares together hold 4 to 7 tokens.

Change: the first wait after a short grant is 50 ms and doubles up to what the holder asked for, so that a customer beyond its rate causes no more messages than before.

--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -31,6 +31,12 @@
 	answerTime      = 20 * time.Millisecond
 	failureRetry    = 250 * time.Millisecond
 	maxFailureRetry = 2 * time.Second
+	// shortRetry bounds the wait after a first short grant, which doubles with
+	// each further one up to what the holder asked for. A request combines parts
+	// of several shares, so it must not wait until one of them has a whole token;
+	// a customer beyond its rate must not make its nodes ask all the time. With
+	// half of it no fewer requests are refused in the simulation of the tests.
+	shortRetry = 50 * time.Millisecond
 	// returnTime before its end an unused loan is returned, so that the message
 	// arrives before the holder writes the loan off.
 	returnTime = 250 * time.Millisecond
@@ -89,6 +95,7 @@
 	asked    time.Time
 	retry    time.Time // not to be asked for tokens before
 	failures int       // unanswered messages in a row
+	short    int       // grants in a row that were less than asked for
 	spare    Amount    // what the holder had left after its last grant
 	fill     float64   // the same as a part of the burst
 	waiting  uint64    // number of the unanswered request; 0 for none
@@ -278,6 +285,13 @@
 		s.retry = now.Add(failureRetry)
 		return
 	}
+	switch {
+	case reply.Grant < r.amount:
+		s.retry = now.Add(min(reply.Retry, shortRetry<<min(s.short, 8)))
+		s.short++
+	case r.amount > 0:
+		s.short = 0
+	}
 	p.acknowledge(r.reports)
 	expires := r.sent.Add(reply.Valid)
 	if reply.Grant <= 0 || reply.Grant > r.amount || !now.Before(expires) {
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -322,6 +322,31 @@
 	assert.Equal(t, p.InFlight(at(4*HedgeTime+answerTime)), 0)
 }
 
+// TestShortGrant guards against requests that are refused while several shares
+// hold parts of a token, and against nodes of a customer beyond its rate that
+// ask all the time.
+func TestShortGrant(t *testing.T) {
+	p := newPool()
+	now := time.Duration(0)
+	short := func() {
+		req, ok := p.Next([]ShareID{share.ShareID}, 1, at(now))
+		assert.Assert(t, ok, "not asked at %v", now)
+		p.Answer(BorrowReply{ShareID: req.ShareID, Seq: req.Seq, Holder: true, Retry: maxRetry, Valid: time.Second}, at(now))
+	}
+	for _, wait := range []time.Duration{shortRetry, 2 * shortRetry, 4 * shortRetry, maxRetry, maxRetry} {
+		short()
+		_, ok := p.Next([]ShareID{share.ShareID}, 1, at(now+wait-1))
+		assert.Assert(t, !ok, "asked before %v", wait)
+		now += wait
+	}
+	lend(t, p, 1, Token, now, now)
+	_, ok := p.Retake(at(now))
+	assert.Assert(t, ok)
+	short()
+	now += shortRetry
+	short()
+}
+
 // TestHolderStart guards against buckets that start full although a holder
 // before may have lent from them, or keep a level from before another owner.
 func TestHolderStart(t *testing.T) {
