Follow the settings file; settings of contracts that are not in force

Cause: SIGHUP and a changed settings file only counted from the next start (SIGHUP ended the project's own node), and the template wrote a line without a value where a deployment lacks a bound, so that no node of such a deployment would start.

Ruled out: a reload of everything. Listeners, links, zones and the age of the configuration are built into a running node; they are named in the log and count from the next start.

Change: node/start Source follows the file, by SIGHUP and by a look a second; agent.Reload takes over logging.level, the bounds of retries and the times of a shutdown, and logs what it did and what needs a restart. Lingering takes at most half of the shutdown.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -57,6 +57,9 @@
 	host       *Host        // nil on a platform that speaks the project's own protocols
 	registered atomic.Int64 // instances in the directory of the host
 
+	settings Settings                   // nil if they hold for the process
+	live     atomic.Pointer[setup.Node] // cfg with the changes that a running node takes over
+
 	stopping atomic.Bool
 }
 
@@ -94,6 +97,7 @@
 		calls:       chain.NewTable(),
 		burned:      newBurned(),
 	}
+	a.live.Store(&cfg)
 	for _, opt := range opts {
 		opt(a)
 	}
@@ -189,7 +193,8 @@
 //	├── epochs: follow, renew, propose
 //	├── tokens: watch, sweep
 //	├── claims: flush, follow, watch
-//	└── target: poll
+//	├── target: poll
+//	└── settings: follow
 func (a *Agent) start() {
 	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(func(duty string, err error) {
 		a.log.Error("duty failed", "duty", duty, "error", err)
@@ -216,6 +221,9 @@
 	ts.Start("watch", a.tokens.Watch)
 	ts.Start("sweep", a.tokens.Sweep)
 	a.tree.Sub("target").Start("poll", a.target.Poll)
+	if a.settings != nil {
+		a.tree.Sub("settings").Start("follow", a.followSettings)
+	}
 }
 
 // startOwn starts the duties of a platform that speaks the project's own
--- a/node/agent/host.go
+++ b/node/agent/host.go
@@ -51,6 +51,10 @@
 	// learn of it by gossip within that time.
 	refuseBefore = 300 * time.Millisecond
 
+	// lingerPart is the part of a shutdown, one in lingerPart, that lingering may
+	// take at most. The rest is for the calls in flight.
+	lingerPart = 2
+
 	// retryPart is the part of the fleet's bound on retries that nodes use at each
 	// level of a chain. Calls made by repeated calls count too, so that three levels
 	// of repeats together stay within the bound.
@@ -109,7 +113,8 @@
 		return
 	}
 	a.entry.HTTP().SetKeepAlivesEnabled(false)
-	super.Pause(ctx, a.cfg.Shutdown.Linger.D()-refuseBefore)
+	times := a.ShutdownTimes()
+	super.Pause(ctx, min(times.Linger.D(), times.Timeout.D()/lingerPart)-refuseBefore)
 	a.target.Refuse()
 	super.Pause(ctx, refuseBefore)
 }
@@ -117,7 +122,7 @@
 // retries returns the limits of this node's retries to one service: its part of
 // what the fleet may do.
 func (a *Agent) retries() (ratio float64, minimum int) {
-	b := a.cfg.Bounds
+	b := a.live.Load().Bounds
 	n := max(1, a.fleet.Size())
 	return b.RetryRatio * retryPart, max(1, int(math.Round(b.RetrySlack*retryPart/float64(n))))
 }
--- /dev/null
+++ b/node/agent/reload_test.go
@@ -0,0 +1,51 @@
+package agent
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/core/setup"
+)
+
+// TestReload guards against a change of the settings that is taken over in
+// part without a word, and against one that moves a running node.
+func TestReload(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*setup.Node)
+		logged string
+		check  func(*Agent) bool
+	}{
+		{
+			"applied", func(n *setup.Node) { n.Shutdown.Timeout = setup.Duration(time.Second) },
+			"applied=[\"shutdown.timeout\"] needRestart=[]",
+			func(a *Agent) bool { return a.ShutdownTimes().Timeout.D() == time.Second },
+		},
+		{
+			"level", func(n *setup.Node) { n.Logging.Level = "debug" },
+			"applied=[\"logging.level\"] needRestart=[]",
+			func(a *Agent) bool { return a.log.IsDebug() },
+		},
+		{
+			"needs a restart", func(n *setup.Node) { n.Instance.Zone, n.Bounds.RetrySlack = "b", 3 },
+			"applied=[\"bounds.retrySlack\"] needRestart=[\"instance.zone\"]",
+			func(a *Agent) bool { return a.cfg.Instance.Zone == "" && a.live.Load().Bounds.RetrySlack == 3 },
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var out bytes.Buffer
+			started, loaded := setup.Default(), setup.Default()
+			a := &Agent{cfg: started, log: hclog.New(&hclog.LoggerOptions{Output: &out, Level: hclog.Info})}
+			a.live.Store(&started)
+			test.change(&loaded)
+			a.Reload(loaded)
+			assert.Assert(t, strings.Contains(out.String(), test.logged), "%s", out.String())
+			assert.Assert(t, test.check(a))
+		})
+	}
+}
--- a/node/main.go
+++ b/node/main.go
@@ -28,7 +28,7 @@
 }
 
 // run serves until SIGTERM or SIGINT and then shuts down gracefully.
-func run(ctx context.Context, cfg setup.Node) error {
+func run(ctx context.Context, cfg setup.Node, changes *start.Source) error {
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       "node",
 		Level:      hclog.LevelFromString(cfg.Logging.Level),
@@ -37,14 +37,15 @@
 	})
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	a, err := agent.New(cfg, agent.WithLogger(log))
+	a, err := agent.New(cfg, agent.WithLogger(log), agent.WithSettings(changes))
 	if err != nil {
 		return err
 	}
 	<-ctx.Done()
 	stop()
-	log.Info("shutting down", "timeout", cfg.Shutdown.Timeout.D())
-	end, cancel := context.WithTimeout(context.Background(), cfg.Shutdown.Timeout.D())
+	timeout := a.ShutdownTimes().Timeout.D()
+	log.Info("shutting down", "timeout", timeout)
+	end, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return a.Shutdown(end)
 }
--- a/node/start/start.go
+++ b/node/start/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
@@ -13,9 +14,12 @@
 type Program struct {
 	Use, Short, Long, Example string
 
-	File  string                                          // settings file without the flag --config
-	Check func(cfg setup.Node) error                      // of what the program needs beyond a node; may be nil
-	Run   func(ctx context.Context, cfg setup.Node) error // serves until it is told to end
+	File string // settings file without the flag --config
+	// Complete checks what the program needs beyond a node and fills in what
+	// follows from it; may be nil.
+	Complete func(cfg *setup.Node) error
+	// Run serves until it is told to end. The source tells of changed settings.
+	Run func(ctx context.Context, cfg setup.Node, changes *Source) error
 }
 
 // Command returns the command line of the program.
@@ -30,7 +34,12 @@
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := p.load(file)
+			data, err := os.ReadFile(file)
+			if err != nil {
+				return err
+			}
+			load := func(data []byte) (setup.Node, error) { return p.load(file, data) }
+			cfg, err := load(data)
 			if err != nil {
 				return err
 			}
@@ -38,7 +47,7 @@
 				_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", file)
 				return err
 			}
-			return p.Run(cmd.Context(), cfg)
+			return p.Run(cmd.Context(), cfg, newSource(file, data, load))
 		},
 	}
 	cmd.Flags().StringVarP(&file, "config", "c", p.File, "settings `file` (TOML)")
@@ -46,10 +55,10 @@
 	return cmd
 }
 
-func (p Program) load(file string) (setup.Node, error) {
-	cfg, err := setup.Load(file)
-	if err == nil && p.Check != nil {
-		err = p.Check(cfg)
+func (p Program) load(file string, data []byte) (setup.Node, error) {
+	cfg, err := setup.Parse(file, data)
+	if err == nil && p.Complete != nil {
+		err = p.Complete(&cfg)
 	}
 	return cfg, err
 }
