entry: limits of callers from the configuration

Cause: the operator's Limits (body, header, idle time) were not applied; connections idled for 2 minutes whatever the configuration said, and a higher limit would have been cut at that.

Ruled out: fields of http.Server, which can't change while it serves; a lower idle time at once, which closes connections that callers still reuse by the earlier one.

Change: model.Fleet has CallerLimits; the entry refuses larger bodies (413) and headers (431), and a duty closes idle connections.

Conclusion: limits hold as the operator says; the time for a header stays with the settings (docs/platform.md).

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -219,6 +219,9 @@
 }
 
 func checkFleet(f model.Fleet) string {
+	if l := f.Callers; l.BodyBytes < 0 || l.HeaderBytes < 0 || l.IdleTimeoutMS < 0 {
+		return "limits of callers must not be negative"
+	}
 	var sum float64
 	seen := map[string]bool{}
 	for _, z := range f.Zones {
--- a/core/model/objects.go
+++ b/core/model/objects.go
@@ -99,9 +99,19 @@
 	DefaultLevel = 4
 )
 
-// Fleet describes the availability zones. Its only object is named "fleet".
+// Fleet describes the availability zones and what holds for all callers. Its
+// only object is named "fleet".
 type Fleet struct {
-	Zones []ZoneWeight `json:"zones" toml:"zones"`
+	Zones   []ZoneWeight `json:"zones" toml:"zones"`
+	Callers CallerLimits `json:"callers,omitzero" toml:"callers,omitempty"`
+}
+
+// CallerLimits bounds what a caller may send and keep open. A value of 0 leaves
+// the bound to the settings of each node; the stricter of the two holds.
+type CallerLimits struct {
+	BodyBytes     int64 `json:"bodyBytes,omitempty" toml:"bodyBytes,omitempty"`
+	HeaderBytes   int64 `json:"headerBytes,omitempty" toml:"headerBytes,omitempty"`
+	IdleTimeoutMS int64 `json:"idleTimeoutMs,omitempty" toml:"idleTimeoutMs,omitempty"` // of a connection without a request
 }
 
 // ZoneWeight is a zone's part of every customer's rate and burst. The weights
--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -31,6 +31,7 @@
 	NotReady         Reason = "not-ready"
 	BadRequest       Reason = "bad-request"
 	TooLarge         Reason = "too-large"
+	HeaderTooLarge   Reason = "header-too-large"
 	Cancelled        Reason = "cancelled"
 )
 
@@ -120,6 +121,8 @@
 		return http.StatusBadRequest
 	case TooLarge:
 		return http.StatusRequestEntityTooLarge
+	case HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -187,7 +187,7 @@
 // start runs every duty of the node. The tree is:
 //
 //	node
-//	├── listeners: callers, local, operations, peers, links
+//	├── listeners: callers, idle callers, local, operations, peers, links
 //	├── config: follow, pull, snapshot
 //	├── members: gossip
 //	├── epochs: follow, renew, propose
@@ -201,6 +201,7 @@
 	}))
 	ls := a.tree.Sub("listeners")
 	ls.Start("callers", serveHTTP(a.entry.HTTP(), a.callersListener()))
+	ls.Start("idle callers", a.entry.CloseIdle)
 	ls.Start("local", serveHTTP(a.local.HTTP(), a.lns.local))
 	ls.Start("operations", serveHTTP(a.ops, a.lns.ops))
 	ls.Start("peers", a.peers.serve(a.lns.peers))
--- a/node/entry/active.go
+++ b/node/entry/active.go
@@ -95,8 +95,8 @@
 		return http.NoBody
 	}
 	body := r.Body
-	if s.limits.BodyBytes > 0 {
-		body = http.MaxBytesReader(w, body, s.limits.BodyBytes)
+	if limit := s.bodyLimit(); limit > 0 {
+		body = http.MaxBytesReader(w, body, limit)
 	}
 	p := &progressReader{r: body, run: run, rc: http.NewResponseController(w), limit: s.limits.ProgressTimeout.D()}
 	stop := context.AfterFunc(ctx, func() { _ = p.rc.SetReadDeadline(time.Unix(1, 0)) })
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -47,6 +47,9 @@
 		return q.unproven(refuse.New(refuse.NotReady, "the node has no configuration yet").WithRetry(time.Second))
 	}
 	q.cur = cur
+	if e := q.server.checkSize(q.r); e != nil {
+		return q.unproven(e)
+	}
 	if e := q.resolve(cur); e != nil {
 		return e
 	}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -82,6 +83,7 @@
 	metrics *metric.Set
 	limits  setup.Limits
 	active  *active
+	idle    idleConns
 	http    *http.Server
 
 	patience *patience
@@ -133,6 +135,7 @@
 		store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, counter: p.Counter, metrics: m,
 		limits: limits, active: newActive(limits.RevokeGrace.D()), protocol: ownProtocol{}, patience: newPatience(), split: route.NewSplitter(), log: hclog.NewNullLogger(),
 	}
+	s.idle.since = map[net.Conn]time.Time{}
 	for _, o := range opts {
 		o(s)
 	}
@@ -152,6 +155,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout.D(),
 		IdleTimeout:       limits.IdleTimeout.D(),
+		ConnState:         s.idle.track,
 	}
 	return s
 }
