Log what the node believes and each failed attempt, bounded and without waiting

Cause: only refusals were logged. Nothing told when a configuration, a member list, the zone's lease, another instance or the upstream changed, nor why a call was placed elsewhere. A slow reader of standard output blocked whoever logged.

Change: core/lines bounds lines about requests by a rate before they are formatted, and passes lines on from a buffer of 512 KB; what is left out is counted (logLinesLeftOut, "log lines left out"). agent duty "note" logs changed beliefs, relay each failed attempt. The status shows the identifier of the upstream's process.

Figures: 7.5 us a line (node/start BenchmarkRefusalLine, busy machine).

--- /dev/null
+++ b/core/lines/lines_test.go
@@ -0,0 +1,118 @@
+package lines
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// reader keeps what is written, and takes its time for it.
+type reader struct {
+	mu     sync.Mutex
+	text   strings.Builder
+	writes int
+	delay  time.Duration
+	err    error
+}
+
+func (r *reader) Write(p []byte) (int, error) {
+	time.Sleep(r.delay)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes++
+	_, _ = r.text.Write(p)
+	return len(p), r.err
+}
+
+// read returns the number of lines and of writes.
+func (r *reader) read() (lines, writes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Count(r.text.String(), "line\n"), r.writes
+}
+
+// TestWriter guards against a logger that waits for a slow reader, and against
+// lines that are lost without being counted.
+func TestWriter(t *testing.T) {
+	errPipe := errors.New("broken pipe")
+	for _, test := range []struct {
+		name    string
+		reader  *reader
+		lines   int
+		buffer  int
+		wait    time.Duration // of Close
+		written int
+		leftOut int64
+		err     error
+	}{
+		{"all in one write", &reader{}, 50, DefaultBuffer, time.Second, 50, 0, nil},
+		{"slow reader", &reader{delay: time.Minute}, 10, DefaultBuffer, time.Hour, 10, 0, nil},
+		{"full buffer", &reader{}, 10, 4 * len("line\n"), time.Second, 4, 6, nil},
+		{"stuck reader", &reader{delay: time.Hour}, 10, DefaultBuffer, time.Second, 0, 0, context.DeadlineExceeded},
+		{"broken reader", &reader{err: errPipe}, 1, DefaultBuffer, time.Second, 1, 0, errPipe},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := NewWriter(test.reader, WithBuffer(test.buffer))
+				began := time.Now()
+				for range test.lines {
+					_, err := w.Write([]byte("line\n"))
+					assert.NilError(t, err)
+				}
+				assert.Equal(t, time.Since(began), time.Duration(0))
+				ctx, cancel := context.WithTimeout(t.Context(), test.wait)
+				defer cancel()
+				assert.Assert(t, errors.Is(w.Close(ctx), test.err))
+				written, writes := test.reader.read()
+				assert.Equal(t, written, test.written)
+				assert.Assert(t, writes <= 1)
+				assert.Equal(t, w.LeftOut(), test.leftOut)
+				time.Sleep(2 * time.Hour) // ends a stuck reader
+				w.tree.Stop()
+			})
+		})
+	}
+}
+
+// TestLimiter guards against a flood of lines and against a bound that leaves
+// out lines of a short burst.
+func TestLimiter(t *testing.T) {
+	start := time.Unix(1000, 0)
+	type step struct {
+		after   time.Duration
+		asked   int
+		allowed int
+	}
+	for _, test := range []struct {
+		name  string
+		rate  int
+		steps []step
+	}{
+		{"burst of a second", 10, []step{{0, 15, 10}}},
+		{"goes on at the rate", 10, []step{{0, 15, 10}, {500 * time.Millisecond, 15, 5}, {time.Hour, 15, 10}}},
+		{"no bound", 0, []step{{0, 1000, 1000}}},
+		{"clock goes back", 10, []step{{time.Second, 15, 10}, {0, 5, 0}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := NewLimiter(test.rate)
+			asked, allowed := 0, 0
+			for i, s := range test.steps {
+				n := 0
+				for range s.asked {
+					if l.Allow(start.Add(s.after)) {
+						n++
+					}
+				}
+				assert.Equal(t, n, s.allowed, "step %d", i)
+				asked, allowed = asked+s.asked, allowed+n
+			}
+			assert.Equal(t, l.LeftOut(), int64(asked-allowed))
+		})
+	}
+}
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -15,6 +15,7 @@
 	Refused        = "refused."          // by refusal reason
 	RefusedInside  = "refusedInsideRate" // requests refused by overload although inside the customer's rate
 	Attempts       = "attempts"          // attempts sent to targets
+	LogLeftOut     = "logLinesLeftOut"   // gauge: since the start
 	Retries        = "retries"           // attempts after the first of a call
 	Resumed        = "resumed"           // attempts that moved to a new link
 	Served         = "served"            // calls dispatched to the local upstream
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -23,6 +23,7 @@
 
 // Upstream is the upstream beside a node.
 type Upstream struct {
+	ID       string `json:"id,omitempty"` // of its process, where the platform tells it
 	Service  string `json:"service"`
 	Addr     string `json:"addr"`
 	State    string `json:"state"`
--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -122,6 +122,7 @@
 		{"limits.progressTimeout", positive(int64(n.Limits.ProgressTimeout))},
 		{"limits.revokeGrace", notNegative(int64(n.Limits.RevokeGrace))},
 		{"logging.level", level(n.Logging.Level)},
+		{"logging.linesPerSecond", notNegative(int64(n.Logging.LinesPerSecond))},
 		{"shutdown.timeout", positive(int64(n.Shutdown.Timeout))},
 	}
 }
--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -98,6 +98,8 @@
 type Logging struct {
 	Level string `toml:"level"`
 	JSON  bool   `toml:"json"`
+	// LinesPerSecond bounds the lines about single requests; 0 for no bound.
+	LinesPerSecond int `toml:"linesPerSecond"`
 }
 
 // ShutdownAt bounds a graceful shutdown.
@@ -131,6 +133,11 @@
 	return time.Duration(d)
 }
 
+// defaultLines is the default of logging.linesPerSecond. A line takes 7.5 µs of a
+// processor (node/start BenchmarkRefusalLine) and 0.3 KB of the log, so this many
+// are 0.15% of a core and 60 KB/s.
+const defaultLines = 200
+
 // Default returns the settings that apply where a file is silent.
 func Default() Node {
 	return Node{
@@ -143,7 +150,7 @@
 			ProgressTimeout:      Duration(10 * time.Second),
 			RevokeGrace:          Duration(5 * time.Second),
 		},
-		Logging:  Logging{Level: "info"},
+		Logging:  Logging{Level: "info", LinesPerSecond: defaultLines},
 		Shutdown: ShutdownAt{Timeout: Duration(30 * time.Second)},
 	}
 }
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/setup"
@@ -57,8 +58,10 @@
 	host       *Host        // nil on a platform that speaks the project's own protocols
 	registered atomic.Int64 // instances in the directory of the host
 
-	settings Settings                   // nil if they hold for the process
-	live     atomic.Pointer[setup.Node] // cfg with the changes that a running node takes over
+	lines     *lines.Limiter             // of log lines about single requests
+	unwritten func() int64               // log lines that the output had no room for; may be nil
+	settings  Settings                   // nil if they hold for the process
+	live      atomic.Pointer[setup.Node] // cfg with the changes that a running node takes over
 
 	stopping atomic.Bool
 }
@@ -71,6 +74,12 @@
 	return func(a *Agent) { a.log = l }
 }
 
+// WithUnwritten sets the source of the number of log lines for which the output
+// of the logger had no room.
+func WithUnwritten(f func() int64) Option {
+	return func(a *Agent) { a.unwritten = f }
+}
+
 // WithLog sets the client of the log service in place of the one that the
 // settings name.
 func WithLog(l logsvc.Log) Option {
@@ -96,6 +105,7 @@
 		store:       store.New(),
 		calls:       chain.NewTable(),
 		burned:      newBurned(),
+		lines:       lines.NewLimiter(cfg.Logging.LinesPerSecond),
 	}
 	a.live.Store(&cfg)
 	for _, opt := range opts {
@@ -165,7 +175,7 @@
 	a.tokens = tokens.New(a.zones, a.store, a.links, a.metrics, a.limiting()...)
 	balancer := relay.NewBalancer(a.fleet, a.cfg.Instance.Zone, a.incarnation, a.balancing()...)
 	a.target = relay.NewTarget(a.incarnation, a.store, a.calls, balancer, a.metrics, a.announce, a.targeting()...)
-	a.caller = relay.NewCaller(balancer, a.links, a.metrics)
+	a.caller = relay.NewCaller(balancer, a.links, a.metrics, relay.WithAttemptLog(a.log, a.lines))
 	a.claims, err = claims.New(a.zones, a.store, a.caller, a.fleet, a.platform, a.metrics, func(err error) {
 		a.log.Warn("claims log unreachable", "error", err)
 	})
@@ -194,6 +204,7 @@
 //	├── tokens: watch, sweep
 //	├── claims: flush, follow, watch
 //	├── target: poll
+//	├── log: note
 //	└── settings: follow
 func (a *Agent) start() {
 	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(func(duty string, err error) {
@@ -222,6 +233,7 @@
 	ts.Start("watch", a.tokens.Watch)
 	ts.Start("sweep", a.tokens.Sweep)
 	a.tree.Sub("target").Start("poll", a.target.Poll)
+	a.tree.Sub("log").Start("note", a.note)
 	if a.settings != nil {
 		a.tree.Sub("settings").Start("follow", a.followSettings)
 	}
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -43,11 +43,16 @@
 
 // readsLog reports whether this node reads the configuration from the log.
 func (a *Agent) readsLog() bool {
-	stale := staleAfter
-	if a.host != nil {
-		stale = a.readWait() + pullEvery
+	return a.store.Age(boot.Now()) > a.staleAfter() || slices.Contains(a.logReaders(), a.cfg.Instance.Name)
+}
+
+// staleAfter returns the age of the configuration from which the node no longer
+// relies on those who should confirm it.
+func (a *Agent) staleAfter() time.Duration {
+	if a.host == nil {
+		return staleAfter
 	}
-	return a.store.Age(boot.Now()) > stale || slices.Contains(a.logReaders(), a.cfg.Instance.Name)
+	return a.readWait() + pullEvery
 }
 
 // logReaders returns the nodes of the own zone that read the log.
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -314,6 +314,19 @@
 	return e.Incarnation, e.Addr, true
 }
 
+// others returns the other instances that are alive, sorted.
+func (f *fleet) others() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, zone := range f.machine.Zones() {
+		out = append(out, f.machine.Alive(zone)...)
+	}
+	out = slices.DeleteFunc(out, func(name string) bool { return name == f.agent.cfg.Instance.Name })
+	slices.Sort(out)
+	return out
+}
+
 // Size implements claims.Peers.
 func (f *fleet) Size() int {
 	f.mu.Lock()
--- a/node/agent/host.go
+++ b/node/agent/host.go
@@ -159,7 +159,7 @@
 }
 
 func (a *Agent) entering() []entry.Option {
-	opts := []entry.Option{entry.WithLogger(a.log)}
+	opts := []entry.Option{entry.WithLogger(a.log, a.lines)}
 	if a.host == nil {
 		return opts
 	}
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -57,7 +57,7 @@
 }
 
 func upstreamReport(u relay.Upstream) *report.Upstream {
-	return &report.Upstream{Service: u.Service, Addr: u.Addr, State: string(u.State), Slots: u.Slots}
+	return &report.Upstream{ID: u.ID, Service: u.Service, Addr: u.Addr, State: string(u.State), Slots: u.Slots}
 }
 
 // serveHTTP returns the duty that serves a listener.
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -227,7 +227,7 @@
 
 // logRefusal writes what decided on a refused request.
 func (q *request) logRefusal(e *refuse.Error, took time.Duration) {
-	if !q.server.log.IsInfo() {
+	if !q.server.log.IsInfo() || !q.server.lines.Allow(q.now) {
 		return
 	}
 	q.server.log.Info("request refused", "request", q.server.protocol.RequestID(q.r.Header), "route", q.route.Name,
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -15,6 +15,7 @@
 	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/keys"
+	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
@@ -91,6 +92,7 @@
 	origin   string // service of the instance
 	parents  *chain.Table
 	log      hclog.Logger
+	lines    *lines.Limiter
 
 	mu    sync.Mutex // guards split
 	split *route.Splitter
@@ -115,9 +117,10 @@
 	return func(s *Server) { s.parents = t }
 }
 
-// WithLogger sets where decisions on requests are logged.
-func WithLogger(l hclog.Logger) Option {
-	return func(s *Server) { s.log = l }
+// WithLogger sets where decisions on requests are logged, and the bound on the
+// lines.
+func WithLogger(l hclog.Logger, bound *lines.Limiter) Option {
+	return func(s *Server) { s.log, s.lines = l, bound }
 }
 
 // Parts are what a server passes admitted requests to.
@@ -133,7 +136,7 @@
 func New(st *store.Store, p Parts, m *metric.Set, limits setup.Limits, opts ...Option) *Server {
 	s := &Server{
 		store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, counter: p.Counter, metrics: m,
-		limits: limits, active: newActive(limits.RevokeGrace.D()), protocol: ownProtocol{}, patience: newPatience(), split: route.NewSplitter(), log: hclog.NewNullLogger(),
+		limits: limits, active: newActive(limits.RevokeGrace.D()), protocol: ownProtocol{}, patience: newPatience(), split: route.NewSplitter(), log: hclog.NewNullLogger(), lines: lines.NewLimiter(0),
 	}
 	s.idle.since = map[net.Conn]time.Time{}
 	for _, o := range opts {
--- a/node/main.go
+++ b/node/main.go
@@ -7,8 +7,7 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/hashicorp/go-hclog"
-
+	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/agent"
 	"dogwoodsill.org/node/start"
@@ -29,15 +28,12 @@
 
 // run serves until SIGTERM or SIGINT and then shuts down gracefully.
 func run(ctx context.Context, cfg setup.Node, changes *start.Source) error {
-	log := hclog.New(&hclog.LoggerOptions{
-		Name:       "node",
-		Level:      hclog.LevelFromString(cfg.Logging.Level),
-		JSONFormat: cfg.Logging.JSON,
-		Output:     os.Stderr,
-	})
+	out := lines.NewWriter(os.Stderr)
+	defer start.Flush(out)
+	log := start.NewLogger(cfg.Logging, out)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	a, err := agent.New(cfg, agent.WithLogger(log), agent.WithSettings(changes))
+	a, err := agent.New(cfg, agent.WithLogger(log), agent.WithSettings(changes), agent.WithUnwritten(out.LeftOut))
 	if err != nil {
 		return err
 	}
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
 
 	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/picker"
@@ -69,11 +71,26 @@
 	*Balancer
 	links   Links
 	metrics *metric.Set
+	log     hclog.Logger
+	lines   *lines.Limiter
+}
+
+// CallerOption changes a caller.
+type CallerOption func(*Caller)
+
+// WithAttemptLog sets where failed attempts are logged, and the bound on the
+// lines.
+func WithAttemptLog(l hclog.Logger, bound *lines.Limiter) CallerOption {
+	return func(c *Caller) { c.log, c.lines = l, bound }
 }
 
 // NewCaller returns a caller that uses a balancer.
-func NewCaller(b *Balancer, links Links, m *metric.Set) *Caller {
-	return &Caller{Balancer: b, links: links, metrics: m}
+func NewCaller(b *Balancer, links Links, m *metric.Set, opts ...CallerOption) *Caller {
+	c := &Caller{Balancer: b, links: links, metrics: m, log: hclog.NewNullLogger(), lines: lines.NewLimiter(0)}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // attemptError is the failure of one attempt.
@@ -168,7 +185,8 @@
 	}
 	_ = resp.Body.Close()
 	d.tried = append(d.tried, target.ID)
-	d.fail(refuse.New(refuse.UpstreamFailed, "the upstream answered with an error").WithExecuted(refuse.Unknown))
+	d.fail(refuse.New(refuse.UpstreamFailed, "the upstream answered with status %d", resp.Status).WithExecuted(refuse.Unknown))
+	c.logAttempt(d, target, d.last, true, time.Now())
 	return nil, true
 }
 
@@ -205,6 +223,7 @@
 	retries := len(d.tried)
 	d.tried = append(d.tried, target.ID)
 	if !d.req.Body.repeatable() || len(d.tried) >= maxPlacements {
+		c.logAttempt(d, target, fail.refusal, false, now)
 		return false
 	}
 	v := c.next(d.req.Service, retry.Attempt{
@@ -215,9 +234,19 @@
 		Left:       d.budget.Left(),
 		Deadline:   d.req.Call.Deadline,
 	}, now)
+	c.logAttempt(d, target, fail.refusal, v.Retry(), now)
 	return v.Retry() && super.Pause(ctx, v.Delay)
 }
 
+// logAttempt writes what became of an attempt and what follows.
+func (c *Caller) logAttempt(d *delivery, target Candidate, e *refuse.Error, again bool, now time.Time) {
+	if !c.log.IsInfo() || !c.lines.Allow(now) {
+		return
+	}
+	c.log.Info("attempt failed", "request", d.req.RequestID, "service", d.req.Service, "instance", target.ID, "attempt", len(d.tried),
+		"reason", e.Reason, "executed", e.Executed, "detail", e.Detail, "again", again, "left", d.budget.Left())
+}
+
 // outcome refines the outcome of an attempt: when the service excludes the
 // rank of the call, other targets would refuse it as well.
 func (c *Caller) outcome(req *Request, fail *attemptError, now time.Time) retry.Outcome {
