relay: an answer that comes before the end of the body is kept

The new log shows two kinds. "stream reset: canceled": the answer had come before the request's body was sent; the sender then found the stream ended, reset it and so dropped the unread answer. That also loses the answer of an upstream that rejects an upload early. "the upstream gave no answer": the link went silent between the head and the body of the order, so the upstream never got all of it; unknown is then the true outcome.

Ruled out: the grace of 5 s after a lost link (the order takes 1 s), the pool of links.

Change: send resets a stream only if the body itself failed. The test silences the links once an order has arrived to its end; its checks are as before.

--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -39,6 +39,7 @@
 	waiting  atomic.Int64
 	delay    atomic.Int64 // nanoseconds of service time
 	started  atomic.Int64
+	whole    atomic.Int64
 
 	cancelled atomic.Int64
 	broken    atomic.Int64
@@ -208,6 +209,11 @@
 	return u.started.Load()
 }
 
+// Whole returns the number of requests that arrived to their end.
+func (u *Upstream) Whole() int64 {
+	return u.whole.Load()
+}
+
 // InService returns the number of requests that run now.
 func (u *Upstream) InService() int64 {
 	return int64(len(u.slots))
@@ -282,6 +288,7 @@
 		u.broken.Add(1)
 		return
 	}
+	u.whole.Add(1)
 	if !u.work(r.Context()) || u.behave(w, r) {
 		return
 	}
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -378,7 +378,7 @@
 		return notSent(ctx, 0, "the target's node refused the stream")
 	}
 	if ctx.Err() != nil {
-		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.Unknown), outcome: retry.Rejected, result: ended(ctx)}
+		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.Unknown), outcome: retry.Rejected, result: blame(ctx)}
 	}
 	var session *frame.SessionError
 	e := refuse.New(refuse.UpstreamFailed, "the target's node gave no answer")
@@ -388,9 +388,9 @@
 	}
 }
 
-// ended says what the end of a context tells about the target: a missed
+// blame says what the end of a context tells about the target: a missed
 // deadline speaks against it, a caller that left doesn't.
-func ended(ctx context.Context) picker.Result {
+func blame(ctx context.Context) picker.Result {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return picker.Failed
 	}
@@ -435,12 +435,22 @@
 		return
 	}
 	if err := Copy(s, body); err != nil {
-		s.Reset(frame.CodeCanceled)
+		// An answer that came before the end of the body ends the stream, and must
+		// stay readable. Otherwise the body itself failed.
+		if !ended(s) {
+			s.Reset(frame.CodeCanceled)
+		}
 		return
 	}
 	_ = s.CloseWrite(b.packTrailer())
 }
 
+// ended reports whether a stream was ended by its peer or by the loss of its
+// link.
+func ended(s *frame.Stream) bool {
+	return s.Context().Err() != nil
+}
+
 func receiveHead(ctx context.Context, s *frame.Stream) (ReplyHead, error) {
 	data, err := s.RecvHead(ctx)
 	if err != nil {
--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -53,7 +53,7 @@
 		return nil
 	}
 	if ctx.Err() != nil {
-		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.Unknown), outcome: retry.Rejected, result: ended(ctx), reached: true}
+		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.Unknown), outcome: retry.Rejected, result: blame(ctx), reached: true}
 	}
 	if !time.Now().Before(deadline) {
 		return &attemptError{
