relay: the upstream's own error if its repeat fails too

Cause: a repeatable call that an upstream answered with an error is attempted again. When that attempt was refused, the caller got the refusal in place of the upstream's answer.

Change: the first answer, if it was read whole, is kept until the repeat gives a better one.

Test: node/relay TestRescue, "repeat refused" fails before.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -112,6 +112,7 @@
 	first    bool // the first attempt was made
 	executed refuse.Executed
 	last     *refuse.Error
+	answer   *Response // an upstream's error that was to be replaced; nil for none
 }
 
 // Do sends a call and returns the answer, or a refusal together with the
@@ -123,9 +124,13 @@
 		if resp != nil {
 			return resp, 0, nil
 		}
-		if !again {
-			return nil, d.budget.Left(), d.last.WithExecuted(d.executed)
+		if again {
+			continue
 		}
+		if d.answer != nil {
+			return d.answer, 0, nil
+		}
+		return nil, d.budget.Left(), d.last.WithExecuted(d.executed)
 	}
 }
 
@@ -164,7 +169,8 @@
 }
 
 // rescue decides whether a call that an upstream answered with an error is
-// attempted again. Otherwise the error is the answer.
+// attempted again. Otherwise, and if nothing better comes of it, the error is the
+// answer.
 func (c *Caller) rescue(ctx context.Context, d *delivery, target Candidate, resp *Response) (*Response, bool) {
 	if resp.ChildFailed {
 		return resp, false // the call below was attempted again where it failed
@@ -184,6 +190,9 @@
 		return resp, false
 	}
 	_ = resp.Body.Close()
+	if _, whole := resp.Body.(*settledBody); whole {
+		d.answer = resp
+	}
 	d.tried = append(d.tried, target.ID)
 	d.fail(refuse.New(refuse.UpstreamFailed, "the upstream answered with status %d", resp.Status).WithExecuted(refuse.Unknown))
 	c.logAttempt(d, target, d.last, true, time.Now())
--- /dev/null
+++ b/node/relay/rescue_test.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+)
+
+// nodes is a service with one session to the node of each target, by address.
+type nodes map[string]*frame.Session
+
+// Candidates implements Directory.
+func (n nodes) Candidates(string) ([]Candidate, uint64) {
+	var out []Candidate
+	for addr := range n {
+		out = append(out, Candidate{ID: addr, Instance: addr, Addr: addr, Zone: "a", Slots: 10, State: Ready})
+	}
+	return out, 1
+}
+
+// Session implements Links.
+func (n nodes) Session(_ context.Context, addr string) (*frame.Session, error) {
+	return n[addr], nil
+}
+
+// replying answers every call alike.
+func replying(t *testing.T, h ReplyHead, body string) frame.Handler {
+	t.Helper()
+	return func(s *frame.Stream) {
+		head, err := pack(h)
+		assert.Check(t, err)
+		trailer, err := pack(ReplyTrailer{Complete: true})
+		assert.Check(t, err)
+		if s.SendHead(head) == nil {
+			_, _ = s.Write([]byte(body))
+			_ = s.CloseWrite(trailer)
+		}
+	}
+}
+
+// TestRescue guards against a refusal of our own in place of the error that an
+// upstream answered, when the repeat fails too.
+func TestRescue(t *testing.T) {
+	const broken = "the ledger is broken"
+	failing := ReplyHead{Status: http.StatusInternalServerError, ContentLength: int64(len(broken))}
+	full := ReplyHead{Refusal: refuse.New(refuse.Overloaded, "full").WithRetry(time.Second)}
+	good := ReplyHead{Status: http.StatusOK, ContentLength: 2}
+	for _, test := range []struct {
+		name   string
+		second ReplyHead
+		body   string
+		status int
+	}{
+		{"repeat refused", full, "", http.StatusInternalServerError},
+		{"repeat broken", failing, broken, http.StatusInternalServerError},
+		{"repeat good", good, "ok", http.StatusOK},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var calls int
+			handler := func(s *frame.Stream) {
+				calls++ // one call at a time
+				if calls == 1 {
+					replying(t, failing, broken)(s)
+					return
+				}
+				replying(t, test.second, test.body)(s)
+			}
+			dir := nodes{"one": linked(t, handler), "two": linked(t, handler)}
+			c := NewCaller(NewBalancer(dir, "a", 1), dir, metric.New())
+			body, err := NewBody(http.NoBody, 0, func() http.Header { return nil })
+			assert.NilError(t, err)
+			resp, _, e := c.Do(t.Context(), &Request{
+				Service: "s", Method: http.MethodGet, URI: "/", Body: body, Repeatable: true,
+				Call: model.Call{Attempts: 4, Deadline: time.Now().Add(10 * time.Second)},
+			})
+			assert.Assert(t, e == nil, "%v", e)
+			data, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.Status, test.status)
+			assert.Equal(t, int64(len(data)), resp.ContentLength)
+			assert.Assert(t, calls > 1)
+		})
+	}
+}
