Keep the heap below the memory of the process

The Go runtime did not know of the limit and let the heap grow to twice what is in use.

Ruled out: fewer buffers of links (60 KB of 140 MB); a lower GOGC for all nodes, which costs processor time where memory is plentiful.

Change: limits.memoryMb, from the platform's settings; three quarters of it are the limit of the runtime.

Test: node/start TestBoundMemory, platform TestSettingsTemplate.

--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -117,6 +117,7 @@
 		{"limits.bodyBytes", notNegative(n.Limits.BodyBytes)},
 		{"limits.connectionsPerCaller", positive(int64(n.Limits.ConnectionsPerCaller))},
 		{"limits.descriptors", notNegative(int64(n.Limits.Descriptors))},
+		{"limits.memoryMb", notNegative(int64(n.Limits.MemoryMB))},
 		{"limits.headerTimeout", positive(int64(n.Limits.HeaderTimeout))},
 		{"limits.idleTimeout", positive(int64(n.Limits.IdleTimeout))},
 		{"limits.progressTimeout", positive(int64(n.Limits.ProgressTimeout))},
--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -88,6 +88,7 @@
 	BodyBytes            int64    `toml:"bodyBytes"` // 0 for no limit
 	ConnectionsPerCaller int      `toml:"connectionsPerCaller"`
 	Descriptors          int      `toml:"descriptors"` // of the process; 0 if not known
+	MemoryMB             int      `toml:"memoryMb"`    // of the process; 0 if not known
 	HeaderTimeout        Duration `toml:"headerTimeout"`
 	IdleTimeout          Duration `toml:"idleTimeout"`
 	ProgressTimeout      Duration `toml:"progressTimeout"` // a body that stalls this long is aborted
--- a/node/start/start.go
+++ b/node/start/start.go
@@ -47,6 +47,7 @@
 				_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", file)
 				return err
 			}
+			boundMemory(cfg.Limits)
 			return p.Run(cmd.Context(), cfg, newSource(file, data, load))
 		},
 	}
