bench policy: two loads together

Cause: the table played each load alone; what callers get when two meet was not tested.

The bounds are those of docs/design.md 1.3 for each alone.

--- a/bench/policy/measure.go
+++ b/bench/policy/measure.go
@@ -44,6 +44,8 @@
 		{Name: "recovery after a surge", Unit: "s", Bound: 5, Most: true, Run: surge},
 		{Name: "recovery after a slow deep service", Unit: "s", Bound: 5, Most: true, Run: slowDeep},
 		{Name: "important requests at 10x load", Unit: "complete", Bound: 0.995, Run: important},
+		{Name: "recovery after both together", Unit: "s", Bound: 5, Most: true, Run: surgeAndSlow},
+		{Name: "important requests beside a greedy customer", Unit: "complete", Bound: 0.995, Run: greedyAndMisled},
 		{Name: "worst-served customer", Unit: "of fair share", Bound: 0.95, Run: worstServed},
 	}
 }
--- a/bench/policy/scenario.go
+++ b/bench/policy/scenario.go
@@ -24,31 +24,58 @@
 	fairTo       = 35 * time.Second // long enough that chance changes a customer's part by about 1% only
 )
 
-func surge(site Site, p Policy, seed uint64) float64 {
-	at := func(t time.Duration) float64 {
-		if t >= faultFrom && t < faultTo {
-			return 1
-		}
-		return normalLoad / surgeLoad
+// surging is the course of the load of a surge, as a part of its height.
+func surging(t time.Duration) float64 {
+	if t >= faultFrom && t < faultTo {
+		return 1
 	}
-	streams := func(w *world) []stream { return load(w, surgeLoad, importanceLow, at) }
+	return normalLoad / surgeLoad
+}
+
+func surge(site Site, p Policy, seed uint64) float64 {
+	streams := func(w *world) []stream { return load(w, surgeLoad, importanceLow, surging) }
 	return recovery(run(site, p, seed, streams, nil, recoverEnd))
 }
 
 func slowDeep(site Site, p Policy, seed uint64) float64 {
 	streams := func(w *world) []stream { return load(w, normalLoad, importanceLow, nil) }
-	change := func(w *world) {
-		set := func(f float64) func() {
-			return func() {
-				for _, in := range w.services[len(w.services)-1] {
-					in.up.slow = f
-				}
+	return recovery(run(site, p, seed, streams, slowDown, recoverEnd))
+}
+
+// slowDown makes the deepest service slow for the time of the fault.
+func slowDown(w *world) {
+	set := func(f float64) func() {
+		return func() {
+			for _, in := range w.services[len(w.services)-1] {
+				in.up.slow = f
+			}
+		}
+	}
+	w.after(faultFrom, set(slowFactor))
+	w.after(faultTo, set(1))
+}
+
+// surgeAndSlow is surge and slowDeep at the same time.
+func surgeAndSlow(site Site, p Policy, seed uint64) float64 {
+	streams := func(w *world) []stream { return load(w, surgeLoad, importanceLow, surging) }
+	return recovery(run(site, p, seed, streams, slowDown, recoverEnd))
+}
+
+// greedyAndMisled is the part of the important requests that complete while one
+// customer sends many times its rate in a surge and targets mislead.
+func greedyAndMisled(site Site, p Policy, seed uint64) float64 {
+	streams := func(w *world) []stream {
+		out := load(w, ownImportant, importanceHigh, nil)
+		for i, c := range site.Customers {
+			rate := c.Rate * site.Capacity()
+			if i == greedy {
+				rate *= greedyFactor
 			}
+			out = append(out, stream{customer: i, importance: importanceLow, rate: rate, at: surging})
 		}
-		w.after(faultFrom, set(slowFactor))
-		w.after(faultTo, set(1))
+		return out
 	}
-	return recovery(run(site, p, seed, streams, change, recoverEnd))
+	return completedImportant(run(site, p, seed, streams, mislead, windowTo))
 }
 
 // recovery returns the seconds from the end of a fault to the end of the first
@@ -69,7 +96,11 @@
 	streams := func(w *world) []stream {
 		return append(load(w, ownImportant, importanceHigh, nil), load(w, totalLoad-ownImportant, importanceLow, nil)...)
 	}
-	c := run(site, p, seed, streams, mislead, windowTo)
+	return completedImportant(run(site, p, seed, streams, mislead, windowTo))
+}
+
+// completedImportant returns the part of the important requests that completed.
+func completedImportant(c *callers) float64 {
 	issued, completed := 0, 0
 	for _, t := range c.tallies {
 		if t.importance == importanceHigh {
