agent: limits of retries follow reloaded settings from and to none

Cause: a node that started without a bound on retries logged a reloaded bound as applied and went on without it; a removed bound would have ended all retries. Found in the read-through.

Change: retries falls back to the defaults where no bound is set, and is always used on a platform.

Test: node/agent TestReload, "no bound on retries any more".

--- a/node/agent/host.go
+++ b/node/agent/host.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/retry"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/entry"
 	"dogwoodsill.org/node/relay"
@@ -120,9 +121,12 @@
 }
 
 // retries returns the limits of this node's retries to one service: its part of
-// what the fleet may do.
+// what the fleet may do, or the defaults where the platform sets no bound.
 func (a *Agent) retries() (ratio float64, minimum int) {
 	b := a.live.Load().Bounds
+	if b.RetryRatio == 0 {
+		return retry.DefaultRatio, retry.DefaultMinimum
+	}
 	n := max(1, a.fleet.Size())
 	return b.RetryRatio * retryPart, max(1, int(math.Round(b.RetrySlack*retryPart/float64(n))))
 }
@@ -145,7 +149,7 @@
 }
 
 func (a *Agent) balancing() []relay.BalancerOption {
-	if a.host == nil || a.cfg.Bounds.RetryRatio == 0 {
+	if a.host == nil {
 		return nil
 	}
 	return []relay.BalancerOption{relay.WithRetries(a.retries)}
--- a/node/agent/reload_test.go
+++ b/node/agent/reload_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"dogwoodsill.org/core/retry"
 	"dogwoodsill.org/core/setup"
 )
 
@@ -31,6 +32,14 @@
 			"applied=[\"logging.level\"] needRestart=[]",
 			func(a *Agent) bool { return a.log.IsDebug() },
 		},
+		{
+			"no bound on retries any more", func(n *setup.Node) { n.Bounds.RetrySlack = 7 },
+			"applied=[\"bounds.retrySlack\"] needRestart=[]",
+			func(a *Agent) bool {
+				ratio, minimum := a.retries()
+				return ratio == retry.DefaultRatio && minimum == retry.DefaultMinimum
+			},
+		},
 		{
 			"needs a restart", func(n *setup.Node) { n.Instance.Zone, n.Bounds.RetrySlack = "b", 3 },
 			"applied=[\"bounds.retrySlack\"] needRestart=[\"instance.zone\"]",
