bench/site: keep the upload of TestShutdownFinishesUpload moving

Its upload stands still while 20 requests wait for tokens; after 10 s (limits.progressTimeout) the node aborts a body that stalls.

Ruled out: the shutdown of the target's node, which finished what ran.

Change: the upload sends a byte a second meanwhile; the checks are the same, with the number of bytes that were sent. Failures print the reason.

--- a/bench/site/config_test.go
+++ b/bench/site/config_test.go
@@ -103,7 +103,8 @@
 	assert.NilError(t, r.Publish(ctx, model.KindRoute, "runs", route))
 	assert.NilError(t, r.InForce(ctx))
 	n := r.Nodes[0]
-	assert.Equal(t, do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7", r.Keys["choir"], "").status, 200)
+	fresh := do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7", r.Keys["choir"], "")
+	assert.Equal(t, fresh.status, 200, "%v", fresh.problem)
 	r.Log.SetDown(true)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		got := do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7", r.Keys["choir"], "")
@@ -136,12 +137,14 @@
 		return poll.Success()
 	}, poll.WithTimeout(3*time.Second), poll.WithDelay(10*time.Millisecond))
 	before := target.Upstream.Started()
+	moved := keepMoving(pw)
 	for range 20 {
 		url := "http://" + nodeOf(r, "archive", false).Addrs().Callers + "/artwork/10"
-		assert.Equal(t, do(ctx, t, http.DefaultClient, "PUT", url, r.Keys["theatre"], "").status, 200)
+		got := do(ctx, t, http.DefaultClient, "PUT", url, r.Keys["theatre"], "")
+		assert.Equal(t, got.status, 200, "%v", got.problem)
 	}
 	assert.Equal(t, target.Upstream.Started(), before)
-	finishUpload(t, pw, done)
+	finishUpload(t, pw, done, moved())
 	assert.NilError(t, <-ended)
 }
 
@@ -159,7 +162,7 @@
 		}
 		return poll.Continue("the node doesn't shut down")
 	}, poll.WithDelay(5*time.Millisecond))
-	finishUpload(t, pw, done)
+	finishUpload(t, pw, done, 0)
 	assert.NilError(t, <-ended)
 }
 
@@ -202,16 +205,44 @@
 	}
 }
 
-// finishUpload sends the rest of an upload that began with "first half, " and
-// checks that all of it arrived.
-func finishUpload(t *testing.T, pw *io.PipeWriter, done <-chan answer) {
+// keepMoving sends a byte of an upload a second, since a body that stalls is
+// aborted. It returns a function that ends it and returns the number of bytes.
+func keepMoving(pw *io.PipeWriter) func() int {
+	stop, sent := make(chan struct{}), make(chan int)
+	go func() {
+		n := 0
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				sent <- n
+				return
+			case <-tick.C:
+				if _, err := io.WriteString(pw, "."); err == nil {
+					n++
+				}
+			}
+		}
+	}()
+	return func() int {
+		close(stop)
+		return <-sent
+	}
+}
+
+// finishUpload sends the rest of an upload that began with "first half, ", with
+// some bytes since, and checks that all of it arrived.
+func finishUpload(t *testing.T, pw *io.PipeWriter, done <-chan answer, since int) {
 	t.Helper()
 	_, err := io.WriteString(pw, "second half")
-	assert.NilError(t, err)
+	if err != nil {
+		t.Fatalf("the upload ended early: %v, %+v", err, <-done)
+	}
 	assert.NilError(t, pw.Close())
 	got := <-done
-	assert.Equal(t, got.status, 200)
-	assert.Equal(t, got.body.Bytes, int64(len("first half, second half")))
+	assert.Equal(t, got.status, 200, "%v", got.problem)
+	assert.Equal(t, got.body.Bytes, int64(len("first half, second half")+since))
 }
 
 func draining(n, target *site.Node) bool {
