lines: no empty write after lines that were gathered

A line that comes while others are gathered wakes the writer again, which then wrote nothing to the output, a system call each 20 ms under load.

Change: nothing is written when nothing waits.

--- a/core/lines/lines_test.go
+++ b/core/lines/lines_test.go
@@ -45,17 +45,19 @@
 		name    string
 		reader  *reader
 		lines   int
+		apart   time.Duration // between two lines
 		buffer  int
 		wait    time.Duration // of Close
 		written int
 		leftOut int64
 		err     error
 	}{
-		{"all in one write", &reader{}, 50, DefaultBuffer, time.Second, 50, 0, nil},
-		{"slow reader", &reader{delay: time.Minute}, 10, DefaultBuffer, time.Hour, 10, 0, nil},
-		{"full buffer", &reader{}, 10, 4 * len("line\n"), time.Second, 4, 6, nil},
-		{"stuck reader", &reader{delay: time.Hour}, 10, DefaultBuffer, time.Second, 0, 0, context.DeadlineExceeded},
-		{"broken reader", &reader{err: errPipe}, 1, DefaultBuffer, time.Second, 1, 0, errPipe},
+		{"all in one write", &reader{}, 50, 0, DefaultBuffer, time.Second, 50, 0, nil},
+		{"one write while lines come", &reader{}, 10, time.Millisecond, DefaultBuffer, time.Second, 10, 0, nil},
+		{"slow reader", &reader{delay: time.Minute}, 10, 0, DefaultBuffer, time.Hour, 10, 0, nil},
+		{"full buffer", &reader{}, 10, 0, 4 * len("line\n"), time.Second, 4, 6, nil},
+		{"stuck reader", &reader{delay: time.Hour}, 10, 0, DefaultBuffer, time.Second, 0, 0, context.DeadlineExceeded},
+		{"broken reader", &reader{err: errPipe}, 1, 0, DefaultBuffer, time.Second, 1, 0, errPipe},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -64,8 +66,9 @@
 				for range test.lines {
 					_, err := w.Write([]byte("line\n"))
 					assert.NilError(t, err)
+					time.Sleep(test.apart)
 				}
-				assert.Equal(t, time.Since(began), time.Duration(0))
+				assert.Equal(t, time.Since(began), time.Duration(test.lines)*test.apart)
 				ctx, cancel := context.WithTimeout(t.Context(), test.wait)
 				defer cancel()
 				assert.Assert(t, errors.Is(w.Close(ctx), test.err))
--- a/core/lines/writer.go
+++ b/core/lines/writer.go
@@ -79,8 +79,11 @@
 func (w *Writer) pass(out io.Writer) {
 	w.mu.Lock()
 	data := w.buf
-	w.buf, w.writing = nil, true
+	w.buf, w.writing = nil, len(data) > 0
 	w.mu.Unlock()
+	if len(data) == 0 {
+		return // lines that came while others were gathered went with them
+	}
 	_, err := out.Write(data)
 	w.mu.Lock()
 	defer w.mu.Unlock()
