bench/site: hold the order of TestIssuerKilledDuringOrder until the kill

It runs for 300 ms, and on a busy machine the kill came later. A wait of 400 ms before the kill gives the same failure in the old test each time.

Change: the upstream holds the order until the issuer is gone.

--- a/bench/site/zone_test.go
+++ b/bench/site/zone_test.go
@@ -73,9 +73,10 @@
 	i, issuer := 0, r.Nodes[0]
 	idem, err := r.IssueIdempotencyKeys(ctx, http.DefaultClient, issuer, "football", 2)
 	assert.NilError(t, err)
+	gate := make(chan struct{}) // the order must not end before its issuer
 	for _, n := range r.Nodes {
 		if n.Service == "orders" {
-			n.Upstream.SetServiceTime(300 * time.Millisecond)
+			n.Upstream.HoldCalls(gate)
 		}
 	}
 	other := r.Nodes[len(r.Nodes)-1]
@@ -83,6 +84,7 @@
 	go func() { got <- order(ctx, t, other, r.Keys["football"], idem[0]) }()
 	awaitRunning(t, r, "orders", 1)
 	r.Nodes[i].Kill()
+	close(gate)
 	a := <-got
 	assert.Equal(t, a.problem.Executed, refuse.Unknown, "%v", a)
 	restart(ctx, t, r, i)
