start: one run for the programs that run a node

Cause: found reading the whole change again: node and platform each opened the log, followed the signals, started the agent and ended it, alike but for the platform's own listeners and 400 ms.

Change: start.Program runs the agent; a program names its output, its options, what it serves beside the agent and its margin. The errors of Source.Next are one switch.

--- a/node/start/log.go
+++ b/node/start/log.go
@@ -16,15 +16,15 @@
 // flushTime bounds the wait for the last log lines at the end of the process.
 const flushTime = 200 * time.Millisecond
 
-// NewLogger returns the logger of a node.
-func NewLogger(cfg setup.Logging, out io.Writer) hclog.Logger {
+// newLogger returns the logger of a node.
+func newLogger(cfg setup.Logging, out io.Writer) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name: "node", Level: hclog.LevelFromString(cfg.Level), JSONFormat: cfg.JSON, Output: out,
 	})
 }
 
-// Flush writes the log lines that wait, at the end of the process.
-func Flush(w *lines.Writer) {
+// flush writes the log lines that wait, at the end of the process.
+func flush(w *lines.Writer) {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
 	defer cancel()
 	if err := w.Close(ctx); err != nil {
--- a/node/start/log_test.go
+++ b/node/start/log_test.go
@@ -27,8 +27,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			var out bytes.Buffer
 			w := lines.NewWriter(&out)
-			NewLogger(test.cfg, w).Info("request refused", "reason", "overloaded")
-			Flush(w)
+			newLogger(test.cfg, w).Info("request refused", "reason", "overloaded")
+			flush(w)
 			assert.Assert(t, strings.Contains(out.String(), test.want), "%s", out.String())
 		})
 	}
@@ -38,7 +38,7 @@
 // logs it.
 func BenchmarkRefusalLine(b *testing.B) {
 	w := lines.NewWriter(io.Discard, lines.WithBuffer(1<<30))
-	log := NewLogger(setup.Default().Logging, w)
+	log := newLogger(setup.Default().Logging, w)
 	for b.Loop() {
 		log.Info("request refused", "request", "54b78295828f529e.86e68e5dfb65a02c", "route", "r-6j25yf4", "customer", "bami977",
 			"reason", "overloaded", "executed", "no", "detail", "the target is overloaded", "after", 52505502*time.Nanosecond)
--- a/node/start/source.go
+++ b/node/start/source.go
@@ -44,14 +44,11 @@
 		case <-t.C:
 		}
 		data, err := os.ReadFile(s.file)
-		if err != nil && !asked {
-			continue // the file may be about to be replaced
-		}
-		if err != nil {
+		switch {
+		case asked && err != nil:
 			return setup.Node{}, err
-		}
-		if !asked && bytes.Equal(data, s.last) {
-			continue
+		case !asked && (err != nil || bytes.Equal(data, s.last)):
+			continue // the file may be about to be replaced
 		}
 		s.last = data
 		return s.load(data)
--- a/node/start/start.go
+++ b/node/start/start.go
@@ -3,23 +3,36 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
+	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/node/agent"
 )
 
 // Program is a program that runs a node.
 type Program struct {
 	Use, Short, Long, Example string
 
-	File string // settings file without the flag --config
+	File   string    // settings file without the flag --config
+	Output io.Writer // of the log
 	// Complete checks what the program needs beyond a node and fills in what
 	// follows from it; may be nil.
 	Complete func(cfg *setup.Node) error
-	// Run serves until it is told to end. The source tells of changed settings.
-	Run func(ctx context.Context, cfg setup.Node, changes *Source) error
+	// Options returns what the agent needs beyond its settings; may be nil.
+	Options func(cfg setup.Node) []agent.Option
+	// Serve starts what the program serves beside the agent, until ctx ends or its
+	// result is called; may be nil.
+	Serve func(ctx context.Context, a *agent.Agent, cfg setup.Node, log hclog.Logger) (closeAll func(), err error)
+	// KillMargin is kept at the end of a shutdown, before the process is killed.
+	KillMargin time.Duration
 }
 
 // Command returns the command line of the program.
@@ -48,7 +61,7 @@
 				return err
 			}
 			boundMemory(cfg.Limits)
-			return p.Run(cmd.Context(), cfg, newSource(file, data, load))
+			return p.run(cmd.Context(), cfg, newSource(file, data, load))
 		},
 	}
 	cmd.Flags().StringVarP(&file, "config", "c", p.File, "settings `file` (TOML)")
@@ -56,6 +69,37 @@
 	return cmd
 }
 
+// run serves until SIGTERM or SIGINT and then shuts down gracefully.
+func (p Program) run(ctx context.Context, cfg setup.Node, changes *Source) error {
+	out := lines.NewWriter(p.Output)
+	defer flush(out)
+	log := newLogger(cfg.Logging, out)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	opts := []agent.Option{agent.WithLogger(log), agent.WithSettings(changes), agent.WithUnwritten(out.LeftOut)}
+	if p.Options != nil {
+		opts = append(opts, p.Options(cfg)...)
+	}
+	a, err := agent.New(cfg, opts...)
+	if err != nil {
+		return err
+	}
+	if p.Serve != nil {
+		closeAll, err := p.Serve(ctx, a, cfg, log)
+		if err != nil {
+			return err
+		}
+		defer closeAll()
+	}
+	<-ctx.Done()
+	stop()
+	timeout := a.ShutdownTimes().Timeout.D() - p.KillMargin
+	log.Info("shutting down", "timeout", timeout)
+	end, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return a.Shutdown(end)
+}
+
 func (p Program) load(file string, data []byte) (setup.Node, error) {
 	cfg, err := setup.Parse(file, data)
 	if err == nil && p.Complete != nil {
