super: one loop for duties that read again and again

Cause: store.Watch repeated the loop of store.Follow, which had twins in node/zones and node/claims: read, report an error unless the context ended, pause.

Change: super.Repeat serves all four; store.inRole adds whose task it is.

Test: core/super TestRepeat.

--- a/core/super/super_test.go
+++ b/core/super/super_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -59,3 +60,31 @@
 		assert.NilError(t, d.Drain(t.Context()))
 	})
 }
+
+// TestRepeat guards against a duty that ends with an error of one round, or that
+// reports the end of its context.
+func TestRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		errOnce := errors.New("once")
+		began, rounds := time.Now(), 0
+		var seen []error
+		err := super.Repeat(ctx, time.Second, func(err error) { seen = append(seen, err) }, func(context.Context) error {
+			rounds++
+			switch rounds {
+			case 1:
+				return errOnce
+			case 3:
+				cancel()
+				return ctx.Err()
+			default:
+				return nil
+			}
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, rounds, 3)
+		assert.Equal(t, len(seen), 1)
+		assert.Equal(t, seen[0], errOnce)
+		assert.Equal(t, time.Since(began), time.Second)
+	})
+}
--- a/core/super/tree.go
+++ b/core/super/tree.go
@@ -176,6 +176,18 @@
 	}
 }
 
+// Repeat calls f until ctx ends. It passes the errors of f to onErr and pauses
+// after each.
+func Repeat(ctx context.Context, pause time.Duration, onErr func(error), f func(ctx context.Context) error) error {
+	for ctx.Err() == nil {
+		if err := f(ctx); err != nil && ctx.Err() == nil {
+			onErr(err)
+			Pause(ctx, pause)
+		}
+	}
+	return nil
+}
+
 // Every calls f each period until ctx ends. It is the body of a duty that works
 // at fixed times. The time is read when f is called: the one that a ticker sends
 // is old after a pause of the process.
--- a/node/claims/duties.go
+++ b/node/claims/duties.go
@@ -42,24 +42,20 @@
 // Follow is the duty that reads the outcomes of other nodes.
 func (c *Claims) Follow(ctx context.Context) error {
 	var next uint64
-	for ctx.Err() == nil {
+	return super.Repeat(ctx, retryWait, c.onErr, func(ctx context.Context) error {
 		b, err := c.log.Read(ctx, logsvc.StreamClaims, next, readBatch, readWait)
-		if err == nil {
+		var expired *logsvc.ExpiredError
+		switch {
+		case err == nil:
 			c.apply(b)
 			next = b.Next
-			continue
-		}
-		var expired *logsvc.ExpiredError
-		if errors.As(err, &expired) {
+		case errors.As(err, &expired):
 			next = expired.First
-			continue
-		}
-		if ctx.Err() == nil {
-			c.onErr(err)
+		default:
+			return err
 		}
-		super.Pause(ctx, retryWait)
-	}
-	return nil
+		return nil
+	})
 }
 
 func (c *Claims) apply(b logsvc.Batch) {
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -25,18 +25,20 @@
 // reports that it is this node's task. Errors of the log are passed to onErr
 // and the read is repeated.
 func (s *Store) Follow(log logsvc.Log, reads func() bool, onErr func(error)) func(context.Context) error {
+	return inRole(reads, onErr, func(ctx context.Context) error { return s.readOnce(ctx, log) })
+}
+
+// inRole returns the duty that reads again and again while reads reports that it
+// is this node's task.
+func inRole(reads func() bool, onErr func(error), read func(ctx context.Context) error) func(context.Context) error {
 	return func(ctx context.Context) error {
-		for ctx.Err() == nil {
+		return super.Repeat(ctx, retryWait, onErr, func(ctx context.Context) error {
 			if !reads() {
 				super.Pause(ctx, roleWait)
-				continue
+				return nil
 			}
-			if err := s.readOnce(ctx, log); err != nil && ctx.Err() == nil {
-				onErr(err)
-				super.Pause(ctx, retryWait)
-			}
-		}
-		return nil
+			return read(ctx)
+		})
 	}
 }
 
@@ -102,25 +104,14 @@
 // Watch returns the duty that takes whole configurations from a source, which is
 // asked again after each wait, while reads reports that it is this node's task.
 func (s *Store) Watch(src Source, wait time.Duration, reads func() bool, onErr func(error)) func(context.Context) error {
-	return func(ctx context.Context) error {
-		for ctx.Err() == nil {
-			if !reads() {
-				super.Pause(ctx, roleWait)
-				continue
-			}
-			sent := boot.Now()
-			snap, err := src.Next(ctx, wait)
-			if err == nil {
-				s.Replace(snap, sent, boot.Now())
-				continue
-			}
-			if ctx.Err() == nil {
-				onErr(err)
-				super.Pause(ctx, retryWait)
-			}
+	return inRole(reads, onErr, func(ctx context.Context) error {
+		sent := boot.Now()
+		snap, err := src.Next(ctx, wait)
+		if err == nil {
+			s.Replace(snap, sent, boot.Now())
 		}
-		return nil
-	}
+		return err
+	})
 }
 
 // Replace takes the answer of a source to a question that was sent at a time.
--- a/node/zones/duties.go
+++ b/node/zones/duties.go
@@ -22,28 +22,24 @@
 
 // Follow is the duty that folds the log stream "epochs".
 func (z *Zones) Follow(ctx context.Context) error {
-	for ctx.Err() == nil {
+	return super.Repeat(ctx, retryWait, z.onErr, func(ctx context.Context) error {
 		z.mu.Lock()
 		next := z.state.Next
 		z.mu.Unlock()
 		b, err := z.log.Read(ctx, logsvc.StreamEpochs, next, readBatch, ReadWait)
-		if err == nil {
-			z.Fold(b, time.Now())
-			continue
-		}
 		var expired *logsvc.ExpiredError
-		if errors.As(err, &expired) {
+		switch {
+		case err == nil:
+			z.Fold(b, time.Now())
+		case errors.As(err, &expired):
 			z.mu.Lock()
+			defer z.mu.Unlock()
 			z.state.Skip(expired.First)
-			z.mu.Unlock()
-			continue
+		default:
+			return err
 		}
-		if ctx.Err() == nil {
-			z.onErr(err)
-		}
-		super.Pause(ctx, retryWait)
-	}
-	return nil
+		return nil
+	})
 }
 
 // Fold takes a batch of the log stream "epochs".
