--- a/bench/policy/scenario.go
+++ b/bench/policy/scenario.go
@@ -65,19 +65,25 @@
 // customer sends many times its rate in a surge and targets mislead.
 func greedyAndMisled(site Site, p Policy, seed uint64) float64 {
 	streams := func(w *world) []stream {
-		out := load(w, ownImportant, importanceHigh, nil)
-		for i, c := range site.Customers {
-			rate := c.Rate * site.Capacity()
-			if i == greedy {
-				rate *= greedyFactor
-			}
-			out = append(out, stream{customer: i, importance: importanceLow, rate: rate, at: surging})
-		}
-		return out
+		return append(load(w, ownImportant, importanceHigh, nil), greedyLoad(site, surging)...)
 	}
 	return completedImportant(run(site, p, seed, streams, mislead, windowTo))
 }
 
+// greedyLoad returns one stream for each customer at its rate, and one customer
+// above it.
+func greedyLoad(site Site, at func(time.Duration) float64) []stream {
+	var out []stream
+	for i, c := range site.Customers {
+		rate := c.Rate * site.Capacity()
+		if i == greedy {
+			rate *= greedyFactor
+		}
+		out = append(out, stream{customer: i, importance: importanceLow, rate: rate, at: at})
+	}
+	return out
+}
+
 // recovery returns the seconds from the end of a fault to the end of the first
 // span in which goodput is normal again and from which on it stays normal on
 // average. Without one it returns the seconds to the end of the run.
@@ -112,17 +118,7 @@
 }
 
 func worstServed(site Site, p Policy, seed uint64) float64 {
-	streams := func(*world) []stream {
-		var out []stream
-		for i, c := range site.Customers {
-			rate := c.Rate * site.Capacity()
-			if i == greedy {
-				rate *= greedyFactor
-			}
-			out = append(out, stream{customer: i, importance: importanceLow, rate: rate})
-		}
-		return out
-	}
+	streams := func(*world) []stream { return greedyLoad(site, nil) }
 	c := run(site, p, seed, streams, nil, fairTo)
 	span := (fairTo - windowFrom).Seconds()
 	rates := make([]float64, len(c.tallies))
--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -313,16 +313,12 @@
 
 // fleet gives each zone the same weight.
 func (r *Running) fleet() model.Fleet {
-	var f model.Fleet
-	for _, z := range r.Site.Zones {
-		f.Zones = append(f.Zones, model.ZoneWeight{Name: z, Weight: 1 / float64(len(r.Site.Zones))})
-	}
-	return f
+	return model.Fleet{Zones: model.EvenZones(r.Site.Zones)}
 }
 
 func (r *Running) publishAll(ctx context.Context) error {
 	s := r.Site
-	if err := r.Publish(ctx, model.KindFleet, "fleet", r.fleet()); err != nil {
+	if err := r.Publish(ctx, model.KindFleet, config.FleetName, r.fleet()); err != nil {
 		return err
 	}
 	for name, c := range s.Customers {
--- a/core/model/objects.go
+++ b/core/model/objects.go
@@ -121,6 +121,15 @@
 	Weight float64 `json:"weight" toml:"weight"`
 }
 
+// EvenZones gives each zone the same weight.
+func EvenZones(names []string) []ZoneWeight {
+	var zones []ZoneWeight
+	for _, name := range names {
+		zones = append(zones, ZoneWeight{Name: name, Weight: 1 / float64(len(names))})
+	}
+	return zones
+}
+
 // Part is one service of a divided route.
 type Part struct {
 	Service string  `json:"service" toml:"service"`
--- a/core/quota/grace.go
+++ b/core/quota/grace.go
@@ -36,15 +36,10 @@
 	return &Grace{until: started.Add(GraceTime), buckets: map[string]*graceBucket{}}
 }
 
-// Over reports whether the grace has ended.
-func (g *Grace) Over(now time.Time) bool {
-	return !now.Before(g.until)
-}
-
 // Take admits one request of an account with a rate per second over the fleet,
 // if the part of one of n nodes has a token.
 func (g *Grace) Take(now time.Time, account string, rate float64, n int) bool {
-	if g.Over(now) || n < 1 || rate <= 0 {
+	if !now.Before(g.until) || n < 1 || rate <= 0 {
 		return false
 	}
 	part := rate / float64(n)
--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/netip"
 	"net/url"
-	"os"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -33,15 +32,6 @@
 	return fmt.Sprintf("%s:%d: key %s: %s", e.File, e.Line, e.Key, e.Detail)
 }
 
-// Load reads the settings of a node from a file.
-func Load(file string) (Node, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return Node{}, err
-	}
-	return Parse(file, data)
-}
-
 // Parse reads the settings of a node from data. The file name is used in
 // errors, which are of type *Error.
 func Parse(file string, data []byte) (Node, error) {
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -52,6 +52,12 @@
 	if a.host == nil {
 		return staleAfter
 	}
+	return a.pullAfter()
+}
+
+// pullAfter returns the age of the configuration from which the node asks any
+// peer: a read that ends in time and a pull keep it younger.
+func (a *Agent) pullAfter() time.Duration {
 	return a.readWait() + pullEvery
 }
 
@@ -88,7 +94,7 @@
 // recordSource returns the peer to ask, or false if there is nothing to ask
 // for.
 func (a *Agent) recordSource(turn int) (string, bool) {
-	stale := a.store.Age(boot.Now()) > a.readWait()+pullEvery
+	stale := a.store.Age(boot.Now()) > a.pullAfter()
 	readers := a.logReaders()
 	if !stale && slices.Contains(readers, a.cfg.Instance.Name) {
 		return "", false
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -223,11 +223,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []report.Member
-	for _, zone := range f.machine.Zones() {
-		for _, name := range f.machine.Alive(zone) {
-			if e, ok := f.machine.Lookup(name); ok {
-				out = append(out, memberReport(e))
-			}
+	for _, name := range f.everywhere() {
+		if e, ok := f.machine.Lookup(name); ok {
+			out = append(out, memberReport(e))
 		}
 	}
 	return out
@@ -282,20 +280,28 @@
 	return f.machine.Alive(zone)
 }
 
+// everywhere returns the names of the alive instances of all zones. The caller
+// holds mu.
+func (f *fleet) everywhere() []string {
+	var names []string
+	for _, zone := range f.machine.Zones() {
+		names = append(names, f.machine.Alive(zone)...)
+	}
+	return names
+}
+
 // peerAddr returns the address of another node, a different one each turn. With
 // names given it is one of these.
 func (f *fleet) peerAddr(turn int, names []string) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var addrs []string
-	for _, zone := range f.machine.Zones() {
-		for _, name := range f.machine.Alive(zone) {
-			e, ok := f.machine.Lookup(name)
-			if !ok || name == f.agent.cfg.Instance.Name || names != nil && !slices.Contains(names, name) {
-				continue
-			}
-			addrs = append(addrs, e.Addr)
+	for _, name := range f.everywhere() {
+		e, ok := f.machine.Lookup(name)
+		if !ok || name == f.agent.cfg.Instance.Name || names != nil && !slices.Contains(names, name) {
+			continue
 		}
+		addrs = append(addrs, e.Addr)
 	}
 	if len(addrs) == 0 {
 		return "", false
@@ -318,11 +324,7 @@
 func (f *fleet) others() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []string
-	for _, zone := range f.machine.Zones() {
-		out = append(out, f.machine.Alive(zone)...)
-	}
-	out = slices.DeleteFunc(out, func(name string) bool { return name == f.agent.cfg.Instance.Name })
+	out := slices.DeleteFunc(f.everywhere(), func(name string) bool { return name == f.agent.cfg.Instance.Name })
 	slices.Sort(out)
 	return out
 }
@@ -331,11 +333,7 @@
 func (f *fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for _, zone := range f.machine.Zones() {
-		n += len(f.machine.Alive(zone))
-	}
-	return n
+	return len(f.everywhere())
 }
 
 // join tells the state machine where other nodes may be.
--- a/node/agent/reload.go
+++ b/node/agent/reload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -21,14 +20,6 @@
 	return func(a *Agent) { a.settings = s }
 }
 
-// liveSettings are the keys that a running node takes over. The others are tied
-// to listeners, links or state that only a new process builds.
-var liveSettings = []string{
-	"bounds.retryRatio", "bounds.retrySlack",
-	"logging.level",
-	"shutdown.timeout", "shutdown.linger",
-}
-
 // followSettings is the duty that takes over changed settings. The settings in
 // force hold if the changed ones can't be used.
 func (a *Agent) followSettings(ctx context.Context) error {
@@ -45,26 +36,17 @@
 	}
 }
 
-// Reload takes over the settings that can change while the node runs. It logs
-// which did and which need a restart.
+// Reload takes over the settings that can change while the node runs. The others
+// are tied to listeners, links or state that only a new process builds. It logs
+// which changed and which need a restart.
 func (a *Agent) Reload(cfg setup.Node) {
-	now := *a.live.Load()
-	var applied, pending []string
-	for _, key := range now.Changed(cfg) {
-		if slices.Contains(liveSettings, key) {
-			applied = append(applied, key)
-		}
-	}
-	for _, key := range a.cfg.Changed(cfg) {
-		if !slices.Contains(liveSettings, key) {
-			pending = append(pending, key)
-		}
-	}
+	before := a.live.Load()
+	now := *before
 	now.Bounds.RetryRatio, now.Bounds.RetrySlack = cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack
 	now.Logging.Level, now.Shutdown = cfg.Logging.Level, cfg.Shutdown
 	a.live.Store(&now)
 	a.log.SetLevel(hclog.LevelFromString(cfg.Logging.Level))
-	a.log.Info("settings reloaded", "applied", applied, "needRestart", pending)
+	a.log.Info("settings reloaded", "applied", before.Changed(now), "needRestart", now.Changed(cfg))
 }
 
 // ShutdownTimes returns the times of a graceful shutdown in force.
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -294,9 +294,7 @@
 	}
 	// The body ends with the deadline too, also when the link goes silent.
 	context.AfterFunc(ctx, func() { s.Reset(frame.CodeCanceled) })
-	resp := c.newResponse(req, to, s, reply, cancel)
-	resp.Body.(*responseBody).began = began
-	return resp, nil
+	return c.newResponse(req, to, began, s, reply, cancel), nil
 }
 
 // exchange sends a call and waits for the head of its answer.
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -24,7 +24,7 @@
 		answered := fail.feedback != nil
 		return nil, fail.left, answered || fail.refusal.Executed == refuse.Unknown, fail.refusal
 	}
-	return c.newResponse(req, Candidate{}, s, reply, cancel), 0, true, nil
+	return c.newResponse(req, Candidate{}, time.Now(), s, reply, cancel), 0, true, nil
 }
 
 // ReadClaim returns the request and the idempotency key of a claim stream.
--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -86,14 +86,14 @@
 	s       *frame.Stream
 	cancel  context.CancelFunc
 	trailer ReplyTrailer
-	began   time.Time
+	began   time.Time // of the attempt
 	ended   bool
 	isError bool // the upstream answered with an error
 }
 
-func (c *Caller) newResponse(req *Request, to Candidate, s *frame.Stream, h ReplyHead, cancel context.CancelFunc) *Response {
+func (c *Caller) newResponse(req *Request, to Candidate, began time.Time, s *frame.Stream, h ReplyHead, cancel context.CancelFunc) *Response {
 	b := &responseBody{
-		caller: c, req: req, target: to.ID, s: s, cancel: cancel,
+		caller: c, req: req, target: to.ID, began: began, s: s, cancel: cancel,
 		isError: h.Status >= http.StatusInternalServerError && !h.ChildFailed,
 	}
 	return &Response{
