Log the load of a node and where its configuration came from

Cause: the logs could not tell whether a node is late because of those that it asks, its processor or the store, nor whether a call costs more than before. Change: a line every 2 s with requests, calls, limit and processor time; 'configuration in force' names its source and age; metrics processorMs and waiting.

--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -33,6 +34,8 @@
 	RequestTime    = "requestTime"       // from the arrival of a request to the end of its answer
 	Limit          = "concurrencyLimit"  // of the local upstream
 	InFlight       = "inFlight"          // calls at the local upstream
+	Waiting        = "waiting"           // calls that wait for a place at the local upstream
+	Processor      = "processorMs"       // processor time of the process since its start
 )
 
 // Set is the registry of one node. It is safe for concurrent use.
@@ -72,6 +75,17 @@
 	}
 }
 
+// Sum returns the sum of the counters whose names begin with a prefix.
+func (s *Set) Sum(prefix string) int64 {
+	var n int64
+	s.reg.Each(func(name string, m any) {
+		if c, ok := m.(gometrics.Counter); ok && strings.HasPrefix(name, prefix) {
+			n += c.Count()
+		}
+	})
+	return n
+}
+
 // Export returns all measurements by name, ready for JSON.
 func (s *Set) Export() map[string]map[string]any {
 	return s.reg.GetAll()
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -204,7 +204,7 @@
 //	├── tokens: watch, sweep
 //	├── claims: flush, follow, watch
 //	├── target: poll
-//	├── log: note
+//	├── log: note, load
 //	└── settings: follow
 func (a *Agent) start() {
 	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(func(duty string, err error) {
@@ -233,7 +233,9 @@
 	ts.Start("watch", a.tokens.Watch)
 	ts.Start("sweep", a.tokens.Sweep)
 	a.tree.Sub("target").Start("poll", a.target.Poll)
-	a.tree.Sub("log").Start("note", a.note)
+	logs := a.tree.Sub("log")
+	logs.Start("note", a.note)
+	logs.Start("load", a.logLoad)
 	if a.settings != nil {
 		a.tree.Sub("settings").Start("follow", a.followSettings)
 	}
--- a/node/agent/notes.go
+++ b/node/agent/notes.go
@@ -11,6 +11,7 @@
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/super"
+	"dogwoodsill.org/node/store"
 	"dogwoodsill.org/node/zones"
 )
 
@@ -21,12 +22,14 @@
 // belief is what the node holds for true, as far as its decisions depend on it.
 type belief struct {
 	config   uint64 // version in force; 0 for none
-	stale    bool   // neither the log nor a peer confirmed it lately
+	change   store.Change
+	stale    bool // neither the log nor a peer confirmed it lately
 	epoch    uint64
 	lease    bool
 	others   []string // instances that are alive, sorted
 	upstream string   // identifier and state; empty for none
 	leftOut  int64    // log lines
+	at       time.Time
 }
 
 // note is a line of the log.
@@ -41,7 +44,8 @@
 	var out []note
 	add := func(level hclog.Level, text string, args ...any) { out = append(out, note{level, text, args}) }
 	if after.config != before.config {
-		add(hclog.Info, "configuration in force", "version", after.config, "before", before.config)
+		add(hclog.Info, "configuration in force", "version", after.config, "before", before.config,
+			"from", after.change.Origin, "ago", after.at.Sub(after.change.At))
 	}
 	switch {
 	case after.stale && !before.stale:
@@ -80,7 +84,8 @@
 
 // believe returns what the node believes at a time.
 func (a *Agent) believe(now time.Time) belief {
-	b := belief{config: a.store.Offset(), epoch: a.zones.Adopted(), others: a.fleet.others(), leftOut: a.leftOut()}
+	b := belief{config: a.store.Offset(), epoch: a.zones.Adopted(), others: a.fleet.others(), leftOut: a.leftOut(), at: boot.Now()}
+	b.change = a.store.LastChange()
 	b.stale = a.store.Current() != nil && a.store.Age(boot.Now()) > a.staleAfter()
 	a.zones.With(func(v zones.View) { b.lease = v.Lease.Valid(now) })
 	if up, ok := a.target.Upstream(now); ok {
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -38,7 +38,8 @@
 	}
 	if up, ok := a.target.Upstream(now); ok {
 		s.Upstream = upstreamReport(up)
-		s.Upstream.InFlight, s.Upstream.Limit = a.target.Load()
+		load := a.target.Load()
+		s.Upstream.InFlight, s.Upstream.Limit = load.Running, load.Limit
 	}
 	return s
 }
@@ -50,9 +51,11 @@
 		a.metrics.Put(metric.ConfigAge, a.store.Age(boot.Now()).Milliseconds())
 	}
 	a.metrics.Put(metric.Epoch, int64(a.zones.Adopted()))
-	running, limit := a.target.Load()
-	a.metrics.Put(metric.InFlight, int64(running))
-	a.metrics.Put(metric.Limit, int64(limit))
+	load := a.target.Load()
+	a.metrics.Put(metric.InFlight, int64(load.Running))
+	a.metrics.Put(metric.Waiting, int64(load.Waiting))
+	a.metrics.Put(metric.Limit, int64(load.Limit))
+	a.metrics.Put(metric.Processor, processorTime().Milliseconds())
 	return a.metrics
 }
 
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -176,11 +176,20 @@
 	return g.admit.Feedback(now, g.value(), customer)
 }
 
-// load returns the running calls and the concurrency limit.
-func (g *gate) load() (running, limit int) {
+// Load is the use of the local upstream at one moment.
+type Load struct {
+	Running, Waiting int  // calls
+	Limit            int  // calls that may run
+	ProcessorBound   bool // the limit is that of the node's own processor
+}
+
+func (g *gate) load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admit.Running(), g.value()
+	return Load{
+		Running: g.admit.Running(), Waiting: g.admit.Waiting(), Limit: g.value(),
+		ProcessorBound: g.fixed > 0 && g.lag.Value() < g.fixed,
+	}
 }
 
 // value returns the number of calls that may run now. The adaptive limit sees the
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -175,8 +175,8 @@
 	return t.gate.poll(ctx)
 }
 
-// Load returns the calls at the upstream and the concurrency limit.
-func (t *Target) Load() (running, limit int) {
+// Load returns the use of the local upstream.
+func (t *Target) Load() Load {
 	return t.gate.load()
 }
 
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -79,7 +79,7 @@
 		s.recent.add(b.First+uint64(i), rec)
 	}
 	s.end = max(s.end, b.End)
-	s.publish(now, false)
+	s.publish(now, FromLog, false)
 }
 
 // Snapshot is the duty's decision and encoding: it returns the records of a
@@ -127,5 +127,5 @@
 	}
 	s.reader.PeerSnapshot(now, *snap, now.Sub(sent))
 	s.end = max(s.end, snap.Offset)
-	s.publish(now, false)
+	s.publish(now, FromLog, false)
 }
--- a/node/store/peer.go
+++ b/node/store/peer.go
@@ -58,7 +58,7 @@
 		s.addRecent(r)
 	}
 	s.end = max(s.end, end)
-	s.publish(now, complete && s.reader.Offset() > 0)
+	s.publish(now, FromPeer, complete && s.reader.Offset() > 0)
 }
 
 func (s *Store) addRecent(r RecordsReply) {
--- a/node/store/store.go
+++ b/node/store/store.go
@@ -29,6 +29,30 @@
 	recent *recent
 	end    uint64 // end of the stream as last read from the log
 	hooks  []func(*Current)
+	change Change
+}
+
+// Origin says how a node learned of a configuration.
+type Origin string
+
+// Origins of a configuration.
+const (
+	FromLog  Origin = "log"
+	FromPeer Origin = "peer"
+)
+
+// Change is the last change of the configuration in force.
+type Change struct {
+	Origin Origin
+	At     time.Time
+}
+
+// LastChange returns the last change of the configuration in force, the zero
+// Change before the first.
+func (s *Store) LastChange() Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.change
 }
 
 // New returns an empty store that is not ready.
@@ -85,7 +109,7 @@
 // Before the state was once at the end of the log, or complete says that no
 // newer one can be had, it stays out of force, so that a restarted node never
 // serves by an old configuration.
-func (s *Store) publish(now time.Time, complete bool) {
+func (s *Store) publish(now time.Time, from Origin, complete bool) {
 	_, confirmed := s.reader.Age(now)
 	old := s.cur.Load()
 	if old == nil && !confirmed && !complete {
@@ -97,6 +121,7 @@
 	}
 	cur := &Current{View: view, Table: route.NewTable(view)}
 	s.cur.Store(cur)
+	s.change = Change{Origin: from, At: now}
 	s.once.Do(func() { close(s.ready) })
 	for _, f := range s.hooks {
 		f(cur)
