relay: the end of an attempt no longer scans those of the last minute

Cause: a node keeps the identifiers of the attempts of the last minute, and their replies up to 4 MiB. Above that, each end of an attempt looked for the oldest reply from the first identifier on, over all whose reply was gone. The work for a call so grew with the calls of the last minute, up to the square of the rate. Nodes of the small sites never fill the 4 MiB; those of the rosters take 3,000 calls a second and fill it in 2 s. Each identifier also kept its contexts and its stream, over 1 KB. Ruled out: shares and leases (held all the time), the store, the number of messages between nodes (the calling nodes' cost for a call stays the same). Change: the place of the oldest kept reply is remembered, and an attempt whose reply is dropped costs no more than its identifier. Class: work for one call that depends on what is kept. Conclusion: the overload was of the node's own making.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -30,8 +30,25 @@
 type attempts struct {
 	mu    sync.Mutex
 	byID  map[string]*attempt
-	ended []*attempt // oldest first
-	bytes int        // of the kept replies
+	ended []endedAttempt // oldest first
+	kept  int            // index in ended of the oldest reply that is still kept
+	bytes int            // of the kept replies
+}
+
+// endedAttempt is an attempt whose identifier is kept.
+type endedAttempt struct {
+	id string
+	at time.Time
+}
+
+// forgotten stands for every ended attempt whose reply is no longer kept, so that
+// such an attempt costs no more than its identifier.
+var forgotten = newForgotten()
+
+func newForgotten() *attempt {
+	a := &attempt{done: make(chan struct{}), cancel: func(error) {}}
+	close(a.done)
+	return a
 }
 
 // attempt is one dispatch to the local upstream and its reply. The reply goes
@@ -41,7 +58,6 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	done   chan struct{}
-	endAt  time.Time
 
 	mu       sync.Mutex
 	stream   *frame.Stream // nil after its link was lost
@@ -71,7 +87,6 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	context.AfterFunc(a.ctx, stop)
 	t.byID[id] = a
-	a.follow(s)
 	return a, true
 }
 
@@ -81,20 +96,30 @@
 	close(a.done)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a.endAt = now
-	t.ended = append(t.ended, a)
+	t.ended = append(t.ended, endedAttempt{id: a.id, at: now})
 	t.bytes += a.size()
-	for i := 0; t.bytes > keptReplies && i < len(t.ended); i++ {
-		t.bytes -= t.ended[i].drop()
+	for t.bytes > keptReplies && t.kept < len(t.ended) {
+		t.forget()
 	}
 }
 
+// forget drops the oldest kept reply. The caller holds mu.
+func (t *attempts) forget() {
+	id := t.ended[t.kept].id
+	t.bytes -= t.byID[id].size()
+	t.byID[id] = forgotten
+	t.kept++
+}
+
 // sweep removes old attempts. The caller holds mu.
 func (t *attempts) sweep(now time.Time) {
-	for len(t.ended) > 0 && now.Sub(t.ended[0].endAt) > attemptKeep {
-		t.bytes -= t.ended[0].drop()
+	for len(t.ended) > 0 && now.Sub(t.ended[0].at) > attemptKeep {
+		if t.kept == 0 {
+			t.forget()
+		}
 		delete(t.byID, t.ended[0].id)
 		t.ended = t.ended[1:]
+		t.kept--
 	}
 }
 
@@ -221,12 +246,3 @@
 	defer a.mu.Unlock()
 	return len(a.head) + len(a.body) + len(a.trailer)
 }
-
-// drop removes the kept reply and returns its size.
-func (a *attempt) drop() int {
-	n := a.size()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.head, a.body, a.trailer, a.complete = nil, nil, nil, false
-	return n
-}
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -196,6 +196,7 @@
 	a, isNew := t.attempts.begin(head.Attempt, s, head.Call.Deadline, now)
 	switch {
 	case isNew:
+		a.follow(s)
 		t.run(a, s, &head, now)
 	case head.Resume:
 		if e := a.resume(s); e != nil {
