Each node that can read the log itself does; others hear of changes by gossip

Seen by callers: 2.6 to 3.6 s after the acknowledgement of version 42, nodes of one zone answered 401 and 404 as version 40 says (CONFIG, bound 2.5 s). Cause: a zone of more than eight nodes had three readers, and the others asked one of them in turn, once a second. Readers that were cut off answered with what they had. Each cost a second, though the asking node reached the log. The age from which a node helped itself (3 s) was also below the ordinary age at a reader (4 s), so that nodes read and asked without need: 1,972 calls in 24 s, where reads by all would take 840. Ruled out: the processor (the seven late nodes were not busy), the store (others of the zone read 42 within a second). Change: config.ReadPlan decides from the capacity of the log (log.readsPerSecond) who reads, and from the bound on revocations how long a read waits and which ages are ordinary. TestChangeReachesAllNodes, TestEveryoneReads and TestAgesStayWithinBound test the decisions. Class: a fact that must be in force within a bound is fetched by turns from few peers, each of whose faults costs a turn.

--- /dev/null
+++ b/core/config/plan.go
@@ -0,0 +1,66 @@
+package config
+
+import "time"
+
+const (
+	// PullEvery is how often a node that doesn't read the log asks one that does.
+	PullEvery = time.Second
+
+	// defaultReadWait is the long poll time of a read where no bound on revocations
+	// is known.
+	defaultReadWait = 2 * time.Second
+	// readPart is the part of the reads that the log takes which the fleet uses for
+	// the configuration. A change makes every reader read at once: with a wait of
+	// 2 s, that is a fifth of a second's reads.
+	readPart = 0.1
+	// smallZone is the number of nodes of a zone up to which all of them read a
+	// log of unknown capacity: some tens of reads a second in 15 zones.
+	smallZone = 8
+	// agePart is the part of the bound on revocations that the configuration of a
+	// node may be old in the ordinary course; the rest is for a failure.
+	agePart = 0.8
+	// waitPart bounds the same for a single wait: two reads, and the one that fails
+	// between them, stay within the bound.
+	waitPart = 0.4
+	// answerTime covers the answer of the log to a read, 60 times its usual 4 ms.
+	answerTime = 250 * time.Millisecond
+)
+
+// ReadPlan says which nodes read the configuration from the log themselves, how
+// long their reads wait, and from which age of the configuration a node no longer
+// relies on its source. A node that reads the log depends on no other node; the
+// others hear of a change by gossip.
+type ReadPlan struct {
+	PerSecond int           // reads that the log takes from all nodes; 0 if not known
+	Within    time.Duration // in which a revocation must count; 0 for no bound
+}
+
+// Everyone reports whether all nodes of a zone read the log, given the number of
+// its nodes and of those of the fleet.
+func (p ReadPlan) Everyone(zone, fleet int) bool {
+	if p.PerSecond == 0 {
+		return zone <= smallZone
+	}
+	return float64(fleet) <= float64(p.PerSecond)*readPart*p.Wait().Seconds()
+}
+
+// Wait returns the long poll time of a read. The configuration of a node that
+// reads is up to twice as old, since an answer is as old as its question.
+func (p ReadPlan) Wait() time.Duration {
+	if p.Within == 0 {
+		return defaultReadWait
+	}
+	within := float64(p.Within)
+	return time.Duration(min(within*waitPart, (within*agePart-float64(PullEvery))/2))
+}
+
+// ReaderAge returns the age that the configuration of a node which reads the log
+// doesn't exceed while its reads succeed.
+func (p ReadPlan) ReaderAge() time.Duration {
+	return 2*p.Wait() + answerTime
+}
+
+// OtherAge returns the same for a node that asks a reader.
+func (p ReadPlan) OtherAge() time.Duration {
+	return 2*p.Wait() + PullEvery
+}
--- /dev/null
+++ b/core/config/plan_test.go
@@ -0,0 +1,44 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestEveryoneReads guards against nodes that depend on others although the log
+// can serve them all, and against a fleet that asks too much of the log.
+func TestEveryoneReads(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		plan        ReadPlan
+		zone, fleet int
+		want        bool
+	}{
+		{"small site", ReadPlan{PerSecond: 2000, Within: 5 * time.Second}, 5, 15, true},
+		{"grown site", ReadPlan{PerSecond: 6000, Within: 5 * time.Second}, 19, 70, true},
+		{"300 nodes", ReadPlan{PerSecond: 6000, Within: 5 * time.Second}, 75, 300, true},
+		{"target size", ReadPlan{PerSecond: 6000, Within: 5 * time.Second}, 647, 9700, false},
+		{"slow log", ReadPlan{PerSecond: 100, Within: 5 * time.Second}, 25, 70, false},
+		{"unknown, small zone", ReadPlan{}, 8, 40, true},
+		{"unknown, large zone", ReadPlan{}, 9, 9, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, test.plan.Everyone(test.zone, test.fleet), test.want)
+		})
+	}
+}
+
+// TestAgesStayWithinBound guards against a node that refuses requests although
+// every read succeeds, since its configuration gets too old between two reads.
+func TestAgesStayWithinBound(t *testing.T) {
+	const strictPart = 0.9 // of the bound, from which keys are refused
+	for _, within := range []time.Duration{3 * time.Second, 5 * time.Second, 17 * time.Second, time.Minute} {
+		p := ReadPlan{Within: within}
+		bound := time.Duration(float64(within) * strictPart)
+		assert.Assert(t, p.Wait() > 0, "%v", within)
+		assert.Assert(t, p.ReaderAge() < bound, "%v: reader %v", within, p.ReaderAge())
+		assert.Assert(t, p.OtherAge() < bound, "%v: other %v", within, p.OtherAge())
+	}
+}
--- a/core/member/doc.go
+++ b/core/member/doc.go
@@ -13,7 +13,8 @@
 // Period. The packet serves as the direct probe and carries the entries that
 // changed recently; so does the answer. Every SyncEvery the packet also carries
 // digests, by which a node that missed changes catches up. A draining target or
-// a leaving instance is passed on at once to several peers.
+// a leaving instance is passed on at once to several peers, and so is the offset
+// of a new configuration: Ahead names a node that has one.
 //
 // Between zones the Borders instances of each zone, chosen by rendezvous
 // hashing over the alive members, send the changed entries of their own zone to
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -35,6 +35,7 @@
 	borderSeq  uint64 // table sequence number before this became a border instance
 	quiet      quietBudget
 	progress   progress
+	ahead      ahead
 
 	nextID  uint64
 	pending map[uint64]*pending
@@ -141,15 +142,19 @@
 }
 
 // SetProgress sets the next configuration offset and the adopted zone epoch of
-// the local instance. Every packet carries them; the entry of the instance
-// follows at a bounded rate.
+// the local instance. Every packet carries them, and some peers are told a new
+// offset at once; the entry of the instance follows at a bounded rate.
 func (m *Machine) SetProgress(now time.Time, offset, epoch uint64) []Send {
 	m.advance(now)
 	if m.self.Offset == offset && m.self.Epoch == epoch {
 		return nil
 	}
+	news := offset > m.self.Offset && m.self.Offset > 0
 	m.self.Offset, m.self.Epoch = offset, epoch
 	m.quiet.dirty = true
+	if news {
+		m.tellOffset()
+	}
 	m.flushQuiet()
 	m.progressed()
 	return m.take()
@@ -287,6 +292,9 @@
 	for _, d := range p.Digests {
 		m.heardZone(d.Zone, time.Duration(d.AgeMS)*time.Millisecond)
 	}
+	if p.Offset > max(m.self.Offset, m.ahead.offset) {
+		m.ahead = ahead{offset: p.Offset, addr: p.Addr}
+	}
 	r, ok := m.tab.records[p.From]
 	if ok && r.Incarnation == p.Incarnation {
 		r.direct = max(r.direct, p.Offset)
--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -377,3 +377,36 @@
 	t.Logf("sent and received: mean %.0f B/s, worst node %.0f B/s, border instance %.0f B/s", sum/647, worst, border)
 	assert.Assert(t, worst < 6000)
 }
+
+// Guards invariant I12 in zones of which few nodes read the log: a change reaches
+// every node although most of the readers are down and messages are lost.
+func TestChangeReachesAllNodes(t *testing.T) {
+	const (
+		bound    = 2 * time.Second       // the shortest bound of the sites
+		pullTime = 20 * time.Millisecond // from the news to the configuration
+	)
+	var worst time.Duration
+	for seed, size := range []int{9, 19, 128, 647} {
+		w, nodes := formed(t, uint64(seed), 1, size)
+		for _, x := range nodes {
+			w.deliver(x, x.SetProgress(w.now, 1, 1))
+		}
+		w.run(5 * time.Second)
+		w.loss = 0.1
+		nodes[1].down, nodes[2].down = true, true
+		w.deliver(nodes[0], nodes[0].SetProgress(w.now, 2, 1))
+		pulling := map[*simNode]bool{}
+		took, ok := w.runUntil(bound, func() bool {
+			for _, x := range nodes {
+				if _, ahead := x.Ahead(); ahead && !x.down && !pulling[x] {
+					pulling[x] = true
+					w.after(pullTime, func() { w.deliver(x, x.SetProgress(w.now, 2, 1)) })
+				}
+			}
+			return all(nodes, func(x *simNode) bool { return x.Self().Offset == 2 })
+		})
+		assert.Assert(t, ok, "%d nodes: not everywhere after %v", size, took)
+		worst = max(worst, took)
+	}
+	t.Logf("in force at 9 to 647 nodes after at most %v", worst)
+}
--- a/core/member/progress.go
+++ b/core/member/progress.go
@@ -138,3 +138,23 @@
 	low, ok := m.offsets.values[zone]
 	return low, ok
 }
+
+// ahead is the node with the newest configuration that was heard of.
+type ahead struct {
+	offset uint64
+	addr   string // peer address
+}
+
+// Ahead returns the peer address of a node that told a greater configuration
+// offset than that of the local instance.
+func (m *Machine) Ahead() (addr string, ok bool) {
+	return m.ahead.addr, m.ahead.offset > m.self.Offset
+}
+
+// tellOffset sends the offset of the local instance to some peers of its zone.
+// Each of them that catches up tells others.
+func (m *Machine) tellOffset() {
+	for _, to := range m.randomPeers(UrgentFanout, m.cfg.Name) {
+		m.sendUrgent(nil, to, 1)
+	}
+}
--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -100,6 +100,7 @@
 		{"log.url", httpURL(n.Log.URL)},
 		{"log.timeout", positive(int64(n.Log.Timeout))},
 		{"log.retention", positive(int64(n.Log.Retention))},
+		{"log.readsPerSecond", notNegative(int64(n.Log.ReadsPerSecond))},
 		{"peers.secret", n.peerAuth()},
 		{"peers.seeds", addresses(n.Peers.Seeds)},
 		{"callersTls", callersTLS(n.CallersTLS)},
--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -60,6 +60,9 @@
 	URL       string   `toml:"url"`
 	Timeout   Duration `toml:"timeout"`
 	Retention Duration `toml:"retention"` // how long the service keeps records
+	// ReadsPerSecond is the number of reads a second that the service takes from all
+	// nodes together; 0 if it is not known.
+	ReadsPerSecond int `toml:"readsPerSecond"`
 }
 
 // Peers configures the links between nodes. Either a secret or certificates
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -198,7 +198,7 @@
 //
 //	node
 //	├── listeners: callers, idle callers, local, operations, peers, links
-//	├── config: follow, pull, snapshot
+//	├── config: follow, pull, catch up, snapshot
 //	├── members: gossip
 //	├── epochs: follow, renew, propose
 //	├── tokens: watch, sweep
@@ -219,6 +219,7 @@
 	ls.Start("links", a.links.sweep)
 	cs := a.tree.Sub("config")
 	cs.Start("pull", a.pullConfig)
+	cs.Start("catch up", a.catchUp)
 	if a.host == nil {
 		a.startOwn(cs)
 	} else {
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -20,30 +20,32 @@
 	// logReaders is the number of nodes of a zone that read the log. Three
 	// survive the loss of two, and 45 readers at 15 zones spare the log.
 	logReaders = 3
-	// smallZone is the number of nodes of a zone up to which all of them read a
-	// hosted configuration themselves: a reader saves one read in 2 s, and a node
-	// that reads doesn't depend on one.
-	smallZone = 8
-	// pullEvery is how often another node asks a reader for records.
-	pullEvery = time.Second
-	// staleAfter is the age of the configuration from which a node reads the log
-	// itself.
+	// staleAfter is the age of the configuration from which a node reads its own
+	// platform's log itself.
 	staleAfter = 5 * time.Second
+	// catchUpDelay is the time for which a node that reads the log waits for its own
+	// read after it heard of a change: many times the usual answer of the log.
+	catchUpDelay = 300 * time.Millisecond
 	// joinTime is how long a node that starts during an outage of the log asks
 	// its peers before it serves by the newest configuration that they had.
 	joinTime = 3 * time.Second
 
 	snapshotEvery = 5 * time.Second
-
-	// readShare is the part, in tenths, of the time within which a revocation must
-	// count that one read of the configuration may take. Two reads in a row, and the
-	// one that fails between them, then stay within that time.
-	readShare = 4
 )
 
+// readPlan returns what decides on reads of the configuration.
+func (a *Agent) readPlan() config.ReadPlan {
+	return config.ReadPlan{PerSecond: a.cfg.Log.ReadsPerSecond, Within: a.cfg.Bounds.RevokeWithin.D()}
+}
+
 // readsLog reports whether this node reads the configuration from the log.
 func (a *Agent) readsLog() bool {
-	return a.store.Age(boot.Now()) > a.staleAfter() || slices.Contains(a.logReaders(), a.cfg.Instance.Name)
+	return a.isReader() || a.store.Age(boot.Now()) > a.staleAfter()
+}
+
+// isReader reports whether it is this node's task to read the log.
+func (a *Agent) isReader() bool {
+	return slices.Contains(a.logReaders(), a.cfg.Instance.Name)
 }
 
 // staleAfter returns the age of the configuration from which the node no longer
@@ -52,19 +54,13 @@
 	if a.host == nil {
 		return staleAfter
 	}
-	return a.pullAfter()
-}
-
-// pullAfter returns the age of the configuration from which the node asks any
-// peer: a read that ends in time and a pull keep it younger.
-func (a *Agent) pullAfter() time.Duration {
-	return a.readWait() + pullEvery
+	return a.readPlan().OtherAge()
 }
 
 // logReaders returns the nodes of the own zone that read the log.
 func (a *Agent) logReaders() []string {
 	alive := a.fleet.alive(a.cfg.Instance.Zone)
-	if a.host != nil && len(alive) <= smallZone {
+	if a.host != nil && a.readPlan().Everyone(len(alive), a.fleet.Size()) {
 		return alive
 	}
 	members := make([]epoch.Member, 0, len(alive))
@@ -83,7 +79,7 @@
 // unreachable.
 func (a *Agent) pullConfig(ctx context.Context) error {
 	started, turn := time.Now(), 0
-	return super.Every(ctx, pullEvery, func(now time.Time) {
+	return super.Every(ctx, config.PullEvery, func(now time.Time) {
 		turn++
 		if addr, ok := a.recordSource(turn); ok {
 			a.pullFrom(ctx, addr, now.Sub(started) > joinTime)
@@ -94,27 +90,39 @@
 // recordSource returns the peer to ask, or false if there is nothing to ask
 // for.
 func (a *Agent) recordSource(turn int) (string, bool) {
-	stale := a.store.Age(boot.Now()) > a.pullAfter()
-	readers := a.logReaders()
-	if !stale && slices.Contains(readers, a.cfg.Instance.Name) {
-		return "", false
+	age, readers := a.store.Age(boot.Now()), a.logReaders()
+	if slices.Contains(readers, a.cfg.Instance.Name) {
+		if age <= a.readPlan().ReaderAge() {
+			return "", false
+		}
+		return a.fleet.peerAddr(turn, nil)
 	}
-	if stale {
+	if age > a.staleAfter() {
 		return a.fleet.peerAddr(turn, nil)
 	}
 	return a.fleet.peerAddr(turn, readers)
 }
 
-// readWait returns the long poll time of this node's reads of the configuration.
-func (a *Agent) readWait() time.Duration {
-	if a.host == nil || a.cfg.Bounds.RevokeWithin == 0 {
-		return store.ReadWait
+// catchUp is the duty that asks a node which has a newer configuration as soon as
+// gossip tells of it.
+func (a *Agent) catchUp(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.fleet.news:
+		}
+		if a.isReader() && !super.Pause(ctx, catchUpDelay) {
+			return nil
+		}
+		if addr, ok := a.fleet.ahead(); ok {
+			a.pullFrom(ctx, addr, false)
+		}
 	}
-	return a.cfg.Bounds.RevokeWithin.D() * readShare / 10
 }
 
 func (a *Agent) pullFrom(ctx context.Context, addr string, complete bool) {
-	ctx, cancel := context.WithTimeout(ctx, pullEvery)
+	ctx, cancel := context.WithTimeout(ctx, config.PullEvery)
 	defer cancel()
 	sent := boot.Now()
 	reply, err := call[store.RecordsRequest, store.RecordsReply](ctx, a.links, addr, relay.KindRecords, store.RecordsRequest{From: a.store.Offset()})
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -25,6 +25,7 @@
 // concurrent use.
 type fleet struct {
 	agent *Agent
+	news  chan struct{} // tells that another node has a newer configuration
 
 	mu      sync.Mutex
 	machine *member.Machine
@@ -46,7 +47,7 @@
 		Seeds:       a.cfg.Peers.Seeds,
 		RandSeed:    a.incarnation,
 	}
-	return &fleet{agent: a, machine: member.New(cfg, time.Now()), cache: map[string]candidates{}}
+	return &fleet{agent: a, news: make(chan struct{}, 1), machine: member.New(cfg, time.Now()), cache: map[string]candidates{}}
 }
 
 // advertised returns the address that other nodes dial.
@@ -111,12 +112,26 @@
 func (f *fleet) step(ctx context.Context, change func() []member.Send) {
 	f.mu.Lock()
 	sends := change()
+	_, ahead := f.machine.Ahead()
 	f.mu.Unlock()
+	if ahead {
+		select {
+		case f.news <- struct{}{}:
+		default:
+		}
+	}
 	for _, s := range sends {
 		go f.deliver(ctx, s)
 	}
 }
 
+// ahead returns the address of a node that has a newer configuration.
+func (f *fleet) ahead() (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.machine.Ahead()
+}
+
 func (f *fleet) deliver(ctx context.Context, s member.Send) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/node/agent/host.go
+++ b/node/agent/host.go
@@ -64,7 +64,7 @@
 
 // startHosted starts the duties of a platform with protocols of its own.
 func (a *Agent) startHosted(cs *super.Tree) {
-	cs.Start("watch", a.store.Watch(a.host.Config, a.readWait(), a.readsLog, func(err error) {
+	cs.Start("watch", a.store.Watch(a.host.Config, a.readPlan().Wait(), a.readsLog, func(err error) {
 		a.log.Warn("configuration store unreachable", "error", err)
 	}))
 	a.tree.Sub("directory").Start("meet", a.meet)
