Count the fleet without listing it

Cause: the number of nodes was found by listing the names of all; it is asked for each failed attempt and each request beyond a rate. Change: member.Machine.Size adds the sizes of the zones. complete in the tests of the package checks it against the lists.

--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -15,7 +15,7 @@
 		for _, z := range x.Zones() {
 			sum += len(x.Alive(z))
 		}
-		return sum == n
+		return sum == n && x.Size() == n
 	})
 }
 
--- a/core/member/watch.go
+++ b/core/member/watch.go
@@ -74,6 +74,15 @@
 	return z.names()
 }
 
+// Size returns the number of alive and suspect members of all zones.
+func (m *Machine) Size() int {
+	n := 0
+	for _, z := range m.tab.zones {
+		n += len(z.alive)
+	}
+	return n
+}
+
 // Lookup returns the entry of an instance.
 func (m *Machine) Lookup(name string) (Entry, bool) {
 	r, ok := m.tab.records[name]
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -348,7 +348,7 @@
 func (f *fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.everywhere())
+	return f.machine.Size()
 }
 
 // join tells the state machine where other nodes may be.
