Reads of the configuration are as frequent as the age bounds of routes need

Cause: an answer of the log is as old as its question, so that a node whose reads wait 2 s has a configuration between 2 and 4 s old. Change: the least maxConfigAge of the routes goes into config.ReadPlan, which sets the wait.

--- a/bench/site/config_test.go
+++ b/bench/site/config_test.go
@@ -115,6 +115,24 @@
 	}, poll.WithTimeout(10*time.Second))
 }
 
+// Guards against a route that refuses requests although the log is up, because
+// the configuration gets older between two reads than the route permits.
+func TestRouteServesWithinItsAgeBound(t *testing.T) {
+	const twoReads = 5 * time.Second // by nodes that know no bound
+	ctx, r := startParallel(t)
+	route := r.Site.Routes["runs"]
+	route.MaxConfigAgeMS = 3000
+	assert.NilError(t, r.Publish(ctx, model.KindRoute, "runs", route))
+	assert.NilError(t, r.InForce(ctx))
+	for began := time.Now(); time.Since(began) < twoReads; {
+		for _, n := range r.Nodes {
+			got := do(ctx, t, http.DefaultClient, "GET", "http://"+n.Addrs().Callers+"/runs/7", r.Keys["choir"], "")
+			assert.Assert(t, got.problem.Type != refuse.TypePrefix+string(refuse.ConfigStale), "after %v: %v", time.Since(began), got.problem)
+		}
+		assert.Assert(t, super.Pause(ctx, 100*time.Millisecond))
+	}
+}
+
 // Guards against an upload that a graceful shutdown of the target's node cuts
 // off, and against new work at a node that leaves.
 func TestShutdownFinishesUpload(t *testing.T) {
--- a/core/config/plan.go
+++ b/core/config/plan.go
@@ -6,9 +6,12 @@
 	// PullEvery is how often a node that doesn't read the log asks one that does.
 	PullEvery = time.Second
 
-	// defaultReadWait is the long poll time of a read where no bound on revocations
-	// is known.
-	defaultReadWait = 2 * time.Second
+	// MaxReadWait is the longest poll time of a read, and the one where no bound on
+	// the age of the configuration is known.
+	MaxReadWait = 2 * time.Second
+
+	// minReadWait bounds the reads of a node to ten a second, whatever the bound.
+	minReadWait = 100 * time.Millisecond
 	// readPart is the part of the reads that the log takes which the fleet uses for
 	// the configuration. A change makes every reader read at once: with a wait of
 	// 2 s, that is a fifth of a second's reads.
@@ -16,8 +19,7 @@
 	// smallZone is the number of nodes of a zone up to which all of them read a
 	// log of unknown capacity: some tens of reads a second in 15 zones.
 	smallZone = 8
-	// agePart is the part of the bound on revocations that the configuration of a
-	// node may be old in the ordinary course; the rest is for a failure.
+	// agePart is the part of the bound that the configuration of a node may be old in the ordinary course; the rest is for a failure.
 	agePart = 0.8
 	// waitPart bounds the same for a single wait: two reads, and the one that fails
 	// between them, stay within the bound.
@@ -32,7 +34,7 @@
 // others hear of a change by gossip.
 type ReadPlan struct {
 	PerSecond int           // reads that the log takes from all nodes; 0 if not known
-	Within    time.Duration // in which a revocation must count; 0 for no bound
+	Within    time.Duration // from which age the configuration doesn't serve; 0 for no bound
 }
 
 // Everyone reports whether all nodes of a zone read the log, given the number of
@@ -48,10 +50,11 @@
 // reads is up to twice as old, since an answer is as old as its question.
 func (p ReadPlan) Wait() time.Duration {
 	if p.Within == 0 {
-		return defaultReadWait
+		return MaxReadWait
 	}
 	within := float64(p.Within)
-	return time.Duration(min(within*waitPart, (within*agePart-float64(PullEvery))/2))
+	wait := time.Duration(min(within*waitPart, (within*agePart-float64(PullEvery))/2))
+	return min(max(wait, minReadWait), MaxReadWait)
 }
 
 // ReaderAge returns the age that the configuration of a node which reads the log
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/logsvc"
@@ -132,7 +133,7 @@
 // newLogHTTP returns the HTTP client for the log service. The time-out covers
 // the wait for the header of the answer beyond a long poll.
 func newLogHTTP(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout + max(store.ReadWait, zones.ReadWait)}
+	return &http.Client{Timeout: timeout + max(config.MaxReadWait, zones.ReadWait)}
 }
 
 func (a *Agent) listen() error {
@@ -245,7 +246,7 @@
 // startOwn starts the duties of a platform that speaks the project's own
 // protocols.
 func (a *Agent) startOwn(cs *super.Tree) {
-	cs.Start("follow", a.store.Follow(a.platform, a.readsLog, func(err error) {
+	cs.Start("follow", a.store.Follow(a.platform, func() time.Duration { return a.readPlan().Wait() }, a.readsLog, func(err error) {
 		a.log.Warn("configuration log unreachable", "error", err)
 	}))
 	cs.Start("snapshot", a.snapshotConfig)
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -20,8 +20,8 @@
 	// logReaders is the number of nodes of a zone that read the log. Three
 	// survive the loss of two, and 45 readers at 15 zones spare the log.
 	logReaders = 3
-	// staleAfter is the age of the configuration from which a node reads its own
-	// platform's log itself.
+	// staleAfter is the age of the configuration from which a node reads the log
+	// itself where no bound on the age is known.
 	staleAfter = 5 * time.Second
 	// catchUpDelay is the time for which a node that reads the log waits for its own
 	// read after it heard of a change: many times the usual answer of the log.
@@ -35,7 +35,11 @@
 
 // readPlan returns what decides on reads of the configuration.
 func (a *Agent) readPlan() config.ReadPlan {
-	return config.ReadPlan{PerSecond: a.cfg.Log.ReadsPerSecond, Within: a.cfg.Bounds.RevokeWithin.D()}
+	p := config.ReadPlan{PerSecond: a.cfg.Log.ReadsPerSecond, Within: a.cfg.Bounds.RevokeWithin.D()}
+	if cur := a.store.Current(); a.host == nil && cur != nil {
+		p.Within = cur.MaxAge
+	}
+	return p
 }
 
 // readsLog reports whether this node reads the configuration from the log.
@@ -51,10 +55,10 @@
 // staleAfter returns the age of the configuration from which the node no longer
 // relies on those who should confirm it.
 func (a *Agent) staleAfter() time.Duration {
-	if a.host == nil {
-		return staleAfter
+	if plan := a.readPlan(); plan.Within > 0 {
+		return plan.OtherAge()
 	}
-	return a.readPlan().OtherAge()
+	return staleAfter
 }
 
 // logReaders returns the nodes of the own zone that read the log.
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -11,10 +11,6 @@
 	"dogwoodsill.org/core/super"
 )
 
-// ReadWait is the long poll time of a read. It bounds the age of the
-// configuration.
-const ReadWait = 2 * time.Second
-
 const (
 	readBatch = 500                    // records in one read
 	retryWait = 200 * time.Millisecond // after a failed read
@@ -22,10 +18,11 @@
 )
 
 // Follow returns the duty that reads the configuration stream while reads
-// reports that it is this node's task. Errors of the log are passed to onErr
-// and the read is repeated.
-func (s *Store) Follow(log logsvc.Log, reads func() bool, onErr func(error)) func(context.Context) error {
-	return inRole(reads, onErr, func(ctx context.Context) error { return s.readOnce(ctx, log) })
+// reports that it is this node's task. A read waits for a change for the time
+// that wait returns. Errors of the log are passed to onErr and the read is
+// repeated.
+func (s *Store) Follow(log logsvc.Log, wait func() time.Duration, reads func() bool, onErr func(error)) func(context.Context) error {
+	return inRole(reads, onErr, func(ctx context.Context) error { return s.readOnce(ctx, log, wait()) })
 }
 
 // inRole returns the duty that reads again and again while reads reports that it
@@ -43,11 +40,10 @@
 }
 
 // readOnce reads one batch from the log.
-func (s *Store) readOnce(ctx context.Context, log logsvc.Log) error {
+func (s *Store) readOnce(ctx context.Context, log logsvc.Log, wait time.Duration) error {
 	s.mu.Lock()
 	next := s.reader.Next()
 	s.mu.Unlock()
-	wait := ReadWait
 	if s.Current() == nil {
 		wait = 0
 	}
--- a/node/store/store.go
+++ b/node/store/store.go
@@ -15,6 +15,9 @@
 type Current struct {
 	View  *config.View
 	Table *route.Table
+	// MaxAge is the least age of the configuration that a route bounds; 0 if none
+	// does.
+	MaxAge time.Duration
 }
 
 // Store is the configuration of a node. It is safe for concurrent use. All times
@@ -119,7 +122,7 @@
 	if old != nil && old.View == view {
 		return
 	}
-	cur := &Current{View: view, Table: route.NewTable(view)}
+	cur := &Current{View: view, Table: route.NewTable(view), MaxAge: maxAge(view)}
 	s.cur.Store(cur)
 	s.change = Change{Origin: from, At: now}
 	s.once.Do(func() { close(s.ready) })
@@ -127,3 +130,13 @@
 		f(cur)
 	}
 }
+
+func maxAge(v *config.View) time.Duration {
+	var least int64
+	for _, r := range v.Routes {
+		if ms := r.MaxConfigAgeMS; ms > 0 && (least == 0 || ms < least) {
+			least = ms
+		}
+	}
+	return time.Duration(least) * time.Millisecond
+}
