relay: bound the head of an answer

Cause: net/http holds a head of up to 10 MB; a few such answers fill an instance of 184 MB, and the caller waits until its deadline. Change: a head has at most 32 KB; above it the call ends with an unknown outcome and the connection is closed. Bodies without end already stop at the deadline. Before: TestEndlessAnswers fails for heads and for a line without end (504 at the deadline). After: passes.

--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -75,6 +75,9 @@
 	idleConnTimeout = 30 * time.Second
 	dialTimeout     = time.Second
 	copyBytes       = 32 << 10
+	// answerHeadBytes bounds the head of an answer, which is held in memory before it
+	// is passed on: as much as the default of what a caller may send.
+	answerHeadBytes = 32 << 10
 	// refusalBytes bounds the body of an upstream's refusal that is read away.
 	refusalBytes = 4 << 10
 	// staleRetry is the time after which a node that lost touch with the log may
@@ -99,6 +102,8 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: idleConns,
 			IdleConnTimeout:     idleConnTimeout,
+
+			MaxResponseHeaderBytes: answerHeadBytes,
 		},
 	}
 	for _, o := range opts {
