relay: the tests of ended attempts measure processor time and fewer attempts

The bounds are the same: three times the cost of early attempts, 64 MB for a minute at 3,000 calls a second. On the code before the fix (scratch copy): 5,000 attempts take 0.11 s, after 25,000 of them 8.2 s; a minute takes 109 MB.

--- a/node/relay/attempt_test.go
+++ b/node/relay/attempt_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"runtime"
-	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,24 +36,30 @@
 // TestEndOfAttemptDoesNotSlowDown guards against a call that costs the more the
 // more calls were served in the last minute.
 func TestEndOfAttemptDoesNotSlowDown(t *testing.T) {
-	const batch = 1000
+	const batch = 5000
 	table, now := newAttempts(), time.Unix(1000, 0)
 	var took []time.Duration
-	for i := range 60 {
-		began := time.Now()
+	for i := range 6 {
+		began := processorTime(t)
 		endAttempts(table, i*batch, batch, now)
-		took = append(took, time.Since(began))
+		took = append(took, processorTime(t)-began)
 	}
-	early, late := took[10:20], took[50:]
-	slices.Sort(early)
-	slices.Sort(late)
-	assert.Assert(t, late[len(late)/2] < 3*early[len(early)/2], "%d attempts took %v, later %v", batch, early, late)
+	assert.Assert(t, took[5] < 3*took[1], "%d attempts took %v", batch, took)
+}
+
+// processorTime returns the processor time of the process, which other load on the
+// machine doesn't change.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 // TestEndedAttemptsAreSmall guards against a node that runs out of memory by what
 // it keeps of the calls of the last minute.
 func TestEndedAttemptsAreSmall(t *testing.T) {
-	const n = busyRate * 60
+	const n = 20_000
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
@@ -61,8 +67,9 @@
 	endAttempts(table, 0, n, now)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
-	assert.Assert(t, used < keptMemory, "%d attempts take %d bytes", n, used)
+	used := int64(after.HeapAlloc) - int64(before.HeapAlloc) - int64(table.bytes)
+	minute := used/n*busyRate*60 + keptReplies
+	assert.Assert(t, minute < keptMemory, "the attempts of a minute take %d bytes", minute)
 	runtime.KeepAlive(table)
 }
 
