--- a/core/config/plan.go
+++ b/core/config/plan.go
@@ -19,7 +19,8 @@
 	// smallZone is the number of nodes of a zone up to which all of them read a
 	// log of unknown capacity: some tens of reads a second in 15 zones.
 	smallZone = 8
-	// agePart is the part of the bound that the configuration of a node may be old in the ordinary course; the rest is for a failure.
+	// agePart is the part of the bound that the configuration of a node may be old in
+	// the ordinary course. The rest is for a failure.
 	agePart = 0.8
 	// waitPart bounds the same for a single wait: two reads, and the one that fails
 	// between them, stay within the bound.
--- a/node/agent/load.go
+++ b/node/agent/load.go
@@ -24,7 +24,7 @@
 	m := a.metrics
 	return tally{
 		admitted: m.Count(metric.Admitted), refused: m.Sum(metric.Refused), served: m.Count(metric.Served),
-		attempts: m.Count(metric.Attempts), retries: m.Count(metric.Retries), processor: processorTime(),
+		attempts: m.Count(metric.Attempts), retries: m.Count(metric.Retries), processor: a.processorTime(),
 	}
 }
 
@@ -51,11 +51,12 @@
 	})
 }
 
-// processorTime returns the processor time of the process, 0 where the system
-// doesn't tell it.
-func processorTime() time.Duration {
+// processorTime returns the processor time of the process. It is 0 where the system
+// doesn't tell it, which no decision depends on.
+func (a *Agent) processorTime() time.Duration {
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		a.log.Debug("processor time not known", "error", err)
 		return 0
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -55,7 +55,7 @@
 	a.metrics.Put(metric.InFlight, int64(load.Running))
 	a.metrics.Put(metric.Waiting, int64(load.Waiting))
 	a.metrics.Put(metric.Limit, int64(load.Limit))
-	a.metrics.Put(metric.Processor, processorTime().Milliseconds())
+	a.metrics.Put(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
 }
 
