--- a/node/relay/attempt_test.go
+++ b/node/relay/attempt_test.go
@@ -44,7 +44,8 @@
 		endAttempts(table, i*batch, batch, now)
 		took = append(took, processorTime(t)-began)
 	}
-	assert.Assert(t, took[5] < 3*took[1], "%d attempts took %v", batch, took)
+	t.Logf("%d attempts took %v", batch, took)
+	assert.Assert(t, took[5] < 3*took[1])
 }
 
 // processorTime returns the processor time of the process, which other load on the
