metric.ProcessorTime in place of three copies

Found on reading the change: the load line of a node and the test of ended attempts had written again what bench/cost had, which besides turned an error to zero. One function returns the error; bench cost reports it, the load line logs it. Behaviour, bounds and checks stay as they are.

--- a/bench/cost/cost.go
+++ b/bench/cost/cost.go
@@ -7,12 +7,12 @@
 	"net/http"
 	"runtime"
 	"slices"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
 	"dogwoodsill.org/bench/load"
 	"dogwoodsill.org/bench/site"
+	"dogwoodsill.org/core/metric"
 )
 
 // Options are the sizes to measure.
@@ -167,7 +167,11 @@
 		return err
 	}
 	defer r.Stop()
-	bytes, cpu := wireBytes(r), cpuTime()
+	cpu, err := metric.ProcessorTime()
+	if err != nil {
+		return err
+	}
+	bytes := wireBytes(r)
 	timer := time.NewTimer(idle)
 	defer timer.Stop()
 	select {
@@ -176,7 +180,11 @@
 		return ctx.Err()
 	}
 	seconds := idle.Seconds() * float64(nodes)
-	used := cpuTime() - cpu
+	ended, err := metric.ProcessorTime()
+	if err != nil {
+		return err
+	}
+	used := ended - cpu
 	runtime.GC()
 	var heap runtime.MemStats
 	runtime.ReadMemStats(&heap)
@@ -194,13 +202,3 @@
 	}
 	return n
 }
-
-// cpuTime returns the processor time of the process, which includes the
-// stand-ins.
-func cpuTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/node/agent/load.go
+++ b/node/agent/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"dogwoodsill.org/core/metric"
@@ -54,10 +53,9 @@
 // processorTime returns the processor time of the process. It is 0 where the system
 // doesn't tell it, which no decision depends on.
 func (a *Agent) processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+	d, err := metric.ProcessorTime()
+	if err != nil {
 		a.log.Debug("processor time not known", "error", err)
-		return 0
 	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	return d
 }
--- a/node/relay/attempt_test.go
+++ b/node/relay/attempt_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"runtime"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/refuse"
 )
 
@@ -40,23 +40,17 @@
 	table, now := newAttempts(), time.Unix(1000, 0)
 	var took []time.Duration
 	for i := range 6 {
-		began := processorTime(t)
+		began, err := metric.ProcessorTime()
+		assert.NilError(t, err)
 		endAttempts(table, i*batch, batch, now)
-		took = append(took, processorTime(t)-began)
+		ended, err := metric.ProcessorTime()
+		assert.NilError(t, err)
+		took = append(took, ended-began)
 	}
 	t.Logf("%d attempts took %v", batch, took)
 	assert.Assert(t, took[5] < 3*took[1])
 }
 
-// processorTime returns the processor time of the process, which other load on the
-// machine doesn't change.
-func processorTime(t *testing.T) time.Duration {
-	t.Helper()
-	var u syscall.Rusage
-	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // TestEndedAttemptsAreSmall guards against a node that runs out of memory by what
 // it keeps of the calls of the last minute.
 func TestEndedAttemptsAreSmall(t *testing.T) {
