quota: combine the shares of customers with a low burst

Cause: 90 customers of 1 to 15 requests a second have a burst of one second of their rate. Divided into ten shares, each bucket holds one token, is full most of the time and discards what accrues, while requests elsewhere are refused.

Ruled out: loans that miss within some milliseconds (with every share asked and fractions combined 0.2% of one customer's requests were still refused); a single share for each customer (refuses everything when its zone is lost or cut off); weights by zone (fixed, while callers move).

Change: the shares of a customer form groups with a burst of 12 tokens or more. The holder of a group's first share collects the capacity of the others by loans of 1.2 s; they use their shares again when the loans end. Loans for one request end after 40 ms and need no report. A request may wait an eighth of its latency goal for a token that accrues soon; a refusal tells when the next token is there.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Durations that apply to loans.
 const (
@@ -24,6 +27,16 @@
 	minRetry         = 10 * time.Millisecond
 	maxRetry         = 250 * time.Millisecond
 	retryPerBorrower = 2 * time.Millisecond
+	// collectDelay is the delay before the next request while the capacity of the group is
+	// collected, several round trips between zones.
+	collectDelay = 20 * time.Millisecond
+	// reportBurst and reportRate (per second) are the burst below which and the rate above
+	// which a loan that ends soon is reported as well. At a lower rate next to nothing
+	// accrues until the loan ends, and an unreported token can still be released.
+	reportBurst = 4 * Token
+	reportRate  = Token / 4
+	// maxPromise is the latest time at which a refused request is told to come back.
+	maxPromise = 5 * time.Second
 )
 
 // Bucket is the token bucket of one share at its holder. The level plus the
@@ -39,6 +52,12 @@
 	expiryQueue  []*loan // ordered by expiry; includes loans that were closed before
 	borrowers    map[borrower]*borrowerState
 	lastPruned   time.Time
+	grouped      bool                          // the bucket serves all zones alike, see Group
+	later        int                           // number of shares that come later in the group
+	lent         *lentCapacity                 // loan of the share's own capacity; nil if it isn't lent
+	collected    map[ShareID]collectedCapacity // capacity of other shares that the bucket uses
+	lastCollect  time.Time                     // time of the last request for tokens with Collect
+	promised     time.Time                     // latest time at which a refused request was told to come back
 }
 
 // loan is a loan as its holder records it.
@@ -78,6 +97,7 @@
 		accruedUntil: now,
 		loans:        map[LoanID]*loan{},
 		borrowers:    map[borrower]*borrowerState{},
+		collected:    map[ShareID]collectedCapacity{},
 		lastPruned:   now,
 	}
 	if full {
@@ -91,7 +111,8 @@
 	return b.share
 }
 
-// Level returns the tokens in the bucket, which can be lent.
+// Level returns the tokens in the bucket, which can be lent. It is negative while tokens
+// are reserved that have not accrued yet.
 func (b *Bucket) Level(now time.Time) Amount {
 	b.advance(now)
 	return b.level
@@ -105,9 +126,13 @@
 }
 
 // SetShare applies a new rate and burst. Tokens accrue at the previous rate up to
-// now. A higher burst adds no tokens.
+// now. A higher burst adds no tokens. Capacity that was collected before the change is
+// no longer used.
 func (b *Bucket) SetShare(s Share, now time.Time) {
 	b.advance(now)
+	if s.Rate != b.share.Rate || s.Burst != b.share.Burst {
+		clear(b.collected) // lent under the previous rate and burst
+	}
 	b.share = s
 	b.limitLevel()
 }
@@ -118,6 +143,8 @@
 func (b *Bucket) advance(now time.Time) {
 	for len(b.expiryQueue) > 0 && !now.Before(b.expiryQueue[0].expires) {
 		l := b.expiryQueue[0]
+		for b.endCapacity(l.expires) {
+		}
 		b.expiryQueue = b.expiryQueue[1:]
 		if _, ok := b.loans[l.id]; !ok {
 			continue
@@ -126,6 +153,8 @@
 		b.outstanding -= l.outstanding()
 		delete(b.loans, l.id)
 	}
+	for b.endCapacity(now) {
+	}
 	b.accrue(now)
 	b.pruneBorrowers(now)
 }
@@ -137,13 +166,13 @@
 		return
 	}
 	b.accruedUntil = now
-	b.level += b.accrual.add(b.share.Rate, d)
+	b.level += b.accrual.add(b.rate(), d)
 	b.limitLevel()
 }
 
 // limitLevel discards tokens that exceed the burst minus the outstanding loans.
 func (b *Bucket) limitLevel() {
-	if capacity := max(b.share.Burst-b.outstanding, 0); b.level >= capacity {
+	if capacity := max(b.burst()-b.outstanding, 0); b.level >= capacity {
 		b.level = capacity
 		b.accrual.rem = 0
 	}
@@ -179,23 +208,83 @@
 	if !b.updateBorrower(req, now) || req.Amount <= 0 {
 		return reply
 	}
-	reply.Valid = min(LoanTime, until.Sub(now))
+	if req.Collect {
+		b.lastCollect = now
+	}
+	reply.Alone = len(b.collected) < b.later
+	left := until.Sub(now)
+	reply.Valid = min(b.loanTime(), left)
 	if reply.Valid <= 0 {
 		return BorrowReply{ShareID: req.ShareID, Seq: req.Seq}
 	}
 	free := b.lendable(req.BorrowerZone, now)
-	reply.Grant = grantAmount(req, free)
-	reply.Spare = free - reply.Grant
-	reply.FillRatio = float64(reply.Spare) / float64(b.share.Burst)
-	if reply.Grant < req.Amount {
+	if delay, ok := b.reservation(req, min(left, groupLoanTime)); ok {
+		reply.Grant, reply.Delay, reply.Valid = req.Amount, delay, delay+req.MaxValid
+	} else {
+		reply.Grant = grantAmount(req, free)
+		reply.Spare = free - reply.Grant
+		reply.FillRatio = float64(reply.Spare) / float64(max(b.burst(), Token))
+	}
+	switch {
+	case reply.Grant < req.Amount:
 		reply.RetryAfter = b.retryDelay(Token-reply.Spare, now)
+		if reply.Alone && req.Collect {
+			reply.RetryAfter = min(reply.RetryAfter, collectDelay)
+		}
+		reply.NextToken = b.nextToken(now)
+	case req.MaxValid > 0 && reply.Delay == 0:
+		reply.Valid = min(reply.Valid, req.MaxValid)
 	}
 	if reply.Grant > 0 {
+		reply.Report = b.burst() < reportBurst && b.rate() > reportRate
 		b.lend(req.LoanID, reply, now)
 	}
 	return reply
 }
 
+// loanTime returns the maximum validity of a loan.
+func (b *Bucket) loanTime() time.Duration {
+	if b.grouped {
+		return groupLoanTime
+	}
+	return LoanTime
+}
+
+// reservation returns the delay after which the tokens of an urgent request have accrued,
+// and whether the request can wait that long. limit bounds the delay by the lease. The
+// reserved tokens and the loans that may be unspent must fit into the burst.
+func (b *Bucket) reservation(req BorrowRequest, limit time.Duration) (time.Duration, bool) {
+	if !req.Urgent || req.Amount <= b.level || b.lent != nil || b.outstanding+req.Amount > b.burst() {
+		return 0, false
+	}
+	d := withDriftMargin(accrualTime(b.rate(), req.Amount-b.level))
+	return d, req.MaxValid > 0 && d <= min(req.MaxDelay, limit-req.MaxValid)
+}
+
+// nextToken returns the time after which a refused request finds a token. Requests that
+// are refused one after the other get different times, since each token serves one. If
+// the capacity is lent, that is the end of the loan.
+func (b *Bucket) nextToken(now time.Time) time.Duration {
+	rate, from := b.rate(), now
+	if b.lent != nil {
+		rate, from = b.share.Rate, b.lent.expires
+	}
+	at := from.Add(accrualTime(rate, Token-b.level))
+	if later := b.promised.Add(accrualTime(rate, Token)); later.After(at) && b.promised.After(now) {
+		at = later
+	}
+	at = minTime(at, now.Add(maxPromise))
+	b.promised = at
+	return at.Sub(now)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // applyReports applies the reports of a request to the loans that are still open.
 // It ignores reports of more tokens than the loan has.
 func (b *Bucket) applyReports(req BorrowRequest) {
@@ -237,21 +326,22 @@
 	return true
 }
 
-// lendable returns the tokens that the bucket can lend to a zone.
+// lendable returns the tokens that the bucket can lend to a zone. A bucket in a group
+// serves all zones alike.
 func (b *Bucket) lendable(zone string, now time.Time) Amount {
-	if zone == b.share.Zone {
-		return b.level
+	if zone == b.share.Zone || b.grouped {
+		return max(b.level, 0)
 	}
 	return max(b.level-b.reserve(now), 0)
 }
 
 // grantAmount returns how much of the lendable amount a request gets. An urgent
 // request gets any fraction of a token, because the borrower can combine the
-// fractions of several holders. A request that is not urgent gets whole tokens only,
-// unless it gets its full amount.
+// fractions of several holders, unless it says that it can't. Other requests get whole
+// tokens only, unless they get their full amount.
 func grantAmount(req BorrowRequest, free Amount) Amount {
 	n := min(req.Amount, free)
-	if !req.Urgent && n < req.Amount {
+	if (!req.Urgent || req.Whole) && n < req.Amount {
 		n -= n % Token
 	}
 	return n
@@ -281,20 +371,16 @@
 			active++
 		}
 	}
-	d := min(max(accrualTime(b.share.Rate, missing), minRetry), maxRetry)
+	d := min(max(accrualTime(b.rate(), missing), minRetry), maxRetry)
 	return max(d, time.Duration(active)*retryPerBorrower)
 }
 
-// lend deducts a grant from the level and records the loan. A loan never expires
-// before the previous one, so that the queue stays ordered by expiry.
+// lend deducts a grant from the level and records the loan.
 func (b *Bucket) lend(id LoanID, reply BorrowReply, now time.Time) {
-	expires := now.Add(reply.Valid + DriftMargin)
-	if n := len(b.expiryQueue); n > 0 && expires.Before(b.expiryQueue[n-1].expires) {
-		expires = b.expiryQueue[n-1].expires
-	}
-	l := &loan{id: id, amount: reply.Grant, valid: reply.Valid, expires: expires}
+	l := &loan{id: id, amount: reply.Grant, valid: reply.Valid, expires: now.Add(withDriftMargin(reply.Valid))}
 	b.level -= reply.Grant
 	b.outstanding += reply.Grant
 	b.loans[id] = l
-	b.expiryQueue = append(b.expiryQueue, l)
+	i, _ := slices.BinarySearchFunc(b.expiryQueue, l, func(a, b *loan) int { return a.expires.Compare(b.expires) })
+	b.expiryQueue = slices.Insert(b.expiryQueue, i, l)
 }
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -12,6 +12,13 @@
 // Pool and takes the token of each request from there. Package epoch decides
 // which node owns a share in an epoch and when it may start to lend.
 //
+// A customer with a low burst has shares of a few tokens, which would be full in one zone
+// and empty in another. They form groups: the holder of the first share of a group
+// collects the capacity of the others, their rate, burst and tokens, by loans that it
+// renews, see Groups. What the customer may use then doesn't depend on the number of
+// zones and nodes. When the loans end, as after a failure or a cut, each holder uses its
+// own share again.
+//
 // The level of a bucket plus its outstanding loans never exceeds the burst of the
 // share. A grant is deducted before the reply is sent, so a lost message wastes
 // tokens but never creates any. Over all shares, at most burst + rate*t requests
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -25,12 +25,16 @@
 	started    map[ShareID]bool // shares for which this process ever created a bucket
 	exclusive  exclusiveEpoch
 	configRead configRead
+	seq        uint64 // number of the latest capacity request
 }
 
 // heldBucket is the bucket of a share with its latest known ownership.
 type heldBucket struct {
 	*Bucket
-	epoch uint64 // latest epoch in which the node is known to own the share
+	epoch    uint64 // latest epoch in which the node is known to own the share
+	group    Group  // group of the share
+	rank     int    // position of the share in the group
+	requests map[ShareID]capacityRequestState
 }
 
 // exclusiveEpoch is the number of the zone's current epoch, if all earlier epochs are
@@ -106,6 +110,7 @@
 	}
 	h.updateExclusive(now)
 	keep := make(map[ShareID]bool, len(h.buckets))
+	groups := groupsByShare(shares)
 	for _, s := range shares {
 		owner := OwnerOf(s.ShareID)
 		if s.Zone != h.self.Zone || !owner(current).Same(h.self) {
@@ -113,6 +118,7 @@
 		}
 		if h.update(s, owner, current.Number, created, now) {
 			keep[s.ShareID] = true
+			h.buckets[s.ShareID].setGroup(groups[s.ShareID])
 		} else {
 			pending = true
 		}
@@ -131,6 +137,9 @@
 	b := h.buckets[s.ShareID]
 	if b != nil && h.state.OwnedSince(h.self, owner, b.epoch) {
 		b.epoch = epochNumber
+		if s != b.share {
+			clear(b.requests) // ask for the capacity under the new configuration at once
+		}
 		b.SetShare(s, now)
 		return true
 	}
@@ -138,11 +147,36 @@
 		return false
 	}
 	full := !h.started[s.ShareID] && h.isNewCustomer(s.Customer, epochNumber, created)
-	h.buckets[s.ShareID] = &heldBucket{Bucket: NewBucket(s, full, now), epoch: epochNumber}
+	h.buckets[s.ShareID] = &heldBucket{Bucket: NewBucket(s, full, now), epoch: epochNumber, requests: map[ShareID]capacityRequestState{}}
 	h.started[s.ShareID] = true
 	return true
 }
 
+// setGroup records the group of the bucket's share. A share with a low burst counts as
+// grouped also if it is the only one of its customer.
+func (b *heldBucket) setGroup(g Group) {
+	b.group, b.rank = g, g.rank(b.share.ShareID)
+	b.grouped = len(g) > 1 || b.share.Burst < groupBurst
+	b.later = len(g) - 1 - b.rank
+}
+
+// groupsByShare returns the group of each share of all customers.
+func groupsByShare(shares []Share) map[ShareID]Group {
+	byCustomer := map[string][]Share{}
+	for _, s := range shares {
+		byCustomer[s.Customer] = append(byCustomer[s.Customer], s)
+	}
+	out := make(map[ShareID]Group, len(shares))
+	for _, list := range byCustomer {
+		for _, g := range Groups(list) {
+			for _, s := range g {
+				out[s.ShareID] = g
+			}
+		}
+	}
+	return out
+}
+
 // isNewCustomer reports whether a customer was created after a read of the
 // configuration stream that began when all epochs before the given one were retired.
 func (h *Holder) isNewCustomer(customer string, epochNumber uint64, created func(string) (uint64, bool)) bool {
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -11,10 +11,14 @@
 	// stock. It covers many round trips between zones (1.5 ms) and withholds at most
 	// a tenth of a second of the rate from other nodes.
 	StockTime = 100 * time.Millisecond
-	// MaxWaitTime is how long a request may wait for a borrowed token before it is
-	// refused. It is longer than one round trip within the zone (0.2 ms) plus two to
-	// other zones (1.5 ms each).
-	MaxWaitTime = 5 * time.Millisecond
+	// MaxWaitTime is how long a request may wait for the replies of holders before it is
+	// refused. It allows for a holder that doesn't respond and for one whose processor is
+	// busy. Usually the first reply, after 0.2 to 3 ms, decides.
+	MaxWaitTime = 100 * time.Millisecond
+	// urgentLoanTime is the maximum validity of a loan for one waiting request. It is used
+	// when it arrives and ends at the holder about when a report would arrive, so that
+	// none is sent.
+	urgentLoanTime = 40 * time.Millisecond
 	// reportDelay is how long reports are collected before they are sent. Tokens that
 	// are spent but not reported prevent the bucket from refilling.
 	reportDelay = 50 * time.Millisecond
@@ -27,12 +31,15 @@
 	// otherZoneHedgeDelay is the same for requests to other zones. It is less than
 	// their round trip of 1.5 ms, so that four holders can be asked in MaxWaitTime.
 	otherZoneHedgeDelay = time.Millisecond
+	// groupHedgeDelay is the same for groups of shares. Their first holder usually has all
+	// tokens of the group, and tokens of a second reply would be of no use.
+	groupHedgeDelay = 10 * time.Millisecond
 	// replyTimeout is the age at which a pending request counts as lost. A late reply is
 	// still used. After a lost or failed request, the pool borrows nothing from the share
 	// for failureRetry. This time doubles with each consecutive failure up to
 	// maxFailureRetry. It is also the delay, without doubling, after a reply of a node
 	// that does not hold the share.
-	replyTimeout    = 20 * time.Millisecond
+	replyTimeout    = 40 * time.Millisecond
 	failureRetry    = 250 * time.Millisecond
 	maxFailureRetry = 2 * time.Second
 	// shortGrantRetry is the maximum delay after a first grant of less than the
@@ -66,6 +73,12 @@
 	shareStates map[ShareID]*shareState
 	shareOrder  []ShareID // keys of shareStates in order of creation, for deterministic messages
 	expired     Amount    // tokens that expired unused since the last CollectExpired
+	maxDelay    time.Duration
+	grouped     bool      // shares are combined in groups
+	whole       bool      // fractions of a token are not combined
+	heads       []ShareID // the candidates that are asked first of their groups
+	nextToken   time.Time // when a refused request finds a token, according to the last holder that had none
+	promised    time.Time // latest time at which a refused request was told to come back
 }
 
 // PoolOptions identify a pool: its customer and the process that it belongs to.
@@ -78,27 +91,40 @@
 
 // borrowedLoan is a loan as its borrower records it.
 type borrowedLoan struct {
-	share    ShareID
-	seq      uint64
-	amount   Amount
-	use      LoanReport // spent tokens include those that may still be released
-	sent     LoanReport // totals in the latest message
-	acked    LoanReport // latest totals that the holder acknowledged
-	received time.Time
-	expires  time.Time
+	share   ShareID
+	seq     uint64
+	amount  Amount
+	use     LoanReport // spent tokens include those that may still be released
+	sent    LoanReport // totals in the latest message
+	acked   LoanReport // latest totals that the holder acknowledged
+	from    time.Time  // when the tokens have accrued and may be used
+	valid   time.Duration
+	expires time.Time
+	short   bool // the loan ends so soon that spent tokens are not reported
+	report  bool // the holder asked for a report at once
 }
 
-// available returns the tokens of the loan that can be taken.
+// available returns the tokens of the loan that can be taken at some time.
 func (l *borrowedLoan) available() Amount {
 	return l.amount - l.use.Spent - l.use.Returned
 }
 
+// availableAt returns the tokens of the loan that can be taken now.
+func (l *borrowedLoan) availableAt(now time.Time) Amount {
+	if now.Before(l.from) {
+		return 0
+	}
+	return l.available()
+}
+
 // pendingRequest is a request without a reply so far.
 type pendingRequest struct {
 	share   ShareID
 	sent    time.Time
 	amount  Amount
 	reports []LoanReport
+	urgent  bool // a request waits for the tokens
+	short   bool // the loan ends too soon to be reported
 	lost    bool
 }
 
@@ -106,11 +132,15 @@
 type shareState struct {
 	lastRequest     time.Time
 	retryAt         time.Time // earliest time of the next request for tokens
+	restockAt       time.Time // earliest time of the next request for tokens that no request waits for
 	failures        int       // consecutive requests without a reply
 	shortGrants     int       // consecutive grants of less than the requested amount
 	spare           Amount    // Spare of the last reply
 	fillRatio       float64   // FillRatio of the last reply
+	notHolder       bool      // the node that was asked last does not hold the share
+	alone           bool      // Alone of the last reply
 	pendingSeq      uint64    // number of the pending request; 0 for none
+	reportNow       bool      // the report must not be delayed
 	unreportedSince time.Time // time of the oldest use that no message reported; zero for none
 }
 
@@ -140,20 +170,23 @@
 // RetryTake is Take for a request that an earlier call of Take counted.
 func (p *Pool) RetryTake(now time.Time) (Charge, bool) {
 	p.expire(now)
-	if p.available() < Token {
+	if p.availableAt(now) < Token {
 		return Charge{}, false
 	}
 	var ch Charge
 	need := Token
 	for _, l := range p.loans {
-		n := min(l.available(), need)
+		n := min(l.availableAt(now), need)
 		if n <= 0 {
 			continue
 		}
 		l.use.Spent += n
 		need -= n
 		ch.parts = append(ch.parts, chargePart{l.seq, n})
-		p.markUnreported(l.share, now)
+		if !l.short || l.report {
+			p.markUnreported(l.share, now)
+			p.shareStates[l.share].reportNow = l.report
+		}
 		if need == 0 {
 			break
 		}
@@ -192,11 +225,11 @@
 // Available returns the tokens that can be taken.
 func (p *Pool) Available(now time.Time) Amount {
 	p.expire(now)
-	return p.available()
+	return p.availableAt(now)
 }
 
 // InFlight returns the number of pending requests for tokens that do not count as
-// lost.
+// lost, and of loans whose tokens have not accrued yet.
 func (p *Pool) InFlight(now time.Time) int {
 	p.expire(now)
 	n := 0
@@ -205,9 +238,59 @@
 			n++
 		}
 	}
+	for _, l := range p.loans {
+		if now.Before(l.from) && l.available() > 0 {
+			n++
+		}
+	}
 	return n
 }
 
+// WakeAt returns the next time at which a waiting request can take a token or another
+// request can be sent to one of the candidates. It reports false if there is none before
+// the given time.
+func (p *Pool) WakeAt(candidates []ShareID, now, until time.Time) (time.Time, bool) {
+	at, found := until, false
+	consider := func(t time.Time) {
+		if t.After(now) && t.Before(at) {
+			at, found = t, true
+		}
+	}
+	for _, r := range p.pending {
+		consider(r.sent.Add(p.hedgeDelay(r.share, 1)))
+		consider(r.sent.Add(replyTimeout))
+	}
+	for _, l := range p.loans {
+		consider(l.from)
+	}
+	for _, id := range candidates {
+		consider(p.shareState(id).retryAt)
+	}
+	return at, found
+}
+
+// AllowDelay sets how long a waiting request may wait for a token that has not accrued
+// yet.
+func (p *Pool) AllowDelay(d time.Duration) {
+	p.maxDelay = d
+}
+
+// NextToken returns the time after which a refused request finds a token, as told by the
+// holders. interval is the time in which one token accrues; requests that are refused
+// one after the other get times that differ by it.
+func (p *Pool) NextToken(interval time.Duration, now time.Time) time.Duration {
+	at := p.nextToken
+	if !at.After(now) {
+		at = now.Add(interval)
+	}
+	if later := p.promised.Add(interval); p.promised.After(now) && later.After(at) {
+		at = later
+	}
+	at = minTime(at, now.Add(maxPromise))
+	p.promised = at
+	return at.Sub(now)
+}
+
 // Idle reports whether the pool has no loans, no pending requests and a demand below
 // 0.1 tokens per second, so that it can be removed. A later pool of the same customer
 // in the same process must not reuse its request numbers; see SetSeq.
@@ -228,6 +311,16 @@
 	p.seq = max(p.seq, n)
 }
 
+// availableAt returns the tokens that can be taken now.
+func (p *Pool) availableAt(now time.Time) Amount {
+	var sum Amount
+	for _, l := range p.loans {
+		sum += l.availableAt(now)
+	}
+	return sum
+}
+
+// available returns the tokens that can be taken now or once they have accrued.
 func (p *Pool) available() Amount {
 	var sum Amount
 	for _, l := range p.loans {
@@ -300,32 +393,40 @@
 		s.pendingSeq = 0
 	}
 	s.failures, s.spare, s.fillRatio, s.retryAt = 0, reply.Spare, reply.FillRatio, now.Add(reply.RetryAfter)
-	if !reply.IsHolder {
+	s.notHolder, s.alone = !reply.IsHolder, reply.Alone
+	if s.notHolder {
 		s.retryAt = now.Add(failureRetry)
 		return
 	}
 	switch {
+	case reply.Grant < r.amount && !r.urgent:
+		s.restockAt = now.Add(reply.RetryAfter)
+		s.retryAt = now
 	case reply.Grant < r.amount:
 		s.retryAt = now.Add(min(reply.RetryAfter, shortGrantRetry<<min(s.shortGrants, 8)))
 		s.shortGrants++
+		p.nextToken = now.Add(reply.NextToken)
 	case r.amount > 0:
 		s.shortGrants = 0
 	}
 	p.acknowledge(r.reports)
-	expires := r.sent.Add(reply.Valid)
-	if reply.Grant <= 0 || reply.Grant > r.amount || !now.Before(expires) {
+	expires, from := r.sent.Add(reply.Valid), now.Add(max(reply.Delay, 0))
+	if reply.Grant <= 0 || reply.Grant > r.amount || !from.Before(expires) {
 		return
 	}
 	unused := LoanReport{Seq: reply.Seq}
 	l := &borrowedLoan{
-		share:    r.share,
-		seq:      reply.Seq,
-		amount:   reply.Grant,
-		use:      unused,
-		sent:     unused,
-		acked:    unused,
-		received: now,
-		expires:  expires,
+		share:   r.share,
+		seq:     reply.Seq,
+		amount:  reply.Grant,
+		use:     unused,
+		sent:    unused,
+		acked:   unused,
+		from:    from,
+		valid:   reply.Valid,
+		expires: expires,
+		short:   r.short && reply.Valid-reply.Delay <= urgentLoanTime,
+		report:  reply.Report,
 	}
 	i, _ := slices.BinarySearchFunc(p.loans, l, func(a, b *borrowedLoan) int { return a.expires.Compare(b.expires) })
 	p.loans = slices.Insert(p.loans, i, l)
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -44,6 +44,9 @@
 
 const simCustomer = "press"
 
+// simMaxDelay is how long a request may wait for a token that has not accrued yet.
+const simMaxDelay = 50 * time.Millisecond
+
 // event is a function that runs at a simulated time. Events at the same time run in the
 // order in which they were scheduled.
 type event struct {
@@ -90,11 +93,18 @@
 	adopted      time.Time
 	lastProposal time.Time // time of the last proposal that it appended to the log
 	revision     int       // revision of the customer that the process uses; 0 before the customer exists
+
+	groupsRevision int // revision of cachedGroups
+	cachedGroups   []Group
+	wakeAt         time.Time // time of the next scheduled step of waiting requests
 }
 
 // request is a request of a caller at a node. It is within the rate if an ideal limiter
 // with one bucket for the whole fleet admits it.
-type request struct{ done, withinRate bool }
+type request struct {
+	done, withinRate bool
+	since            time.Time // arrival by the clock of the node
+}
 
 // newFleet starts a fleet in which the customer does not exist yet.
 func newFleet(seed uint64, zones, perZone int, clockSkew float64) *fleet {
@@ -162,6 +172,7 @@
 	p.every(100*time.Millisecond, p.readLog)
 	p.every(250*time.Millisecond, p.propose)
 	p.every(25*time.Millisecond, p.processPool)
+	p.every(200*time.Millisecond, p.collect)
 	p.scheduleArrival()
 	return p
 }
@@ -416,10 +427,8 @@
 // processPool takes tokens for waiting requests and sends the messages that are due.
 func (p *proc) processPool() {
 	now := p.clock()
-	var ids []ShareID
-	for _, s := range p.shares() {
-		ids = append(ids, s.ShareID)
-	}
+	groups := p.groups()
+	p.pool.AllowDelay(simMaxDelay)
 	p.waiting = slices.DeleteFunc(p.waiting, func(a *request) bool {
 		if a.done {
 			return true
@@ -431,12 +440,72 @@
 		return ok
 	})
 	for {
-		req, ok := p.pool.NextRequest(ids, len(p.waiting), now)
+		req, ok := p.pool.NextRequest(p.pool.Candidates(groups, now), len(p.waiting), now)
 		if !ok {
-			return
+			break
 		}
 		p.sendRequest(req)
 	}
+	p.awaitTokens(now)
+}
+
+// awaitTokens refuses the waiting requests that can't get a token in time, as node/tokens
+// does, and schedules the next step for the others.
+func (p *proc) awaitTokens(now time.Time) {
+	for _, a := range p.waiting {
+		until := a.since.Add(simMaxDelay)
+		if p.pool.InFlight(now) > 0 {
+			until = a.since.Add(MaxWaitTime)
+		}
+		at, ok := p.pool.WakeAt(p.pool.Candidates(p.groups(), now), now, until)
+		if !ok {
+			p.refuse(a)
+			continue
+		}
+		if !p.wakeAt.After(now) || at.Before(p.wakeAt) {
+			p.wakeAt = at
+			p.f.at(at.Sub(now)+time.Microsecond, func() { p.do(p.processPool) })
+		}
+	}
+}
+
+// groups returns the groups of the customer's shares.
+func (p *proc) groups() []Group {
+	if p.groupsRevision != p.revision {
+		p.groupsRevision, p.cachedGroups = p.revision, Groups(p.shares())
+	}
+	return p.cachedGroups
+}
+
+// collect sends the requests for capacity that are due.
+func (p *proc) collect() {
+	for _, req := range p.holder.CapacityRequests(p.clock()) {
+		e, ok := p.state.Current(req.Zone)
+		if !ok {
+			continue
+		}
+		p.f.messages++
+		p.send(OwnerOf(req.ShareID)(e).Name, func(q *proc) {
+			reply := q.holder.LendCapacity(req, q.lease.Expiry(q.clock()), q.clock())
+			q.send(p.self.Name, func(r *proc) {
+				if r == p {
+					p.holder.HandleCapacity(req, reply, p.clock())
+				}
+			})
+		})
+	}
+}
+
+// refuse marks a request as done and counts its refusal.
+func (p *proc) refuse(a *request) {
+	if a.done {
+		return
+	}
+	a.done = true
+	p.f.refused++
+	if a.withinRate {
+		p.f.wronglyRefused++
+	}
 }
 
 // sendRequest sends a borrow request to the owner of its share and handles the reply.
@@ -449,6 +518,9 @@
 	to, sent := OwnerOf(req.ShareID)(e), p.f.now
 	p.send(to.Name, func(q *proc) {
 		reply := q.holder.Borrow(req, q.lease.Expiry(q.clock()), q.clock())
+		if reply.Alone {
+			q.collect()
+		}
 		if reply.Grant > 0 {
 			p.f.recordLoan(req.ShareID, q.self, sent+reply.Valid)
 			p.f.checkHolders(q)
@@ -480,10 +552,10 @@
 	})
 }
 
-// handleRequest takes a token for a new request. If it gets none within MaxWaitTime, the
-// request is refused.
+// handleRequest takes a token for a new request. If it gets none within MaxWaitTime, or
+// no reply is outstanding, the request is refused.
 func (p *proc) handleRequest() {
-	a := &request{withinRate: p.f.ideal.admit(p.f)}
+	a := &request{withinRate: p.f.ideal.admit(p.f), since: p.clock()}
 	if ch, ok := p.pool.Take(p.clock()); ok {
 		p.admit(a, ch)
 		p.processPool()
@@ -491,20 +563,7 @@
 	}
 	p.waiting = append(p.waiting, a)
 	p.processPool()
-	for d := HedgeDelay; d < MaxWaitTime; d += HedgeDelay {
-		p.f.at(d, func() { p.do(p.processPool) })
-	}
-	p.f.at(MaxWaitTime, func() {
-		p.do(func() {
-			if !a.done {
-				a.done = true
-				p.f.refused++
-				if a.withinRate {
-					p.f.wronglyRefused++
-				}
-			}
-		})
-	})
+	p.f.at(MaxWaitTime, func() { p.do(func() { p.refuse(a) }) })
 }
 
 // admit marks a request as done and counts it as admitted. For releaseFraction of the
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -204,7 +204,7 @@
 //	├── config: follow, pull, catch up, snapshot
 //	├── members: gossip
 //	├── epochs: follow, renew, propose
-//	├── tokens: watch, sweep
+//	├── tokens: watch, sweep, collect
 //	├── claims: flush, follow, watch
 //	├── target: poll
 //	├── log: note, load
@@ -236,6 +236,7 @@
 	ts := a.tree.NewSubtree("tokens")
 	ts.Start("watch", a.tokens.SyncShares)
 	ts.Start("sweep", a.tokens.MaintainPools)
+	ts.Start("collect", a.tokens.CollectCapacity)
 	a.tree.NewSubtree("target").Start("poll", a.target.PollQueue)
 	logs := a.tree.NewSubtree("log")
 	logs.Start("note", a.logChanges)
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -160,3 +160,8 @@
 func (l *links) Borrow(ctx context.Context, addr string, req quota.BorrowRequest) (quota.BorrowReply, error) {
 	return callPeer[quota.BorrowRequest, quota.BorrowReply](ctx, l, addr, relay.KindBorrow, req)
 }
+
+// LendCapacity implements tokens.Peers.
+func (l *links) LendCapacity(ctx context.Context, addr string, req quota.CapacityRequest) (quota.CapacityReply, error) {
+	return callPeer[quota.CapacityRequest, quota.CapacityReply](ctx, l, addr, relay.KindCapacity, req)
+}
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -110,6 +110,10 @@
 		err = frame.ServeCall(s, func(_ context.Context, req quota.BorrowRequest) (quota.BorrowReply, error) {
 			return a.tokens.Borrow(req), nil
 		})
+	case relay.KindCapacity:
+		err = frame.ServeCall(s, func(_ context.Context, req quota.CapacityRequest) (quota.CapacityReply, error) {
+			return a.tokens.LendCapacity(req), nil
+		})
 	case relay.KindRecords:
 		err = frame.ServeCall(s, func(_ context.Context, req store.RecordsRequest) (store.RecordsReply, error) {
 			return a.store.Records(req, boot.Now()), nil
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -22,6 +22,14 @@
 	"dogwoodsill.org/node/tokens"
 )
 
+const (
+	// defaultLatencyGoal is the latency goal of routes that have none.
+	defaultLatencyGoal = time.Second
+	// tokenWaitDivisor limits the wait for a token of the customer's rate to a small part
+	// of the latency goal.
+	tokenWaitDivisor = 8
+)
+
 // request is the state of one request of a caller while the node handles it.
 type request struct {
 	server *Server
@@ -220,13 +228,23 @@
 	}
 	// The time of arrival can't be used: the process may have been paused since, and
 	// a loan of tokens must still be valid when it is used.
-	if release, e = s.limiter.Take(q.r.Context(), account, time.Now()); e != nil {
+	if release, e = s.limiter.Take(q.r.Context(), account, q.tokenPatience(), time.Now()); e != nil {
 		return nil, e
 	}
 	s.metrics.Add(metric.Admitted, 1)
 	return release, nil
 }
 
+// tokenPatience returns how long the request may wait for a token that has not accrued
+// yet. A short wait costs the caller less than a refusal and a retry.
+func (q *request) tokenPatience() time.Duration {
+	goal := time.Duration(q.route.Route.LatencyGoalMS) * time.Millisecond
+	if goal == 0 {
+		goal = defaultLatencyGoal
+	}
+	return min(goal, q.call.Deadline.Sub(q.now)) / tokenWaitDivisor
+}
+
 // unlimited reports whether the account of the request has no rate limit.
 func (q *request) unlimited() bool {
 	if q.id.customer == "" {
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -55,9 +55,10 @@
 
 // Limiter charges requests to the rate of an account.
 type Limiter interface {
-	// Take charges one request. It returns a refusal, or a function that
-	// releases the charge of a request that was not run.
-	Take(ctx context.Context, account string, now time.Time) (release func(now time.Time), e *refuse.Error)
+	// Take charges one request, which may wait for its token as long as patience. It
+	// returns a refusal, or a function that releases the charge of a request that was
+	// not run.
+	Take(ctx context.Context, account string, patience time.Duration, now time.Time) (release func(now time.Time), e *refuse.Error)
 }
 
 // Ranker ranks requests and decides which ranks a service admits under
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -22,6 +22,7 @@
 	KindProbe                    // request to probe a third node
 	KindRecords                  // request for configuration records
 	KindConfirm                  // request to confirm an epoch
+	KindCapacity                 // request for the capacity of a share
 )
 
 // CallHead is the head of a call stream or a claim stream.
--- a/node/tokens/holder.go
+++ b/node/tokens/holder.go
@@ -30,10 +30,12 @@
 	// The lock of zones guards the fields below.
 	quota   *quota.Holder
 	pending bool // some shares cannot be lent until an earlier epoch is retired
+
+	alone chan struct{} // signals CollectCapacity that a bucket lacks the capacity of its group
 }
 
 func newHolder(z *zones.Zones, st *store.Store, m *metric.Set) *holder {
-	h := &holder{zones: z, store: st, metrics: m}
+	h := &holder{zones: z, store: st, metrics: m, alone: make(chan struct{}, 1)}
 	z.WithView(func(v zones.View) { h.quota = quota.NewHolder(z.Self(), v.State, v.Tracker) })
 	z.OnAdopt(func(_ zones.View, now time.Time) { h.sync(now) })
 	st.OnChange(func(*store.Config) {
@@ -92,10 +94,42 @@
 		now := time.Now()
 		reply = h.quota.Borrow(req, v.Lease.Expiry(now), now)
 	})
+	if reply.Alone {
+		select {
+		case h.alone <- struct{}{}:
+		default:
+		}
+	}
 	h.metrics.Add(metric.TokensLent, milliTokens(reply.Grant))
 	return reply
 }
 
+// capacityRequests returns the capacity requests of the held shares that are due.
+func (h *holder) capacityRequests(now time.Time) []quota.CapacityRequest {
+	var out []quota.CapacityRequest
+	h.zones.WithView(func(v zones.View) {
+		if v.Lease.Valid(now) {
+			out = h.quota.CapacityRequests(now)
+		}
+	})
+	return out
+}
+
+// lendCapacity handles a capacity request. It reads the clock like borrow.
+func (h *holder) lendCapacity(req quota.CapacityRequest) quota.CapacityReply {
+	var reply quota.CapacityReply
+	h.zones.WithView(func(v zones.View) {
+		now := time.Now()
+		reply = h.quota.LendCapacity(req, v.Lease.Expiry(now), now)
+	})
+	return reply
+}
+
+// handleCapacity processes the reply to a capacity request.
+func (h *holder) handleCapacity(req quota.CapacityRequest, reply quota.CapacityReply) {
+	h.zones.WithView(func(zones.View) { h.quota.HandleCapacity(req, reply, time.Now()) })
+}
+
 // milliTokens converts an amount to thousandths of a token for metrics.
 func milliTokens(a quota.Amount) int64 {
 	return int64(a / (quota.Token / 1000))
--- a/node/tokens/tokens.go
+++ b/node/tokens/tokens.go
@@ -17,6 +17,7 @@
 // Peers sends borrow requests to peer addresses.
 type Peers interface {
 	Borrow(ctx context.Context, addr string, req quota.BorrowRequest) (quota.BorrowReply, error)
+	LendCapacity(ctx context.Context, addr string, req quota.CapacityRequest) (quota.CapacityReply, error)
 }
 
 const (
@@ -26,6 +27,11 @@
 	// sendTimeout limits the wait for a reply. A loan granted by a later reply would
 	// have expired.
 	sendTimeout = quota.LoanTime
+	// collectInterval is how often a holder checks whether capacity requests are due.
+	collectInterval = 200 * time.Millisecond
+	// minRetryAfter is the shortest time after which a refused caller is told to come
+	// back.
+	minRetryAfter = 50 * time.Millisecond
 )
 
 // Limiter admits requests within the rate and burst of their account, which is a
@@ -56,8 +62,9 @@
 	removed bool
 	waiting int           // requests that wait for a token
 	wake    chan struct{} // closed and replaced after each reply or failure
-	config  *store.Config // configuration from which shares was computed
-	shares  []quota.ShareID
+	config   *store.Config // configuration from which groups and interval were computed
+	groups   []quota.Group
+	interval time.Duration // time in which one token accrues
 }
 
 // New returns the limiter of a node. It must be called before the background tasks of
@@ -121,21 +128,22 @@
 }
 
 // Take takes one token of an account for a request. It waits up to quota.MaxWaitTime
-// for borrowed tokens. It returns a refusal, or a function that releases the token if
-// the request was not executed.
-func (l *Limiter) Take(ctx context.Context, account string, now time.Time) (func(time.Time), *refuse.Error) {
+// for the replies of holders, and up to patience for a token that has not accrued yet. It
+// returns a refusal, or a function that releases the token if the request was not
+// executed.
+func (l *Limiter) Take(ctx context.Context, account string, patience time.Duration, now time.Time) (func(time.Time), *refuse.Error) {
 	p := l.lockedPool(account)
 	charge, ok := p.quota.Take(now)
 	l.send(ctx, p, now)
 	p.mu.Unlock()
 	if !ok {
-		charge, ok = l.awaitToken(ctx, p, now.Add(quota.MaxWaitTime))
+		charge, ok = l.awaitToken(ctx, p, patience, now)
 	}
 	if !ok && l.takeGrace(account, time.Now()) {
 		return func(time.Time) {}, nil
 	}
 	if !ok {
-		return nil, refuse.New(refuse.RateLimited, "the rate of %q is used up", account).WithRetryAfter(time.Second)
+		return nil, refuse.New(refuse.RateLimited, "the rate of %q is used up", account).WithRetryAfter(p.retryAfter(time.Now()))
 	}
 	return func(now time.Time) {
 		p.mu.Lock()
@@ -144,9 +152,17 @@
 	}, nil
 }
 
-// awaitToken borrows and waits until it can take a token. It gives up when no borrow
-// request is in flight, at the deadline, or when ctx ends.
-func (l *Limiter) awaitToken(ctx context.Context, p *pool, until time.Time) (quota.Charge, bool) {
+// retryAfter returns the time after which a refused caller finds a token.
+func (p *pool) retryAfter(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.quota.NextToken(p.interval, now), minRetryAfter)
+}
+
+// awaitToken borrows and waits until it can take a token. It gives up when no holder
+// can be asked any more until the patience of the request ends, when a holder doesn't
+// respond within quota.MaxWaitTime, or when ctx ends. started is when the wait began.
+func (l *Limiter) awaitToken(ctx context.Context, p *pool, patience time.Duration, started time.Time) (quota.Charge, bool) {
 	p.mu.Lock()
 	p.waiting++
 	defer func() {
@@ -155,16 +171,23 @@
 	}()
 	for {
 		now := time.Now()
+		p.quota.AllowDelay(patience)
 		l.send(ctx, p, now)
 		if charge, ok := p.quota.RetryTake(now); ok {
+			l.send(ctx, p, now) // the use of a loan may be due to be reported
 			return charge, true
 		}
-		if p.quota.InFlight(now) == 0 || !now.Before(until) {
+		until := started.Add(patience)
+		if p.quota.InFlight(now) > 0 {
+			until = started.Add(max(quota.MaxWaitTime, patience))
+		}
+		at, ok := p.quota.WakeAt(p.quota.Candidates(p.groups, now), now, until)
+		if !ok {
 			return quota.Charge{}, false
 		}
 		wake := p.wake
 		p.mu.Unlock()
-		ctxEnded := waitForWake(ctx, wake, min(quota.HedgeDelay, until.Sub(now)))
+		ctxEnded := waitForWake(ctx, wake, at.Sub(now))
 		p.mu.Lock()
 		if ctxEnded {
 			return quota.Charge{}, false
@@ -220,26 +243,24 @@
 	return p
 }
 
-// shareIDs returns the shares of the pool's account in the current configuration. The
-// caller must hold the lock of the pool.
-func (l *Limiter) shareIDs(p *pool) []quota.ShareID {
+// currentGroups returns the groups of shares of the pool's account in the current
+// configuration. The caller must hold the lock of the pool.
+func (l *Limiter) currentGroups(p *pool) []quota.Group {
 	cur := l.store.Current()
 	if cur == nil || cur == p.config {
-		return p.shares
+		return p.groups
 	}
-	p.config, p.shares = cur, nil
-	for _, s := range sharesOf(cur.View, p.account) {
-		p.shares = append(p.shares, s.ShareID)
-	}
-	return p.shares
+	shares := sharesOf(cur.View, p.account)
+	p.config, p.groups, p.interval = cur, quota.Groups(shares), quota.TokenInterval(shares)
+	return p.groups
 }
 
 // send sends the messages of the pool that are due to the owners of the shares. The
 // caller must hold the lock of the pool.
 func (l *Limiter) send(ctx context.Context, p *pool, now time.Time) {
-	ids := l.shareIDs(p)
+	groups := l.currentGroups(p)
 	for {
-		req, ok := p.quota.NextRequest(ids, p.waiting, now)
+		req, ok := p.quota.NextRequest(p.quota.Candidates(groups, now), p.waiting, now)
 		if !ok {
 			return
 		}
@@ -298,6 +319,51 @@
 	p.wake = make(chan struct{})
 }
 
+// CollectCapacity is the background task that requests the capacity of other shares for
+// the shares that this node holds.
+func (l *Limiter) CollectCapacity(ctx context.Context) error {
+	t := time.NewTicker(collectInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-l.holder.alone:
+		}
+		for _, req := range l.holder.capacityRequests(time.Now()) {
+			l.collect(ctx, req)
+		}
+	}
+}
+
+// collect sends a capacity request to the owner of its share.
+func (l *Limiter) collect(ctx context.Context, req quota.CapacityRequest) {
+	m, ok := l.owner(req.ShareID)
+	switch {
+	case !ok:
+	case m.Same(l.zones.Self()):
+		l.holder.handleCapacity(req, l.holder.lendCapacity(req))
+	default:
+		go l.requestCapacity(ctx, m.Address, req)
+	}
+}
+
+// requestCapacity sends a capacity request to a peer and processes the reply. After an
+// error the holder repeats the request when its next one is due.
+func (l *Limiter) requestCapacity(ctx context.Context, addr string, req quota.CapacityRequest) {
+	ctx, cancel := context.WithTimeout(ctx, quota.CapacityTime)
+	defer cancel()
+	if reply, err := l.peers.LendCapacity(ctx, addr, req); err == nil {
+		l.holder.handleCapacity(req, reply)
+	}
+}
+
+// LendCapacity handles a capacity request of a peer.
+func (l *Limiter) LendCapacity(req quota.CapacityRequest) quota.CapacityReply {
+	return l.holder.lendCapacity(req)
+}
+
 // MaintainPools is the background task that lets pools report used tokens and return
 // tokens, and that removes idle pools. It blocks while there are no pools.
 func (l *Limiter) MaintainPools(ctx context.Context) error {
--- a/node/tokens/tokens_test.go
+++ b/node/tokens/tokens_test.go
@@ -38,6 +38,10 @@
 	return quota.BorrowReply{}, context.Canceled
 }
 
+func (noPeers) LendCapacity(context.Context, string, quota.CapacityRequest) (quota.CapacityReply, error) {
+	return quota.CapacityReply{}, context.Canceled
+}
+
 // memoryLog is an in-memory log: the records of each stream by its name.
 type memoryLog map[string][][]byte
 
@@ -118,7 +122,7 @@
 			n := 0
 			var e *refuse.Error
 			for e == nil && n < 100 {
-				if _, e = limiter.Take(t.Context(), "c", time.Now()); e == nil {
+				if _, e = limiter.Take(t.Context(), "c", 0, time.Now()); e == nil {
 					n++
 				}
 			}
@@ -132,16 +136,16 @@
 // TestUnknownAccount guards against admitting requests of an account that does not exist.
 func TestUnknownAccount(t *testing.T) {
 	limiter := newSingleNode(t, 100, 10, true)
-	_, e := limiter.Take(t.Context(), "nobody", time.Now())
+	_, e := limiter.Take(t.Context(), "nobody", 0, time.Now())
 	assert.Equal(t, e.Reason, refuse.RateLimited)
 }
 
 // TestGiveBack guards against a refused request that costs its customer a token.
 func TestGiveBack(t *testing.T) {
 	limiter := newSingleNode(t, 0.001, 1, true)
-	release, e := limiter.Take(t.Context(), "c", time.Now())
+	release, e := limiter.Take(t.Context(), "c", 0, time.Now())
 	assert.Assert(t, e == nil, "%v", e)
 	release(time.Now())
-	_, e = limiter.Take(t.Context(), "c", time.Now())
+	_, e = limiter.Take(t.Context(), "c", 0, time.Now())
 	assert.Assert(t, e == nil, "%v", e)
 }
