epoch: the first list after a restart of all nodes needn't wait for MinEpochAge

Ruled out: a lower MinEpochAge (lists that can't be retired accumulate while members still run); the grace period, whose part of a small rate admits nobody.

Change: if a majority of the current list has restarted, no lease under it is possible, and the next list follows after ChangeDelay.

Result: TestPropose/all_restarted fails without it.

--- a/core/epoch/epoch_test.go
+++ b/core/epoch/epoch_test.go
@@ -208,6 +208,8 @@
 		{"batch", epochOf(1, "a", "b", "c"), nil, longAgo, []Presence{a, b, absent("c", -2*time.Second), alive("d", 1, -600*time.Millisecond)}, "a1 b1 d1"},
 		{"unsettled join waits", epochOf(1, "a", "b", "c"), nil, longAgo, []Presence{a, b, absent("c", -2*time.Second), alive("d", 1, -time.Millisecond)}, "a1 b1"},
 		{"rate limit", epochOf(1, "a", "b", "c"), nil, -4 * time.Second, []Presence{a, b, absent("c", -2*time.Second)}, ""},
+		{"all restarted", epochOf(1, "a", "b", "c"), nil, -time.Second, []Presence{alive("a", 2, -time.Second), alive("b", 2, -time.Second), alive("c", 2, -time.Second)}, "a2 b2 c2"},
+		{"one restarted, rate limit", epochOf(1, "a", "b", "c"), nil, -time.Second, []Presence{a, b, alive("c", 2, -time.Second)}, ""},
 		{"majority lost", epochOf(1, "a", "b", "c"), nil, longAgo, []Presence{a, absent("b", longAgo), absent("c", longAgo)}, ""},
 		{"majority restarted", epochOf(1, "a", "b", "c"), nil, longAgo, []Presence{a, alive("b", 2, longAgo), alive("c", 2, longAgo)}, "a1 b2 c2"},
 		{"majority of an unretired epoch lost", epochOf(2, "a", "b", "c"), []Epoch{epochOf(1, "x", "y", "c")}, longAgo, []Presence{a, b, absent("c", longAgo)}, ""},
@@ -217,7 +219,7 @@
 			got, appending := "", 0
 			for _, self := range []string{"a", "b", "c", "d"} {
 				v := View{
-					Zone: "bole", Self: member(self, 1), Started: at(longAgo), Current: tc.current,
+					Zone: "bole", Self: latest(tc.seen, self), Started: at(longAgo), Current: tc.current,
 					Unretired: tc.earlier, Adopted: at(tc.adopted), Presences: tc.seen,
 				}
 				e, ok := Propose(v, start)
@@ -240,6 +242,17 @@
 	}
 }
 
+// latest returns the process of an instance that was seen last.
+func latest(seen []Presence, name string) Member {
+	m := member(name, 1)
+	for _, s := range seen {
+		if s.Name == name && s.Incarnation > m.Incarnation {
+			m = s.Member
+		}
+	}
+	return m
+}
+
 // TestSlots guards against moving a slot whose owner stays, and against losing
 // two slots of a key with one instance.
 func TestSlots(t *testing.T) {
--- a/core/epoch/propose.go
+++ b/core/epoch/propose.go
@@ -73,7 +73,7 @@
 	if v.Current.Number == 0 {
 		ready = d.since.Add(FirstEpochDelay)
 	}
-	if earliest := v.Adopted.Add(MinEpochAge); v.Current.Number > 0 && earliest.After(ready) {
+	if earliest := v.Adopted.Add(MinEpochAge); v.Current.Number > 0 && earliest.After(ready) && !v.majorityRestarted() {
 		ready = earliest
 	}
 	if now.Before(ready) || !v.majoritiesReachable(d.members) {
@@ -205,6 +205,20 @@
 	return true
 }
 
+// majorityRestarted reports whether so many members of the current list have restarted that
+// no lease under it is possible any more, and nothing earlier is in use. After the loss of
+// all processes the next list then needn't wait for MinEpochAge, which a node counts from
+// its own start.
+func (v View) majorityRestarted() bool {
+	running := 0
+	for _, m := range v.Current.Members {
+		if !v.lookup(m).supersedes(m) {
+			running++
+		}
+	}
+	return running < v.Current.Majority() && len(v.Unretired) == 0
+}
+
 // countReachable counts the members that can adopt a newer epoch or have
 // restarted.
 func (v View) countReachable(e Epoch) int {
