config: two readers a zone, followed by the other nodes

Change: config.Sources decides from the member list who reads: two nodes of a zone, and two more for each that fails. The others hold a request at each reader, which replies when it has news; the time for which it held the request is taken off the age. A node whose state is too old reads by itself. Failed reads pause up to 1 s (first readers) or 4 s. A change of the permitted age ends a read that waits too long. The directory is read once after the registration. A source without a configuration counts as read.

--- a/core/super/tree.go
+++ b/core/super/tree.go
@@ -167,6 +167,18 @@
 	return run(ctx)
 }
 
+// Guard calls f. If f panics, it calls onPanic with a *PanicError and returns, so that the
+// panic of one goroutine doesn't end the process.
+func Guard(name string, onPanic func(task string, err error), f func()) {
+	err := runOnce(context.Background(), name, func(context.Context) error {
+		f()
+		return nil
+	})
+	if err != nil {
+		onPanic(name, err)
+	}
+}
+
 // Pause waits for a duration. It reports false if ctx ends first.
 func Pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,9 +65,19 @@
 	settingsSource  SettingsSource             // nil if the settings don't change while the process runs
 	effective       atomic.Pointer[setup.Node] // settings in effect: cfg with the reloaded changes
 
+	sources sources   // from where this node gets its state of the log streams
+	news    broadcast // wakes the requests of followers
+
+	waitMu      sync.Mutex
+	pendingWait time.Duration // wait of the plan when the pending read was sent
+	cancelRead  func()        // ends the pending read; nil if there is none
+
 	stopping atomic.Bool
 }
 
+// errUnknownNode reports that gossip knows no address of a node.
+var errUnknownNode = errs.New("the address of the node is not known")
+
 // Option configures an Agent.
 type Option func(*Agent)
 
@@ -108,6 +119,7 @@
 		calls:       chain.NewTable(),
 		burnCounts:  newBurnRecorder(),
 		logLimiter:  lines.NewLimiter(cfg.Logging.LinesPerSecond),
+		sources:     sources{Sources: config.NewSources(cfg.Instance.Name)},
 	}
 	a.effective.Store(&cfg)
 	for _, opt := range opts {
@@ -201,7 +213,7 @@
 //
 //	node
 //	├── listeners: callers, idle callers, local, operations, peers, links
-//	├── config: follow, pull, catch up, snapshot
+//	├── config: read, follow, pull, catch up, snapshot
 //	├── members: gossip
 //	├── epochs: follow, renew, propose
 //	├── tokens: watch, sweep, collect
@@ -210,9 +222,10 @@
 //	├── log: note, load
 //	└── settings: follow
 func (a *Agent) start() {
-	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(func(task string, err error) {
-		a.log.Error("background task failed", "duty", task, "error", err)
-	}))
+	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(a.onTaskError))
+	a.store.OnNews(a.news.signal)
+	a.store.OnChange(a.checkWait)
+	a.zones.OnNews(a.news.signal)
 	ls := a.tree.NewSubtree("listeners")
 	ls.Start("callers", serveHTTP(a.entry.HTTP(), a.callersListener()))
 	ls.Start("idle callers", a.entry.CloseIdle)
@@ -221,6 +234,7 @@
 	ls.Start("peers", a.peers.serve(a.listeners.peers))
 	ls.Start("links", a.links.closeIdle)
 	cs := a.tree.NewSubtree("config")
+	cs.Start("follow", a.followSources)
 	cs.Start("pull", a.pullConfig)
 	cs.Start("catch up", a.catchUp)
 	if a.platform == nil {
@@ -230,7 +244,7 @@
 	}
 	a.tree.NewSubtree("members").Start("gossip", a.fleet.gossip)
 	es := a.tree.NewSubtree("epochs")
-	es.Start("follow", a.zones.Follow)
+	es.Start("follow", a.zones.Follow(a.readsLog))
 	es.Start("renew", a.zones.RenewLease)
 	es.Start("propose", a.zones.Propose)
 	ts := a.tree.NewSubtree("tokens")
@@ -246,10 +260,15 @@
 	}
 }
 
+// onTaskError logs the error that ended a background task.
+func (a *Agent) onTaskError(task string, err error) {
+	a.log.Error("background task failed", "duty", task, "error", err)
+}
+
 // startDefault starts the background tasks that only the default protocols need.
 func (a *Agent) startDefault(cs *super.Tree) {
-	cs.Start("follow", a.store.Follow(a.logService, func() time.Duration { return a.readPlan().ReadWait() }, a.readsLog, func(err error) {
-		a.log.Warn("configuration log unreachable", "error", err)
+	cs.Start("read", a.readConfig(func(ctx context.Context, wait time.Duration) error {
+		return a.store.ReadLog(ctx, a.logService, wait)
 	}))
 	cs.Start("snapshot", a.appendSnapshots)
 	ks := a.tree.NewSubtree("claims")
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/config"
-	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
@@ -17,13 +15,13 @@
 )
 
 const (
-	// logReadersPerZone is the number of nodes of a zone that read the log. With
-	// three, two may fail. At 15 zones, 45 readers are a small load on the log.
-	logReadersPerZone = 3
+	// snapshotCandidates is the number of nodes of a zone that may append a snapshot.
+	// With three, two may fail.
+	snapshotCandidates = 3
 	// defaultStaleAfter is the age of the configuration above which a node reads
 	// the log itself, if no limit on the age is configured.
 	defaultStaleAfter = 5 * time.Second
-	// catchUpDelay is how long a node that reads the log waits for its own read
+	// catchUpDelay is how long a node waits for its own read or its sources
 	// after gossip reported a newer configuration, before it asks a peer. It is
 	// many times the usual response time of the log.
 	catchUpDelay = 300 * time.Millisecond
@@ -36,29 +34,17 @@
 	snapshotEvery = 5 * time.Second
 )
 
-// readPlan returns the parameters that determine which nodes read the
-// configuration and how often.
+// readPlan returns the parameters that determine how often the configuration is read.
 func (a *Agent) readPlan() config.ReadPlan {
-	p := config.ReadPlan{ReadsPerSecond: a.cfg.Log.ReadsPerSecond, MaxAge: a.cfg.Bounds.RevokeWithin.D()}
+	p := config.ReadPlan{MaxAge: a.cfg.Bounds.RevokeWithin.D()}
 	if cur := a.store.Current(); a.platform == nil && cur != nil {
 		p.MaxAge = cur.MaxAge
 	}
 	return p
 }
 
-// readsLog reports whether this node reads the configuration from the log: because
-// it is one of the zone's readers or because its configuration is stale.
-func (a *Agent) readsLog() bool {
-	return a.isLogReader() || a.store.Age(boot.Now()) > a.staleAfter()
-}
-
-// isLogReader reports whether this node is one of the log readers of its zone.
-func (a *Agent) isLogReader() bool {
-	return slices.Contains(a.logReaders(), a.cfg.Instance.Name)
-}
-
 // staleAfter returns the age above which the configuration is stale. The node then
-// no longer relies on the log readers to confirm it.
+// no longer relies on its sources to confirm it.
 func (a *Agent) staleAfter() time.Duration {
 	if plan := a.readPlan(); plan.MaxAge > 0 {
 		return plan.MaxNonReaderAge()
@@ -66,54 +52,21 @@
 	return defaultStaleAfter
 }
 
-// logReaders returns the names of the nodes of this zone that read the log. On a
-// platform, all nodes of the zone read its configuration if the permitted rate of
-// reads is high enough.
-func (a *Agent) logReaders() []string {
-	alive := a.fleet.alive(a.cfg.Instance.Zone)
-	if a.platform != nil && a.readPlan().AllNodesRead(len(alive), a.fleet.Size()) {
-		return alive
-	}
-	members := make([]epoch.Member, 0, len(alive))
-	for _, name := range alive {
-		members = append(members, epoch.Member{Name: name})
-	}
-	var names []string
-	for _, m := range epoch.TopRanked(members, "log readers", logReadersPerZone) {
-		names = append(names, m.Name)
-	}
-	return names
-}
-
-// pullConfig is the background task that requests configuration records from
-// peers: from the log readers of this zone regularly, and from any node of any zone
-// while its own configuration is stale.
+// pullConfig is the background task that requests configuration records from any node of
+// any zone while this node's configuration is stale.
 func (a *Agent) pullConfig(ctx context.Context) error {
 	started, turn := time.Now(), 0
 	return super.Every(ctx, config.PullInterval, func(now time.Time) {
 		turn++
-		if addr, ok := a.recordSource(turn); ok {
+		if a.store.StateAge(boot.Now()) <= a.staleAfter() {
+			return
+		}
+		if addr, ok := a.fleet.peerAddr(turn); ok {
 			a.pullFrom(ctx, addr, now.Sub(started) > startupPeerWait)
 		}
 	})
 }
 
-// recordSource returns the address of the peer to request records from, or false if
-// no request is needed.
-func (a *Agent) recordSource(turn int) (string, bool) {
-	age, readers := a.store.Age(boot.Now()), a.logReaders()
-	if slices.Contains(readers, a.cfg.Instance.Name) {
-		if age <= a.readPlan().MaxReaderAge() {
-			return "", false
-		}
-		return a.fleet.peerAddr(turn, nil)
-	}
-	if age > a.staleAfter() {
-		return a.fleet.peerAddr(turn, nil)
-	}
-	return a.fleet.peerAddr(turn, readers)
-}
-
 // catchUp is the background task that requests records from a node with a newer
 // configuration as soon as gossip reports one.
 func (a *Agent) catchUp(ctx context.Context) error {
@@ -123,7 +76,7 @@
 			return nil
 		case <-a.fleet.newerConfig:
 		}
-		if a.isLogReader() && !super.Pause(ctx, catchUpDelay) {
+		if !super.Pause(ctx, catchUpDelay) {
 			return nil
 		}
 		if addr, ok := a.fleet.newerConfigAddr(); ok {
@@ -147,7 +100,9 @@
 func (a *Agent) appendSnapshots(ctx context.Context) error {
 	policy := config.DefaultSnapshotPolicy(a.cfg.Log.Retention.D())
 	return super.Every(ctx, snapshotEvery, func(time.Time) {
-		records, err := a.store.SnapshotRecords(boot.Now(), policy, a.cfg.Instance.Name, a.logReaders(), uuid.NewString())
+		order := a.readOrder()
+		candidates := order[:min(snapshotCandidates, len(order))]
+		records, err := a.store.SnapshotRecords(boot.Now(), policy, a.cfg.Instance.Name, candidates, uuid.NewString())
 		if err == nil && len(records) > 0 {
 			_, err = a.logService.Append(ctx, logsvc.StreamConfig, records...)
 		}
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -312,17 +312,14 @@
 }
 
 // peerAddr returns the address of another alive node, chosen round-robin by turn.
-// If names is not nil, it chooses only among these.
-func (f *fleet) peerAddr(turn int, names []string) (string, bool) {
+func (f *fleet) peerAddr(turn int) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var addrs []string
 	for _, name := range f.aliveNames() {
-		e, ok := f.machine.Lookup(name)
-		if !ok || name == f.agent.cfg.Instance.Name || names != nil && !slices.Contains(names, name) {
-			continue
+		if e, ok := f.machine.Lookup(name); ok && name != f.agent.cfg.Instance.Name {
+			addrs = append(addrs, e.Addr)
 		}
-		addrs = append(addrs, e.Addr)
 	}
 	if len(addrs) == 0 {
 		return "", false
@@ -330,6 +327,14 @@
 	return addrs[turn%len(addrs)], true
 }
 
+// addr returns the address of a node.
+func (f *fleet) addr(name string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, ok := f.machine.Lookup(name)
+	return e.Addr, ok
+}
+
 // FindProcess implements claims.Peers.
 func (f *fleet) FindProcess(instance string) (incarnation uint64, addr string, ok bool) {
 	f.mu.Lock()
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -114,6 +114,8 @@
 		err = frame.ServeCall(s, func(_ context.Context, req quota.CapacityRequest) (quota.CapacityReply, error) {
 			return a.tokens.LendCapacity(req), nil
 		})
+	case relay.KindFollow:
+		err = frame.ServeCall(s, a.serveFollow)
 	case relay.KindRecords:
 		err = frame.ServeCall(s, func(_ context.Context, req store.RecordsRequest) (store.RecordsReply, error) {
 			return a.store.Records(req, boot.Now()), nil
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -40,10 +40,9 @@
 }
 
 const (
-	// directoryMinWait is the interval between the first two reads of the
-	// directory. It grows by the factor directoryGrowth with each read, up to
-	// directoryMaxWait. Nodes that start together find each other within the
-	// first few reads; gossip reports all later ones.
+	// directoryMinWait is the delay before the registration or a read of the directory is
+	// tried again, and before the first check whether this node knows the others. It
+	// grows by the factor directoryGrowth up to directoryMaxWait.
 	directoryMinWait = 500 * time.Millisecond
 	directoryGrowth  = 4
 	directoryMaxWait = 30 * time.Second
@@ -70,21 +69,26 @@
 // startPlatform starts the background tasks that only a platform with its own
 // protocols needs.
 func (a *Agent) startPlatform(cs *super.Tree) {
-	cs.Start("watch", a.store.Watch(a.platform.ConfigSource, a.readPlan().ReadWait(), a.readsLog, func(err error) {
-		a.log.Warn("configuration store unreachable", "error", err)
+	cs.Start("read", a.readConfig(func(ctx context.Context, wait time.Duration) error {
+		return a.store.ReadSource(ctx, a.platform.ConfigSource, wait)
 	}))
 	a.tree.NewSubtree("directory").Start("meet", a.discover)
 }
 
-// discover is the background task that registers the node in the directory and
-// reads the addresses of other nodes from it.
+// discover is the background task that registers the node in the directory and reads the
+// addresses of other nodes from it. Of two nodes, the one that reads later than it
+// registered finds the other, so one read after the registration suffices; gossip
+// reports all others. The directory is read again while gossip knows less than half of
+// the nodes that were registered.
 func (a *Agent) discover(ctx context.Context) error {
-	registered, wait := false, directoryMinWait
+	registered, complete, wait := false, false, directoryMinWait
 	for ctx.Err() == nil {
-		if !registered {
-			registered = a.register(ctx)
+		before := registered
+		registered = registered || a.register(ctx)
+		if !complete || a.fleet.Size() < a.knownNodes()/2 {
+			complete = a.readDirectory(ctx) && registered
 		}
-		if a.readDirectory(ctx) && registered {
+		if before {
 			wait = min(directoryGrowth*wait, directoryMaxWait)
 		}
 		super.Pause(ctx, wait)
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -15,14 +15,15 @@
 // Kinds of streams between nodes. The kind tells the receiver how to handle a
 // stream.
 const (
-	KindCall    uint8 = iota + 1 // call to a target
-	KindClaim                    // call with an idempotency key, sent to the owner of the key
-	KindBorrow                   // request to borrow rate tokens
-	KindGossip                   // gossip packet
-	KindProbe                    // request to probe a third node
-	KindRecords                  // request for configuration records
-	KindConfirm                  // request to confirm an epoch
-	KindCapacity                 // request for the capacity of a share
+	KindCall     uint8 = iota + 1 // call to a target
+	KindClaim                     // call with an idempotency key, sent to the owner of the key
+	KindBorrow                    // request to borrow rate tokens
+	KindGossip                    // gossip packet
+	KindProbe                     // request to probe a third node
+	KindRecords                   // request for configuration records
+	KindConfirm                   // request to confirm an epoch
+	KindCapacity                  // request for the capacity of a share
+	KindFollow                    // request for news of the log streams
 )
 
 // CallHead is the head of a call stream or a claim stream.
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -8,39 +8,14 @@
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/logsvc"
-	"dogwoodsill.org/core/super"
 )
 
-const (
-	maxReadRecords      = 500                    // maximum number of records in one read
-	retryDelay          = 200 * time.Millisecond // delay after a failed read
-	readerCheckInterval = time.Second            // time between two checks whether this node reads
-)
-
-// Follow returns the background task that reads the configuration stream from the
-// log while shouldRead returns true. A read is a long poll of the duration that
-// wait returns. After an error of the log, the task calls onErr and repeats the
-// read.
-func (s *Store) Follow(log logsvc.Log, wait func() time.Duration, shouldRead func() bool, onErr func(error)) func(context.Context) error {
-	return readWhile(shouldRead, onErr, func(ctx context.Context) error { return s.readOnce(ctx, log, wait()) })
-}
-
-// readWhile returns the background task that calls read repeatedly while shouldRead
-// returns true.
-func readWhile(shouldRead func() bool, onErr func(error), read func(ctx context.Context) error) func(context.Context) error {
-	return func(ctx context.Context) error {
-		return super.Repeat(ctx, retryDelay, onErr, func(ctx context.Context) error {
-			if !shouldRead() {
-				super.Pause(ctx, readerCheckInterval)
-				return nil
-			}
-			return read(ctx)
-		})
-	}
-}
+// maxReadRecords is the maximum number of records in one read.
+const maxReadRecords = 500
 
-// readOnce reads one batch from the log and applies it.
-func (s *Store) readOnce(ctx context.Context, log logsvc.Log, wait time.Duration) error {
+// ReadLog reads one batch from the log and applies it. The read is a long poll of the
+// given duration.
+func (s *Store) ReadLog(ctx context.Context, log logsvc.Log, wait time.Duration) error {
 	s.mu.Lock()
 	next := s.reader.Next()
 	s.mu.Unlock()
@@ -73,7 +48,7 @@
 	// from the time of the request, which can only overstate it.
 	s.reader.ApplyLogBatch(now, config.Batch{First: b.First, End: b.End, Records: b.Records, Age: now.Sub(sent)})
 	for i, rec := range b.Records {
-		s.recent.add(b.First+uint64(i), rec)
+		s.recent.Add(b.First+uint64(i), rec)
 	}
 	s.logEnd = max(s.logEnd, b.End)
 	s.publish(now, FromLog, false)
@@ -99,18 +74,15 @@
 	Next(ctx context.Context, wait time.Duration) (*config.Snapshot, error)
 }
 
-// Watch returns the background task that reads whole configurations from a source
-// while shouldRead returns true. Each call of the source waits at most
-// wait. After an error, the task calls onErr and repeats the call.
-func (s *Store) Watch(src Source, wait time.Duration, shouldRead func() bool, onErr func(error)) func(context.Context) error {
-	return readWhile(shouldRead, onErr, func(ctx context.Context) error {
-		sent := boot.Now()
-		snap, err := src.Next(ctx, wait)
-		if err == nil {
-			s.ApplySnapshot(snap, sent, boot.Now())
-		}
-		return err
-	})
+// ReadSource reads the configuration from a source once and applies it. The read waits at
+// most the given time for a change.
+func (s *Store) ReadSource(ctx context.Context, src Source, wait time.Duration) error {
+	sent := boot.Now()
+	snap, err := src.Next(ctx, wait)
+	if err == nil {
+		s.ApplySnapshot(snap, sent, boot.Now())
+	}
+	return err
 }
 
 // ApplySnapshot applies the result of a call of a source that was sent at the given
@@ -120,6 +92,7 @@
 	defer s.mu.Unlock()
 	if snap == nil {
 		if s.reader.Offset() == 0 {
+			s.recordEmpty(sent)
 			return
 		}
 		snap = &config.Snapshot{Offset: s.reader.Offset()}
--- a/node/store/peer.go
+++ b/node/store/peer.go
@@ -20,6 +20,7 @@
 	End      uint64           `msgpack:"end"`   // offset after the peer's last record
 	AgeKnown bool             `msgpack:"known"` // the peer has once confirmed its configuration to be the newest
 	AgeUS    int64            `msgpack:"ageUs"` // microseconds since that was last confirmed
+	Empty    bool             `msgpack:"empty"` // the source had no configuration yet AgeUS ago
 }
 
 // Records returns the reply to the request of a peer.
@@ -29,7 +30,11 @@
 	reply := RecordsReply{First: req.From, End: s.reader.Offset()}
 	age, ok := s.reader.Age(now)
 	reply.AgeKnown, reply.AgeUS = ok, age.Microseconds()
-	records, ok := s.recent.from(req.From, reply.End)
+	if !ok && !s.emptyAsOf.IsZero() {
+		reply.Empty, reply.AgeUS = true, now.Sub(s.emptyAsOf).Microseconds()
+		return reply
+	}
+	records, ok := s.recent.From(req.From, reply.End)
 	if ok {
 		reply.Records = records
 		return reply
@@ -40,12 +45,17 @@
 }
 
 // ApplyPeerReply applies the reply of a peer to a request that was sent at the
-// given time. If acceptUnconfirmed is true, the configuration takes effect even if
+// given time. The peer may have held the request until it had news; that time is taken
+// off. If acceptUnconfirmed is true, the configuration takes effect even if
 // it was never confirmed to be the newest.
 func (s *Store) ApplyPeerReply(r RecordsReply, acceptUnconfirmed bool, sent, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := time.Duration(r.AgeUS)*time.Microsecond + now.Sub(sent)
+	if r.Empty {
+		s.recordEmpty(now.Add(-age))
+		return
+	}
 	end := r.End
 	if !r.AgeKnown {
 		end = 0 // the peer doesn't know the end of the log
@@ -65,7 +75,7 @@
 func (s *Store) retainRecords(r RecordsReply) {
 	for i, rec := range r.Records {
 		if offset := r.First + uint64(i); offset < s.reader.Offset() {
-			s.recent.add(offset, rec)
+			s.recent.Add(offset, rec)
 		}
 	}
 }
--- a/node/tokens/tokens.go
+++ b/node/tokens/tokens.go
@@ -57,11 +57,11 @@
 type pool struct {
 	account string
 
-	mu      sync.Mutex
-	quota   *quota.Pool
-	removed bool
-	waiting int           // requests that wait for a token
-	wake    chan struct{} // closed and replaced after each reply or failure
+	mu       sync.Mutex
+	quota    *quota.Pool
+	removed  bool
+	waiting  int           // requests that wait for a token
+	wake     chan struct{} // closed and replaced after each reply or failure
 	config   *store.Config // configuration from which groups and interval were computed
 	groups   []quota.Group
 	interval time.Duration // time in which one token accrues
--- a/node/zones/tasks.go
+++ b/node/zones/tasks.go
@@ -17,44 +17,71 @@
 
 const (
 	readBatchSize   = 500
-	retryDelay      = 200 * time.Millisecond
+	retryDelay      = time.Second
+	roleInterval    = 250 * time.Millisecond // time between two checks whether this node reads
 	proposeInterval = 250 * time.Millisecond
 )
 
-// Follow is the background task that reads and applies the log stream "epochs".
-func (z *Zones) Follow(ctx context.Context) error {
-	return super.Repeat(ctx, retryDelay, z.onError, func(ctx context.Context) error {
+// Follow returns the background task that reads and applies the log stream "epochs"
+// while shouldRead returns true. Otherwise the records come from peers, see ApplyUpdate.
+func (z *Zones) Follow(shouldRead func() bool) func(context.Context) error {
+	return func(ctx context.Context) error {
+		return super.Repeat(ctx, retryDelay, z.onError, func(ctx context.Context) error {
+			if !shouldRead() {
+				super.Pause(ctx, roleInterval)
+				return nil
+			}
+			return z.readOnce(ctx)
+		})
+	}
+}
+
+// readOnce reads one batch from the log and applies it.
+func (z *Zones) readOnce(ctx context.Context) error {
+	z.mu.Lock()
+	next := z.state.Next
+	z.mu.Unlock()
+	b, err := z.log.Read(ctx, logsvc.StreamEpochs, next, readBatchSize, LongPollTimeout)
+	var expired *logsvc.ExpiredError
+	switch {
+	case err == nil:
+		z.Fold(b, time.Now())
+	case errors.As(err, &expired):
 		z.mu.Lock()
-		next := z.state.Next
-		z.mu.Unlock()
-		b, err := z.log.Read(ctx, logsvc.StreamEpochs, next, readBatchSize, LongPollTimeout)
-		var expired *logsvc.ExpiredError
-		switch {
-		case err == nil:
-			z.Fold(b, time.Now())
-		case errors.As(err, &expired):
-			z.mu.Lock()
-			defer z.mu.Unlock()
-			z.state.SkipTo(expired.First)
-		default:
-			return err
-		}
-		return nil
-	})
+		defer z.mu.Unlock()
+		z.state.SkipTo(expired.First)
+	default:
+		return err
+	}
+	return nil
 }
 
 // Fold applies a batch of the log stream "epochs".
 func (z *Zones) Fold(b logsvc.Batch, now time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	for i, rec := range b.Records {
-		if zone := z.state.Apply(b.First+uint64(i), rec); zone != "" {
+	z.fold(b.First, b.Records, b.End, now)
+}
+
+// fold applies records of the stream, which begin at the offset first and of which end is
+// the end. The caller holds mu.
+func (z *Zones) fold(first uint64, records [][]byte, end uint64, now time.Time) {
+	for i, rec := range records {
+		offset := first + uint64(i)
+		if offset < z.state.Next {
+			continue
+		}
+		if zone := z.state.Apply(offset, rec); zone != "" {
 			z.adopt(zone, now)
 		}
+		z.recent.Add(offset, rec)
 	}
-	if z.state.Next >= b.End {
+	if z.state.Next >= end {
 		z.state.ReachedEnd()
 	}
+	if len(records) > 0 && z.onNews != nil {
+		z.onNews()
+	}
 }
 
 // RenewLease is the background task that asks the other members of the zone to
--- a/node/zones/zones.go
+++ b/node/zones/zones.go
@@ -8,6 +8,7 @@
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/member"
+	"dogwoodsill.org/core/ring"
 )
 
 // Peers gives access to the other nodes. Its methods are called without holding
@@ -43,6 +44,8 @@
 	lastAppend time.Time // last append of this node
 	presences  map[string]epoch.Presence
 	adoptHooks []func(now time.Time)
+	recent     *ring.Records // latest records, for peers that don't read the log
+	onNews     func()
 }
 
 // New returns the state before the first record. Errors of the log are passed
@@ -52,10 +55,20 @@
 	return &Zones{
 		self: self, log: log, peers: peers, onError: onError, retention: retention, started: time.Now(),
 		state: s, lease: epoch.NewLease(self), tracker: epoch.NewTracker(s), snapshots: epoch.NewSnapshotScheduler(s),
-		presences: map[string]epoch.Presence{},
+		presences: map[string]epoch.Presence{}, recent: ring.NewRecords(maxRecentRecords),
 	}
 }
 
+// maxRecentRecords is the number of records that are retained for peers. A peer that lacks
+// more of them gets snapshots.
+const maxRecentRecords = 100
+
+// OnNews registers f to be called after new records of the stream. It must be called before
+// the background tasks start. f must not block.
+func (z *Zones) OnNews(f func()) {
+	z.onNews = f
+}
+
 // View is a consistent view of the epoch state, for the holders of shares and
 // the owners of claims.
 type View struct {
@@ -105,25 +118,62 @@
 	return reply
 }
 
-// Snapshots returns the state of every zone, for a peer that can't read the
-// log.
-func (z *Zones) Snapshots() []epoch.Snapshot {
+// Position is how far a node has applied the stream.
+type Position struct {
+	Next uint64 `msgpack:"next"` // offset of the next record
+	Gap  bool   `msgpack:"gap"`  // records are missing that only a snapshot can replace
+}
+
+// Update holds the records from the position of a peer on, or snapshots of every zone if
+// they are no longer retained. It is empty if the peer has them all.
+type Update struct {
+	First     uint64           `msgpack:"first"`
+	Records   [][]byte         `msgpack:"records,omitempty"`
+	Snapshots []epoch.Snapshot `msgpack:"snapshots,omitempty"`
+	Next      uint64           `msgpack:"next"` // offset after the last record
+}
+
+// Position returns how far this node has applied the stream.
+func (z *Zones) Position() Position {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return Position{Next: z.state.Next, Gap: z.state.HasGap(z.self.Zone)}
+}
+
+// Update returns the update for a peer, and whether there is anything new for it.
+func (z *Zones) Update(p Position) (Update, bool) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	var out []epoch.Snapshot
+	u := Update{First: p.Next, Next: z.state.Next}
+	if p.Next >= z.state.Next && !p.Gap {
+		return u, false
+	}
+	records, ok := z.recent.From(p.Next, z.state.Next)
+	if ok && !p.Gap {
+		u.Records = records
+		return u, true
+	}
 	for _, name := range z.state.Zones() {
 		if s, ok := z.state.Snapshot(name); ok {
-			out = append(out, s)
+			u.Snapshots = append(u.Snapshots, s)
 		}
 	}
-	return out
+	return u, len(u.Snapshots) > 0
 }
 
-// Restore applies snapshots of a peer. Older ones are ignored.
-func (z *Zones) Restore(snaps []epoch.Snapshot, now time.Time) {
+// ApplyUpdate applies the update of a peer. Records and snapshots that are not newer change
+// nothing.
+func (z *Zones) ApplyUpdate(u Update, now time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	for _, s := range snaps {
+	if len(u.Records) > 0 && u.First <= z.state.Next {
+		z.fold(u.First, u.Records, u.Next, now)
+	}
+	if len(u.Snapshots) == 0 {
+		return
+	}
+	z.state.SkipTo(u.Next)
+	for _, s := range u.Snapshots {
 		if z.state.Restore(s) {
 			z.adopt(s.Zone, now)
 		}
