A response that is cut or too large is never replayed; a panic ends its stream only

Cause: node/claims stored the first 256 KiB of a larger response, and a request that had joined got them as complete (270,336 of 1,048,576 bytes with status 200). A panic in the handler of a stream, in a link or in an exchange with a peer ended the process; only background tasks recovered.

Ruled out: storing larger responses (memory).

Change: a response above the limit ends its key with FinishStatus, which refuses with the outcome unknown. super.Guard and super.Go recover; a stream is reset, a session closed, and the error logged with its stack.

--- a/core/frame/option.go
+++ b/core/frame/option.go
@@ -31,6 +31,7 @@
 	HandshakeTimeout time.Duration
 	ProgressTimeout  time.Duration // 0 disables the timeout
 	OnClose          func(s *Session, err error)
+	OnPanic          func(err error) // called with the *super.PanicError of a handler that panicked
 }
 
 // Option sets a field of Options.
@@ -88,6 +89,12 @@
 	return func(o *Options) { o.OnClose = f }
 }
 
+// WithOnPanic sets a function that is called when a handler panicked. The stream is then
+// reset with CodeInternal and the session continues.
+func WithOnPanic(f func(err error)) Option {
+	return func(o *Options) { o.OnPanic = f }
+}
+
 func newOptions(opts []Option) (Options, error) {
 	o := Options{
 		StreamWindow:     DefaultStreamWindow,
@@ -97,6 +104,7 @@
 		KeepaliveTimeout: DefaultKeepaliveTimeout,
 		HandshakeTimeout: DefaultHandshakeTimeout,
 		ProgressTimeout:  DefaultProgressTimeout,
+		OnPanic:          func(error) {},
 	}
 	for _, f := range opts {
 		f(&o)
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dogwoodsill.org/core/ring"
+	"dogwoodsill.org/core/super"
 )
 
 // Capacities, in frames, of the queues between the streams and the writer. A
@@ -95,8 +96,8 @@
 		return nil, err
 	}
 	s := makeSession(conn, o, peer, client)
-	s.readWriteLoops.Go(func() { s.fail(s.readLoop()) })
-	s.readWriteLoops.Go(func() { s.failAfterWriter(s.writeLoop()) })
+	s.readWriteLoops.Go(func() { s.fail(super.Guard("read loop", s.readLoop)) })
+	s.readWriteLoops.Go(func() { s.failAfterWriter(super.Guard("write loop", s.writeLoop)) })
 	go func() {
 		s.watchLoop()
 		s.readWriteLoops.Wait()
--- a/core/frame/stream.go
+++ b/core/frame/stream.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"sync"
 	"time"
+
+	"dogwoodsill.org/core/super"
 )
 
 // Stream is a bidirectional exchange on a session. One goroutine may read while
@@ -123,7 +126,14 @@
 // serve runs the handler and then ends the stream if the handler didn't.
 func (st *Stream) serve(h Handler) {
 	defer st.finishHandler()
-	h(st)
+	err := super.Guard(fmt.Sprintf("stream of kind %d from %s", st.kind, st.s.Peer()), func() error {
+		h(st)
+		return nil
+	})
+	if err != nil {
+		st.Reset(CodeInternal)
+		st.s.opt.OnPanic(err)
+	}
 }
 
 func (st *Stream) finishHandler() {
--- a/core/super/tree.go
+++ b/core/super/tree.go
@@ -167,16 +167,23 @@
 	return run(ctx)
 }
 
-// Guard calls f. If f panics, it calls onPanic with a *PanicError and returns, so that the
-// panic of one goroutine doesn't end the process.
-func Guard(name string, onPanic func(task string, err error), f func()) {
-	err := runOnce(context.Background(), name, func(context.Context) error {
-		f()
-		return nil
-	})
-	if err != nil {
-		onPanic(name, err)
-	}
+// Guard calls f and returns its error, or a *PanicError if f panics, so that the panic of
+// one goroutine doesn't end the process.
+func Guard(name string, f func() error) error {
+	return runOnce(context.Background(), name, func(context.Context) error { return f() })
+}
+
+// Go runs f in a goroutine. If f panics, onPanic is called with a *PanicError.
+func Go(name string, onPanic func(error), f func()) {
+	go func() {
+		err := Guard(name, func() error {
+			f()
+			return nil
+		})
+		if err != nil {
+			onPanic(err)
+		}
+	}()
 }
 
 // Pause waits for a duration. It reports false if ctx ends first.
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -15,6 +15,7 @@
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/epoch"
+	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/metric"
@@ -177,7 +178,7 @@
 }
 
 func (a *Agent) assemble() error {
-	auth, err := newAuth(a.cfg.Instance.Name, a.cfg.Peers)
+	auth, err := newAuth(a.cfg.Instance.Name, a.cfg.Peers, frame.WithOnPanic(a.onPanic))
 	if err != nil {
 		return err
 	}
@@ -186,7 +187,7 @@
 	a.zones = zones.New(a.selfMember(), a.logService, a.fleet, a.cfg.Log.Retention.D(), func(err error) {
 		a.log.Warn("epochs log unreachable", "error", err)
 	})
-	a.tokens = tokens.New(a.zones, a.store, a.links, a.metrics, a.tokenOptions()...)
+	a.tokens = tokens.New(a.zones, a.store, a.links, a.metrics, append(a.tokenOptions(), tokens.WithErrorHook(a.onPanic))...)
 	balancer := relay.NewBalancer(a.fleet, a.cfg.Instance.Zone, a.incarnation, a.balancerOptions()...)
 	a.target = relay.NewTarget(a.incarnation, a.store, a.calls, balancer, a.metrics, a.announceNow, a.targetOptions()...)
 	a.caller = relay.NewCaller(balancer, a.links, a.metrics, relay.WithAttemptLog(a.log, a.logLimiter))
@@ -265,6 +266,11 @@
 	a.log.Error("background task failed", "duty", task, "error", err)
 }
 
+// onPanic logs the panic of a goroutine.
+func (a *Agent) onPanic(err error) {
+	a.log.Error("a goroutine panicked", "error", err)
+}
+
 // startDefault starts the background tasks that only the default protocols need.
 func (a *Agent) startDefault(cs *super.Tree) {
 	cs.Start("read", a.readConfig(func(ctx context.Context, wait time.Duration) error {
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -125,7 +125,7 @@
 		}
 	}
 	for _, s := range sends {
-		go f.deliver(ctx, s)
+		super.Go("gossip exchange", f.agent.onPanic, func() { f.deliver(ctx, s) })
 	}
 }
 
@@ -209,7 +209,15 @@
 	f.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, s := range sends {
-		wg.Go(func() { f.deliver(ctx, s) })
+		wg.Go(func() {
+			err := super.Guard("leave message", func() error {
+				f.deliver(ctx, s)
+				return nil
+			})
+			if err != nil {
+				f.agent.onPanic(err)
+			}
+		})
 	}
 	wg.Wait()
 }
--- a/node/agent/follow.go
+++ b/node/agent/follow.go
@@ -196,14 +196,13 @@
 			if following[name] == nil {
 				fctx, cancel := context.WithCancel(ctx)
 				following[name] = cancel
-				go func() {
-					defer cancel()
-					super.Guard("follow "+name, a.onTaskError, func() { a.follow(fctx, name) })
+				a.goFollow(fctx, name, func() {
+					cancel()
 					select {
 					case ended <- name:
 					case <-ctx.Done():
 					}
-				}()
+				})
 			}
 		}
 		select {
@@ -216,6 +215,14 @@
 	}
 }
 
+// goFollow follows a source in the background and then calls done.
+func (a *Agent) goFollow(ctx context.Context, name string, done func()) {
+	super.Go("follow "+name, a.onPanic, func() {
+		defer done()
+		a.follow(ctx, name)
+	})
+}
+
 // follow requests the state of a source until ctx ends.
 func (a *Agent) follow(ctx context.Context, name string) {
 	var seen uint64
--- a/node/agent/links.go
+++ b/node/agent/links.go
@@ -29,8 +29,8 @@
 	client, server []frame.Option
 }
 
-func newAuth(name string, cfg setup.Peers) (*auth, error) {
-	base := []frame.Option{frame.WithName(name)}
+func newAuth(name string, cfg setup.Peers, opts ...frame.Option) (*auth, error) {
+	base := append([]frame.Option{frame.WithName(name)}, opts...)
 	if !cfg.TLS.Configured() {
 		base = append(base, frame.WithSecret([]byte(cfg.Secret)))
 		return &auth{client: base, server: base}, nil
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -9,6 +9,7 @@
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/quota"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 )
@@ -38,7 +39,7 @@
 				}
 				return err
 			}
-			go p.serveLink(ctx, conn)
+			super.Go("link", p.agent.onPanic, func() { p.serveLink(ctx, conn) })
 		}
 	}
 }
--- a/node/claims/run.go
+++ b/node/claims/run.go
@@ -9,6 +9,7 @@
 
 	"dogwoodsill.org/core/claim"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 )
 
@@ -47,14 +48,17 @@
 	resp        *relay.Response
 	body        io.ReadCloser
 	buffered    bytes.Buffer
+	size        int // bytes of the response so far
 	ended       bool
 }
 
 // Read implements io.Reader.
 func (r *recorder) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	if r.buffered.Len() <= claim.DefaultMaxResponseBytes {
-		r.buffered.Write(p[:n]) // the copy of a larger response is truncated above the limit, and the table doesn't store it
+	if r.size += n; r.size <= claim.DefaultMaxResponseBytes {
+		r.buffered.Write(p[:n])
+	} else {
+		r.buffered = bytes.Buffer{} // a larger response is not stored
 	}
 	if err != nil {
 		r.end(err)
@@ -67,10 +71,10 @@
 	if r.ended {
 		return r.body.Close()
 	}
-	go func() {
+	super.Go("rest of a response", r.coordinator.onErr, func() {
 		_, _ = io.Copy(io.Discard, r)
 		_ = r.body.Close()
-	}()
+	})
 	return nil
 }
 
@@ -84,6 +88,10 @@
 		r.ticket.FinishUnknown(refuse.New(refuse.OutcomeUnknown, "the answer of the upstream is incomplete"))
 		return
 	}
+	if r.size > claim.DefaultMaxResponseBytes {
+		r.ticket.FinishStatus(time.Now(), r.resp.Status)
+		return
+	}
 	r.ticket.Finish(time.Now(), &claim.Response{Status: r.resp.Status, Header: r.resp.Header, Body: r.buffered.Bytes()})
 }
 
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -308,7 +308,10 @@
 		return nil, ReplyHead{}, fail
 	}
 	body, _ := req.Body.open()
-	go sendBody(s, body, req.Body)
+	super.Go("body of a call", func(err error) {
+		c.log.Error("sending a body panicked", "error", err)
+		s.Reset(frame.CodeInternal)
+	}, func() { sendBody(s, body, req.Body) })
 	reply, err := receiveHead(ctx, s)
 	if err != nil {
 		s.Reset(frame.CodeCanceled)
--- a/node/tokens/tokens.go
+++ b/node/tokens/tokens.go
@@ -43,6 +43,7 @@
 	metrics   *metric.Set
 	holder    *holder
 	nodeCount func() int // number of nodes in the fleet; nil without a grace period
+	onError   func(error)
 
 	graceMu sync.Mutex
 	grace   *quota.GraceLimiter
@@ -73,6 +74,7 @@
 	l := &Limiter{
 		zones: z, store: st, peers: peers, metrics: m, holder: newHolder(z, st, m),
 		pools: map[string]*pool{}, poolCreated: make(chan struct{}, 1), lastSeqs: map[string]uint64{},
+		onError: func(error) {},
 	}
 	for _, o := range opts {
 		o(l)
@@ -91,6 +93,11 @@
 	return func(l *Limiter) { l.grace, l.nodeCount = quota.NewGraceLimiter(started), nodes }
 }
 
+// WithErrorHook sets a function that is called with the panic of an exchange with a peer.
+func WithErrorHook(f func(error)) Option {
+	return func(l *Limiter) { l.onError = f }
+}
+
 // takeGrace reports whether the grace period admits a request for which no token could
 // be borrowed.
 func (l *Limiter) takeGrace(account string, now time.Time) bool {
@@ -271,7 +278,7 @@
 		case m.Same(l.zones.Self()):
 			p.handleReply(l.holder.borrow(req), now)
 		default:
-			go l.exchange(context.WithoutCancel(ctx), p, m.Address, req)
+			super.Go("borrow", l.onError, func() { l.exchange(context.WithoutCancel(ctx), p, m.Address, req) })
 		}
 	}
 }
@@ -345,7 +352,7 @@
 	case m.Same(l.zones.Self()):
 		l.holder.handleCapacity(req, l.holder.lendCapacity(req))
 	default:
-		go l.requestCapacity(ctx, m.Address, req)
+		super.Go("capacity request", l.onError, func() { l.requestCapacity(ctx, m.Address, req) })
 	}
 }
 
--- a/node/zones/tasks.go
+++ b/node/zones/tasks.go
@@ -102,7 +102,7 @@
 	// requests to the others.
 	for _, m := range e.Members {
 		if !m.Same(z.self) {
-			go z.requestConfirmation(ctx, m, req)
+			super.Go("confirmation", z.onError, func() { z.requestConfirmation(ctx, m, req) })
 		}
 	}
 }
