relay: a late second copy of a response costs no request its own answer

The bytes reach the pooled connection after the next request has taken it. The connection was then kept, so that the request after it met the answer of the one before: one wrong copy shifted every later answer.

Ruled out: noticing the copy before reuse (it may arrive any time later).

Change: a connection with a foreign answer is closed, with the idle ones; a request that may run again is sent once more on a connection of its own. A request that must not run twice always gets its own connection, which also spares it connections that the upstream has forgotten.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -358,6 +358,7 @@
 		Header:        req.Header,
 		ContentLength: req.ContentLength,
 		RequestID:     req.RequestID,
+		Repeatable:    req.Repeatable,
 		ConfigOffset:  req.ConfigOffset,
 	}
 }
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -18,7 +18,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
 	h := newCallHead(req, Candidate{}, req.Call.Attempts)
 	h.Call.Depth--
-	h.Key, h.Repeatable = key, req.Repeatable
+	h.Key = key
 	s, reply, fail := c.exchange(ctx, req, addr, KindClaim, h)
 	if fail != nil {
 		defer cancel()
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -53,7 +52,7 @@
 	calls    *chain.Table
 	balancer *Balancer
 	metrics  *metric.Set
-	client   *http.Transport
+	client   *upstreamClient
 	onState  func()
 	gate     *gate
 	attempts *attemptTable
@@ -70,14 +69,7 @@
 
 // Limits, sizes and times of a target.
 const (
-	maxIdleConns    = 64
-	idleConnTimeout = 30 * time.Second
-	dialTimeout     = time.Second
 	copyBufferBytes = 32 << 10
-	// maxResponseHeaderBytes limits the header of a response, which is held in
-	// memory as a whole. It equals the default limit for the header of a caller's
-	// request.
-	maxResponseHeaderBytes = 32 << 10
 	// maxDiscardBytes limits how much of the body of a discarded response is read
 	// so that its connection can be reused. If more is left, the connection is
 	// closed.
@@ -99,14 +91,7 @@
 		metrics:  m,
 		onState:  onState,
 		gate:     newGate(),
-		client: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleConnTimeout,
-
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		client:   newUpstreamClient(),
 	}
 	for _, o := range opts {
 		o(t)
@@ -345,11 +330,15 @@
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
-	resp, err := c.target.client.RoundTrip(req)
+	resp, err := c.target.client.send(req, c.head.Repeatable)
 	if err != nil {
 		return nil, c.target.failureRefusal(err, c.gotConn.Load())
 	}
-	if refusal := c.checkResponse(resp); refusal != nil {
+	class := c.target.protocol.ClassifyResponse(c.head, resp)
+	if class == ResponseMismatched {
+		return c.afterMismatch(req, resp)
+	}
+	if refusal := c.refusalFor(class); refusal != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes) // so that the connection can be reused
 		_ = resp.Body.Close()
 		return resp, refusal
@@ -357,10 +346,32 @@
 	return resp, nil
 }
 
-// checkResponse returns a refusal if the response doesn't belong to the request or
+// afterMismatch handles a response that doesn't belong to the request, such as a second copy
+// of an earlier response that arrived when the connection was in use again. Whether the
+// upstream executed the request is not known. A request that may run again and has no
+// body is sent once more on a connection of its own.
+func (c *upstreamCall) afterMismatch(req *http.Request, resp *http.Response) (*http.Response, *refuse.Error) {
+	t := c.target
+	t.client.discard(resp)
+	refusal := c.refusalFor(ResponseMismatched)
+	if !c.head.Repeatable || c.head.ContentLength != 0 {
+		return resp, refusal
+	}
+	again, err := t.client.fresh.RoundTrip(req)
+	if err != nil {
+		return resp, refusal
+	}
+	if class := t.protocol.ClassifyResponse(c.head, again); class != ResponseValid {
+		_ = again.Body.Close()
+		return resp, refusal
+	}
+	return again, nil
+}
+
+// refusalFor returns a refusal for a response that doesn't belong to the request or
 // says that the request was not executed.
-func (c *upstreamCall) checkResponse(resp *http.Response) *refuse.Error {
-	switch c.target.protocol.ClassifyResponse(c.head, resp) {
+func (c *upstreamCall) refusalFor(class ResponseClass) *refuse.Error {
+	switch class {
 	case ResponseNotExecuted:
 		return refuse.New(refuse.Overloaded, "the upstream refused the request").WithRetryAfter(overloadRetryAfter)
 	case ResponseWrongUpstream:
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -42,7 +42,7 @@
 	ContentLength int64       `msgpack:"contentLength"`       // -1 if unknown
 	RequestID     string      `msgpack:"requestId,omitempty"` // identifier that the caller chose
 	Key           string      `msgpack:"key,omitempty"`       // idempotency key, on claim streams only
-	Repeatable    bool        `msgpack:"repeatable"`          // may be sent again, on claim streams only
+	Repeatable    bool        `msgpack:"repeatable"`          // may be sent again
 	ConfigOffset  uint64      `msgpack:"config"`              // offset of the configuration under which the call was admitted
 }
 
