agent: end the links of a node that shuts down gracefully

Ruled out: that the drain itself cuts calls (it waits for those it has accepted).

Change: the links refuse new streams, wait for the running ones for 0.3 s and are then closed. Requests of followers end at once and tell them to use another source. The log says when a process has stopped.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -76,6 +76,9 @@
 	stopping atomic.Bool
 }
 
+// linkShutdownTimeout is how long a node that shuts down waits for the streams of its links.
+const linkShutdownTimeout = 300 * time.Millisecond
+
 // errUnknownNode reports that gossip knows no address of a node.
 var errUnknownNode = errs.New("the address of the node is not known")
 
@@ -332,6 +335,7 @@
 // requests and returns the error of ctx.
 func (a *Agent) Shutdown(ctx context.Context) error {
 	a.stopping.Store(true)
+	a.news.signal() // ends the requests of followers
 	a.linger(ctx)
 	err := errs.Combine(
 		a.target.Drain(ctx),
@@ -340,6 +344,9 @@
 		a.claims.Drain(ctx),
 	)
 	a.fleet.leave(ctx)
+	linksCtx, cancel := context.WithTimeout(ctx, linkShutdownTimeout)
+	defer cancel()
+	a.peers.shutdown(linksCtx)
 	a.close()
 	return err
 }
--- a/node/agent/follow.go
+++ b/node/agent/follow.go
@@ -239,6 +239,9 @@
 			super.Pause(ctx, followPause)
 			continue
 		}
+		if reply.Failing && reply.Seen == seen {
+			super.Pause(ctx, followPause) // a node that shuts down replies at once
+		}
 		seen = reply.Seen
 		age := time.Duration(reply.Records.AgeUS) * time.Microsecond
 		a.sources.do(func(s *config.Sources) {
@@ -281,7 +284,8 @@
 	for expired := false; ; {
 		news := a.news.next()
 		reply, ok := a.followReply(req, received)
-		if ok || expired {
+		if stopping := a.stopping.Load(); ok || expired || stopping {
+			reply.Failing = reply.Failing || stopping // followers need another source
 			return reply, nil
 		}
 		select {
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -78,16 +78,35 @@
 }
 
 func (p *peerServer) close() {
+	for _, s := range p.stop() {
+		_ = s.Close()
+	}
+}
+
+// shutdown refuses new streams and waits until the running ones have ended, so that a call
+// that a peer sends at this moment is refused and not cut off.
+func (p *peerServer) shutdown(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, s := range p.stop() {
+		wg.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				p.agent.log.Debug("link ended with open streams", "peer", s.Peer(), "error", err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// stop accepts no more links and returns the open ones.
+func (p *peerServer) stop() []*frame.Session {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
 	var open []*frame.Session
 	for s := range p.sessions {
 		open = append(open, s)
 	}
-	p.mu.Unlock()
-	for _, s := range open {
-		_ = s.Close()
-	}
+	return open
 }
 
 // handle handles a stream from another node according to its kind.
--- a/node/start/start.go
+++ b/node/start/start.go
@@ -98,7 +98,10 @@
 	log.Info("shutting down", "timeout", timeout)
 	end, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return a.Shutdown(end)
+	began := time.Now()
+	err = a.Shutdown(end)
+	log.Info("stopped", "after", time.Since(began), "error", err)
+	return err
 }
 
 func (p Program) load(file string, data []byte) (setup.Node, error) {
