--- a/admin/cmds/exit.go
+++ b/admin/cmds/exit.go
@@ -17,7 +17,7 @@
 
 const exitHelp = `Exit statuses:
   0  done, or nothing to do
-  1  bad arguments or input; nothing was changed
+  1  bad arguments or input, with nothing changed, or any other error
   2  a change was rejected
   3  the outcome of a change is unknown; repeat the command with the same --id
   4  accepted, but not confirmed in force everywhere within --timeout
