--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -69,9 +69,8 @@
 	sources sources   // from where this node gets its state of the log streams
 	news    broadcast // wakes the requests of followers
 
-	waitMu      sync.Mutex
-	pendingWait time.Duration // wait of the plan when the pending read was sent
-	cancelRead  func()        // ends the pending read; nil if there is none
+	waitMu       sync.Mutex
+	pendingReads map[*pendingRead]struct{}
 
 	stopping atomic.Bool
 }
@@ -124,6 +123,8 @@
 		burnCounts:  newBurnRecorder(),
 		logLimiter:  lines.NewLimiter(cfg.Logging.LinesPerSecond),
 		sources:     sources{Sources: config.NewSources(cfg.Instance.Name)},
+
+		pendingReads: map[*pendingRead]struct{}{},
 	}
 	a.effective.Store(&cfg)
 	for _, opt := range opts {
--- a/node/agent/follow.go
+++ b/node/agent/follow.go
@@ -157,16 +157,23 @@
 	}
 }
 
+// pendingRead is a read of the configuration that was sent.
+type pendingRead struct {
+	wait   time.Duration // wait of the plan when the read was sent
+	cancel func()
+}
+
 // onShorterWait calls f once the plan asks for a shorter wait. The returned function ends
 // that.
 func (a *Agent) onShorterWait(wait time.Duration, f func()) (stop func()) {
+	r := &pendingRead{wait: wait, cancel: f}
 	a.waitMu.Lock()
 	defer a.waitMu.Unlock()
-	a.pendingWait, a.cancelRead = wait, f
+	a.pendingReads[r] = struct{}{}
 	return func() {
 		a.waitMu.Lock()
 		defer a.waitMu.Unlock()
-		a.cancelRead = nil
+		delete(a.pendingReads, r)
 	}
 }
 
@@ -175,8 +182,10 @@
 	wait := a.readPlan().ReadWait()
 	a.waitMu.Lock()
 	defer a.waitMu.Unlock()
-	if a.cancelRead != nil && wait < a.pendingWait {
-		a.cancelRead()
+	for r := range a.pendingReads {
+		if wait < r.wait {
+			r.cancel()
+		}
 	}
 }
 
--- a/node/agent/malformed_test.go
+++ b/node/agent/malformed_test.go
@@ -14,7 +14,6 @@
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/member"
 	"dogwoodsill.org/core/quota"
-	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 	"dogwoodsill.org/node/zones"
@@ -47,15 +46,7 @@
 // leaves a lock held. Each kind of stream gets valid messages, and mutated ones many times
 // over; then the node must still answer.
 func TestMalformedMessages(t *testing.T) {
-	cfg := setup.Default()
-	cfg.Instance = setup.Instance{Name: "node-1", Zone: "bole"}
-	cfg.Listen = setup.Listen{Callers: "127.0.0.1:0", Local: "127.0.0.1:0", Peers: "127.0.0.1:0", Operations: "127.0.0.1:0"}
-	cfg.Log.URL = "http://127.0.0.1:1" // nothing listens there
-	cfg.Peers.Secret = "a secret of this test only"
-	a, err := New(cfg)
-	assert.NilError(t, err)
-	t.Cleanup(a.Kill)
-
+	a := newTestAgent(t)
 	share := quota.ShareID{Customer: "c", Zone: "bole"}
 	valid := map[uint8]any{
 		relay.KindCall:     relay.CallHead{Attempt: "x", Service: "s", Method: "GET", URI: "/"},
@@ -69,7 +60,7 @@
 		relay.KindFollow:   followRequest{From: 1, Seen: 1, Epochs: zones.Position{Next: 1}},
 		200:                "a kind of another version",
 	}
-	auth, err := newAuth("node-2", cfg.Peers)
+	auth, err := newAuth("node-2", a.cfg.Peers)
 	assert.NilError(t, err)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for kind, message := range valid {
