--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -398,4 +398,3 @@
 	p.holder.Sync(p.shares(), func(string) (uint64, bool) { return 1, p.revision > 0 }, p.clock())
 	p.f.checkHolders(p)
 }
-
