--- a/core/quota/borrow.go
+++ b/core/quota/borrow.go
@@ -149,7 +149,8 @@
 // higher estimated fill ratio, and shares that were asked longer ago.
 //
 // If no request waits, or the shares are first ones of groups, and both holders have
-// equally many failures, the share with the higher estimated fill ratio is preferred. Always borrowing from the own zone would
+// equally many failures, the share with the higher estimated fill ratio is preferred.
+// Always borrowing from the own zone would
 // empty its buckets while those of other zones overflow, and the fleet would hold
 // less than the customer's burst. In all other cases the order for waiting requests
 // applies.
