quota: a refusal without a holder says a second; epochs are not read while the log fails

Cause: after the loss of all processes no share has a holder for some seconds, and refused callers were told to come back when the next token would accrue, 0.1 to 0.5 s, which they do once, in vain. During an outage every node asked the log for epochs once a second beside its configuration.

Ruled out: a longer time (callers follow it up to a third of the time they have left).

Change: NextToken is one second while no holder responds; epochs are read again once the configuration can be read.

--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -50,6 +50,9 @@
 	// requests all the time for a customer that exceeds its rate. Half of this value
 	// causes no fewer refusals in the simulation (sim_test.go).
 	shortGrantRetry = 50 * time.Millisecond
+	// noHolderDelay is when a refused request may come back while no share has a holder.
+	// A new epoch and its leases take one to three seconds.
+	noHolderDelay = time.Second
 	// returnBeforeExpiry is how long before its expiry an unused loan is returned, so that the
 	// message arrives before the loan expires at the holder.
 	returnBeforeExpiry = 250 * time.Millisecond
@@ -277,10 +280,14 @@
 
 // NextToken returns the time after which a refused request finds a token, as told by the
 // holders. interval is the time in which one token accrues; requests that are refused
-// one after the other get times that differ by it.
+// one after the other get times that differ by it. While no holder responds, as after the
+// loss of all processes, it is noHolderDelay.
 func (p *Pool) NextToken(interval time.Duration, now time.Time) time.Duration {
 	at := p.nextToken
-	if !at.After(now) {
+	switch {
+	case !p.hasHolder():
+		return noHolderDelay
+	case !at.After(now):
 		at = now.Add(interval)
 	}
 	if later := p.promised.Add(interval); p.promised.After(now) && later.After(at) {
@@ -311,6 +318,16 @@
 	p.seq = max(p.seq, n)
 }
 
+// hasHolder reports whether the holder of some share responded to the last request to it.
+func (p *Pool) hasHolder() bool {
+	for _, s := range p.shareStates {
+		if !s.lastRequest.IsZero() && s.failures == 0 && !s.notHolder {
+			return true
+		}
+	}
+	return false
+}
+
 // availableAt returns the tokens that can be taken now.
 func (p *Pool) availableAt(now time.Time) Amount {
 	var sum Amount
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -356,6 +356,34 @@
 	short()
 }
 
+// TestNextToken guards against refusals that ask callers to come back at the same time,
+// before a token has accrued, or all the time while no share has a holder.
+func TestNextToken(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	p := newPool()
+	req, ok := p.NextRequest([]ShareID{share.ShareID}, 1, start)
+	assert.Assert(t, ok)
+	p.HandleFailure(req.Seq, start)
+	assert.Equal(t, p.NextToken(interval, start), noHolderDelay)
+	assert.Equal(t, p.NextToken(interval, start), noHolderDelay)
+
+	b := NewBucket(Share{ShareID: share.ShareID, Slots: 1, Rate: 5 * Token, Burst: 5 * Token}, false, start)
+	now := time.Second / 10 // half a token has accrued
+	first := borrowRequest(1, Token)
+	first.Urgent, first.Whole = true, true
+	second := first
+	second.Seq = 2
+	assert.Equal(t, b.Borrow(first, at(longLease), at(now)).NextToken, interval/2)
+	assert.Equal(t, b.Borrow(second, at(longLease), at(now)).NextToken, interval/2+interval)
+
+	p = newPool()
+	req, ok = p.NextRequest([]ShareID{share.ShareID}, 1, start)
+	assert.Assert(t, ok)
+	p.HandleReply(BorrowReply{ShareID: req.ShareID, Seq: req.Seq, IsHolder: true, NextToken: 500 * time.Millisecond, RetryAfter: maxRetry}, start)
+	assert.Equal(t, p.NextToken(interval, start), 500*time.Millisecond)
+	assert.Equal(t, p.NextToken(interval, start), 500*time.Millisecond+interval)
+}
+
 // TestHolderStart guards against buckets that start full although an earlier holder may
 // have lent tokens of the share, and against buckets that keep their level although
 // another node owned the share in the meantime.
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -249,7 +249,7 @@
 	}
 	a.tree.NewSubtree("members").Start("gossip", a.fleet.gossip)
 	es := a.tree.NewSubtree("epochs")
-	es.Start("follow", a.zones.Follow(a.readsLog))
+	es.Start("follow", a.zones.Follow(a.readsEpochs))
 	es.Start("renew", a.zones.RenewLease)
 	es.Start("propose", a.zones.Propose)
 	ts := a.tree.NewSubtree("tokens")
--- a/node/agent/follow.go
+++ b/node/agent/follow.go
@@ -96,6 +96,13 @@
 	return a.role().Read || a.store.StateAge(boot.Now()) > a.staleAfter()
 }
 
+// readsEpochs reports whether this node reads the epochs from the log. While its reads of
+// the configuration fail, these find out when the log is back.
+func (a *Agent) readsEpochs() bool {
+	_, failing := a.store.News()
+	return !failing && a.readsLog()
+}
+
 // readOrder returns the names of the alive nodes of this zone in the order in which they
 // become readers of the log.
 func (a *Agent) readOrder() []string {
