setup: log.readsPerSecond has no effect any more

Cause: who reads the log doesn't depend on its capacity since two nodes of a zone read. Ruled out: rejecting the key (settings files of earlier versions have it).

--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -61,8 +61,8 @@
 	URL       string   `toml:"url"`
 	Timeout   Duration `toml:"timeout"`
 	Retention Duration `toml:"retention"` // how long the service keeps records
-	// ReadsPerSecond is the read rate that the service accepts from all nodes
-	// together; 0 if unknown.
+	// ReadsPerSecond has no effect: two nodes of a zone read the log, whatever it can
+	// serve. Settings files of earlier versions may contain it.
 	ReadsPerSecond int `toml:"readsPerSecond"`
 }
 
