relay: the call to the upstream in a file of its own; config: NextWait beside ReadWait

Change: upstreamCall and its methods move to upstream_call.go, NextWait to plan.go. No statement is changed.

--- a/core/config/plan.go
+++ b/core/config/plan.go
@@ -44,6 +44,14 @@
 	return min(max(wait, minReadWait), MaxReadWait)
 }
 
+// NextWait returns the long-poll timeout of the next read of a node whose configuration
+// has the given age. A node with an old state asks at once: the response to a long
+// poll confirms the state as of the time at which it was sent.
+func (p ReadPlan) NextWait(age time.Duration) time.Duration {
+	wait := p.ReadWait()
+	return min(max(2*wait-age, 0), wait)
+}
+
 // MaxReaderAge returns the maximum age of the configuration of a reader while
 // its reads succeed. A source whose configuration is older is not relied on.
 func (p ReadPlan) MaxReaderAge() time.Duration {
--- a/core/config/sources.go
+++ b/core/config/sources.go
@@ -42,14 +42,6 @@
 	Follow []string // follow these nodes
 }
 
-// NextWait returns the long-poll timeout of the next read of a node whose configuration
-// has the given age. A node with an old state asks at once: the response to a long
-// poll confirms the state as of the time at which it was sent.
-func (p ReadPlan) NextWait(age time.Duration) time.Duration {
-	wait := p.ReadWait()
-	return min(max(2*wait-age, 0), wait)
-}
-
 // Role returns the role of the node. order holds the alive nodes of the zone in the order
 // in which they become readers, this node included. The first ones are followed even if
 // they failed, so that their return is noticed at once.
--- /dev/null
+++ b/node/relay/upstream_call.go
@@ -0,0 +1,231 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
+	"time"
+
+	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/limit"
+	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/refuse"
+)
+
+// upstreamCall is one call that is dispatched to the upstream.
+type upstreamCall struct {
+	target  *Target
+	attempt *attempt
+	stream  *frame.Stream // carries the body of the request
+	head    *CallHead
+	active  *chain.ActiveCall
+	body    *requestBody
+	began   time.Time
+	gotConn atomic.Bool // a connection was obtained, so the upstream may have seen the request
+}
+
+// dispatch sends an admitted call to the upstream and sends the reply.
+func (c *upstreamCall) dispatch(up Upstream) {
+	t := c.target
+	t.metrics.Add(metric.Served, 1)
+	resp, refusal := c.roundTrip(c.attempt.ctx, up)
+	sample := c.sample(resp, time.Now())
+	if refusal != nil {
+		t.gate.leave(sample, 0, time.Now())
+		t.sendRefusal(c.attempt, c.head, ReplyHead{Refusal: refusal, AttemptsLeft: c.active.RemainingAttempts(), Reached: c.gotConn.Load()})
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	ok := c.sendReply(resp)
+	t.gate.leave(sample, c.successDuration(ok && !sample.Shed), time.Now())
+}
+
+func (c *upstreamCall) roundTrip(ctx context.Context, up Upstream) (*http.Response, *refuse.Error) {
+	req, err := c.request(ctx, up)
+	if err != nil {
+		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
+	}
+	resp, err := c.target.client.send(req, c.head.Repeatable)
+	if isMalformedResponse(err) && c.mayRepeat() {
+		resp, err = c.target.client.fresh.RoundTrip(req)
+	}
+	if err != nil {
+		return nil, c.target.failureRefusal(err, c.gotConn.Load())
+	}
+	class := c.target.protocol.ClassifyResponse(c.head, resp)
+	if class == ResponseMismatched {
+		return c.afterMismatch(req, resp)
+	}
+	if refusal := c.refusalFor(class); refusal != nil {
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes) // so that the connection can be reused
+		_ = resp.Body.Close()
+		return resp, refusal
+	}
+	return resp, nil
+}
+
+// afterMismatch handles a response that doesn't belong to the request, such as a second copy
+// of an earlier response that arrived when the connection was in use again. Whether the
+// upstream executed the request is not known. A request that may run again and has no
+// body is sent once more on a connection of its own.
+func (c *upstreamCall) afterMismatch(req *http.Request, resp *http.Response) (*http.Response, *refuse.Error) {
+	t := c.target
+	t.client.discard(resp)
+	refusal := c.refusalFor(ResponseMismatched)
+	if !c.mayRepeat() {
+		return resp, refusal
+	}
+	again, err := t.client.fresh.RoundTrip(req)
+	if err != nil {
+		return resp, refusal
+	}
+	if class := t.protocol.ClassifyResponse(c.head, again); class != ResponseValid {
+		_ = again.Body.Close()
+		return resp, refusal
+	}
+	return again, nil
+}
+
+// mayRepeat reports whether the request may be sent to the upstream once more.
+func (c *upstreamCall) mayRepeat() bool {
+	return c.head.Repeatable && c.head.ContentLength == 0
+}
+
+// refusalFor returns a refusal for a response that doesn't belong to the request or
+// says that the request was not executed.
+func (c *upstreamCall) refusalFor(class ResponseClass) *refuse.Error {
+	switch class {
+	case ResponseNotExecuted:
+		return refuse.New(refuse.Overloaded, "the upstream refused the request").WithRetryAfter(overloadRetryAfter)
+	case ResponseWrongUpstream:
+		return refuse.New(refuse.NoUpstream, "another upstream has the address").WithRetryAfter(overloadRetryAfter)
+	case ResponseMismatched:
+		c.target.metrics.Add(metric.UpstreamErrors, 1)
+		return refuse.New(refuse.UpstreamFailed, "the answer belongs to another request").WithExecuted(refuse.ExecutionUnknown)
+	default:
+		return nil
+	}
+}
+
+// sample returns the measurement of the call for the concurrency limit. Its
+// latency excludes the time in which the upstream waited for the request body.
+func (c *upstreamCall) sample(resp *http.Response, now time.Time) limit.Sample {
+	if resp == nil {
+		return limit.Sample{Failed: true}
+	}
+	return limit.Sample{
+		Latency:   now.Sub(c.began) - c.body.waited(),
+		ChildTime: c.active.ChildTime(now),
+		Shed:      resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests,
+	}
+}
+
+func (c *upstreamCall) successDuration(ok bool) time.Duration {
+	if !ok {
+		return 0
+	}
+	return time.Since(c.began)
+}
+
+// request builds the request to the upstream. io.NopCloser hides the type of the
+// body, so that net/http never resends the request on another connection.
+func (c *upstreamCall) request(ctx context.Context, up Upstream) (*http.Request, error) {
+	h := c.head
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { c.gotConn.Store(true) },
+	})
+	c.body = &requestBody{stream: c.stream}
+	req, err := http.NewRequestWithContext(ctx, h.Method, "http://"+up.Addr+h.URI, io.NopCloser(c.body))
+	if err != nil {
+		return nil, err
+	}
+	c.body.req = req
+	req.Host = h.Host
+	req.ContentLength = h.ContentLength
+	req.Header = EndToEndHeader(h.Header)
+	c.target.protocol.SetHeaders(req.Header, h, up, c.active.Token, time.Until(h.Call.Deadline))
+	if h.ContentLength < 0 {
+		req.Trailer = http.Header{}
+	}
+	return req, nil
+}
+
+// requestBody reads the body of a call and copies its trailer to the request.
+type requestBody struct {
+	stream    *frame.Stream
+	req       *http.Request
+	waitNanos atomic.Int64 // nanoseconds spent waiting for the body
+}
+
+// waited returns the total time that reads waited for the body.
+func (b *requestBody) waited() time.Duration {
+	return time.Duration(b.waitNanos.Load())
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	began := time.Now()
+	n, err := b.stream.Read(p)
+	b.waitNanos.Add(int64(time.Since(began)))
+	if errors.Is(err, io.EOF) && b.req.Trailer != nil {
+		if trailer, uerr := unpack[http.Header](b.stream.Trailer()); uerr == nil {
+			for name, values := range EndToEndHeader(trailer) {
+				b.req.Trailer[textproto.CanonicalMIMEHeaderKey(name)] = values
+			}
+		}
+	}
+	return n, err
+}
+
+// failureRefusal returns the refusal for a failed call to the upstream. If no
+// connection was obtained, the request was not executed.
+func (t *Target) failureRefusal(err error, gotConn bool) *refuse.Error {
+	t.metrics.Add(metric.UpstreamErrors, 1)
+	reason := refuse.UpstreamFailed
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		reason = refuse.DeadlineExceeded
+	case errors.Is(err, context.Canceled):
+		reason = refuse.Cancelled
+	}
+	e := refuse.New(reason, "the upstream gave no answer")
+	if gotConn {
+		e = e.WithExecuted(refuse.ExecutionUnknown)
+	}
+	return e
+}
+
+// sendReply sends the response of the upstream and reports whether it was complete.
+func (c *upstreamCall) sendReply(resp *http.Response) bool {
+	w := c.attempt
+	data, err := pack(ReplyHead{
+		Status:        resp.StatusCode,
+		Header:        EndToEndHeader(resp.Header),
+		ContentLength: resp.ContentLength,
+		ChildFailed:   c.active.ChildFailed(),
+	})
+	if err != nil {
+		c.stream.Reset(frame.CodeInternal)
+		return false
+	}
+	if w.SendHead(data) != nil {
+		return false
+	}
+	err = CopyBody(w, resp.Body)
+	trailer, perr := pack(ReplyTrailer{
+		Complete:     err == nil,
+		Trailer:      EndToEndHeader(resp.Trailer),
+		AttemptsLeft: c.active.RemainingAttempts(),
+		Feedback:     c.target.feedback(c.head),
+	})
+	if perr != nil || w.CloseWrite(trailer) != nil {
+		c.stream.Reset(frame.CodeInternal)
+		return false
+	}
+	return err == nil
+}
