relay, admit, picker: a rate limit that an upstream states holds for the fleet

Cause: no node read the header. Ruled out by the timeline: loss at a restart (the rule breaks 4 s before it), callers that come back (arrivals don't change).

Change: the node beside the upstream, its only way, enforces the limit as a token bucket at its gate: queue, ranks, child calls and the repeat of a request on a fresh connection take from it, what can't run within its wait is refused at once as not executed. Calling nodes keep the statement with the identity of the process and send it along with calls, so that a node that restarts knows it before the first response. They send no more calls than the target accepted recently (core/picker pace), and a service is refused at the entry by the levels of its unlimited targets while there are any. Only a response to a request sent after the last statement ends a limit. Logs, status, metrics and the load line show it.

--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -53,6 +53,9 @@
 	hold      <-chan struct{} // if not nil, chain calls wait until it is closed
 	slotsHint int
 	loadHint  float64
+
+	rateLimit float64     // stated in responses; 0 for none
+	arrivals  []time.Time // of requests since the first statement
 }
 
 // UpstreamOption is an option of StartUpstream.
@@ -142,6 +145,7 @@
 	if err != nil {
 		return err
 	}
+	req.Close = true // the node may have restarted, and a kept connection would be that of the earlier process
 	resp, err := u.client.Do(req)
 	if err != nil {
 		return err
@@ -274,6 +278,8 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	u.recordArrival(time.Now())
+	u.writeStatement(w.Header())
 	if u.waiting.Add(1) > int64(u.Queue) {
 		u.waiting.Add(-1)
 		w.Header().Set("Retry-After", "1")
@@ -305,6 +311,7 @@
 			return
 		}
 	}
+	u.writeStatement(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Answer{Service: u.Service, Addr: u.Addr(), ID: r.Header.Get(RequestID), Bytes: n})
 }
--- /dev/null
+++ b/bench/site/statement_test.go
@@ -0,0 +1,142 @@
+package site_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"dogwoodsill.org/bench/load"
+	"dogwoodsill.org/bench/site"
+)
+
+// The users' bound for an upstream that states a limit: in any limitWindow from
+// settleTime after its first statement, at most limitFactor times what the limit allows,
+// and limitSlack requests.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	settleTime  = 2 * time.Second
+)
+
+// mostIn returns the largest number of arrivals in a span of the given length that begins
+// at or after the given time.
+func mostIn(arrivals []time.Time, from time.Time, span time.Duration) int {
+	arrivals = slices.DeleteFunc(arrivals, func(t time.Time) bool { return t.Before(from) })
+	most, first := 0, 0
+	for last, t := range arrivals {
+		for t.Sub(arrivals[first]) > span {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// lookups returns requests for print runs that enter at all nodes.
+func lookups(r *site.Running, perSecond float64) []load.Stream {
+	var urls []string
+	for _, n := range r.Nodes {
+		urls = append(urls, "http://"+n.Addrs().Callers)
+	}
+	return []load.Stream{{
+		Name: "theatre", Key: r.Keys["theatre"], Rate: perSecond, BaseURLs: urls,
+		Make: func(i int) load.Request {
+			return load.Request{ID: fmt.Sprintf("%s-lookup-%d", time.Now(), i), Method: http.MethodGet, Path: "/runs/7"}
+		},
+	}}
+}
+
+// nodesOf returns the indexes of the nodes whose upstream belongs to a service.
+func nodesOf(r *site.Running, service string) []int {
+	var out []int
+	for i, n := range r.Nodes {
+		if n.Service == service {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func completed(rep load.Report) float64 {
+	n := 0
+	for _, o := range rep.Outcomes {
+		if o.OK() {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(rep.Outcomes)))
+}
+
+// Guards against an upstream that gets more requests than the limit that it states in its
+// responses, while another upstream has room for them.
+func TestStatedRateLimitHolds(t *testing.T) {
+	const (
+		perSecond = 120
+		duration  = 8 * time.Second
+		restartAt = 4 * time.Second
+		served    = 0.95 // fraction of the requests; the unlimited upstream has room for all
+	)
+	for _, test := range []struct {
+		name    string
+		restart bool
+		limit   float64       // requests per second of each limited upstream
+		time    time.Duration // service time there, after which a restarted node sees the first response
+	}{
+		{"all nodes run", false, 8, 5 * time.Millisecond},
+		{"node of a limited upstream restarts", true, 2, time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, r := startParallel(t)
+			limited := nodesOf(r, "archive")[1:]
+			for _, i := range limited {
+				r.Nodes[i].Upstream.StateRateLimit(test.limit)
+				r.Nodes[i].Upstream.SetServiceTime(test.time)
+			}
+			stated := time.Now()
+			restarted := make(chan error, 1)
+			if test.restart {
+				time.AfterFunc(restartAt, func() {
+					_, err := r.Restart(limited[0], hclog.NewNullLogger())
+					restarted <- err
+				})
+			} else {
+				restarted <- nil
+			}
+			rep := load.Run(ctx, load.Client(), lookups(r, perSecond), duration)
+			assert.NilError(t, <-restarted)
+			for _, i := range limited {
+				got := mostIn(r.Nodes[i].Upstream.Arrivals(), stated.Add(settleTime), limitWindow)
+				assert.Check(t, float64(got) <= limitFactor*test.limit*limitWindow.Seconds()+limitSlack, "%d requests at upstream %d", got, i)
+			}
+			if !test.restart { // the restart cuts off callers of that node
+				assert.Check(t, completed(rep) >= served, "%.3f served", completed(rep))
+			}
+		})
+	}
+}
+
+// Guards against a limit that remains after the upstream has ceased to state it.
+func TestStatedRateLimitEnds(t *testing.T) {
+	ctx, r := startParallel(t)
+	archives := nodesOf(r, "archive")
+	for _, i := range archives {
+		r.Nodes[i].Upstream.StateRateLimit(4)
+	}
+	load.Run(ctx, load.Client(), lookups(r, 60), 2*time.Second)
+	for _, i := range archives {
+		r.Nodes[i].Upstream.StateRateLimit(0)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if rep := load.Run(ctx, load.Client(), lookups(r, 60), time.Second); completed(rep) < 1 {
+			return poll.Continue("%.3f served", completed(rep))
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(0))
+}
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -7,4 +7,6 @@
 	InFlight  int     `msgpack:"inFlight"` // requests running and queued
 	Limit     int     `msgpack:"limit"`    // concurrency limit
 	Demand    float64 `msgpack:"demand"`   // demand of the calling customer as a multiple of its fair share, the highest along the path
+
+	RateLimited bool `msgpack:"-"` // the upstream states a rate limit; set by the receiver, which knows it from the reply
 }
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -40,12 +40,13 @@
 	Refused                  // the request is among the dropped items
 )
 
-// Gate admits requests to one target within a concurrency limit. The limit can
-// change at any time, so the methods take its current value
-// (limit.Limit.Value).
+// Gate admits requests to one target within a concurrency limit, and within a
+// rate while one is set. The concurrency limit can change at any time, so the
+// methods take its current value (limit.Limit.Value).
 type Gate[T any] struct {
 	Level  *LevelController
 	Shares *Shares
+	Rate   Rate
 
 	queue              *Queue[T]
 	running            int
@@ -68,12 +69,12 @@
 	if now.Add(g.ExpectedServiceTime(now)).After(it.Deadline) {
 		return Refused, []Dropped[T]{{Item: it, Cause: MissesDeadline}}
 	}
-	if g.running < limit && g.queue.Len() == 0 {
+	if g.running < limit && g.queue.Len() == 0 && g.Rate.Take(now) {
 		g.start(now, limit)
 		return Admitted, nil
 	}
 	seq := g.queue.seq
-	dropped := g.queue.Push(now, queueSize(limit), it)
+	dropped := g.queue.Push(now, g.queueSize(limit), it)
 	g.recordRefusals(now, dropped)
 	if g.queue.contains(seq, it.order()) {
 		return Queued, dropped
@@ -98,11 +99,12 @@
 func (g *Gate[T]) Poll(now time.Time, limit int) (run []Item[T], dropped []Dropped[T]) {
 	expected := g.ExpectedServiceTime(now)
 	dropped = g.queue.RemoveOverdue(now, expected)
-	for g.running < limit {
+	for g.running < limit && g.Rate.Ready(now) {
 		it, ok, _ := g.queue.Pop(now, expected)
 		if !ok {
 			break
 		}
+		g.Rate.Take(now)
 		g.start(now, limit)
 		run = append(run, it)
 	}
@@ -142,7 +144,7 @@
 
 func (g *Gate[T]) start(now time.Time, limit int) {
 	g.running++
-	g.Level.RecordStart(now, g.running, limit)
+	g.Level.RecordStart(now, float64(g.running) > spareFraction*float64(limit) || !g.Rate.spare(now, 1-spareFraction))
 }
 
 func (g *Gate[T]) recordRefusals(now time.Time, dropped []Dropped[T]) {
@@ -162,8 +164,15 @@
 	g.serviceTimeUpdated = now
 }
 
-func queueSize(limit int) int {
-	return max(minQueueSize, limit)
+// queueSize returns the size of the queue. With a rate it holds no more requests
+// than can be dispatched within their wait, so that the others are refused at
+// once and served elsewhere.
+func (g *Gate[T]) queueSize(limit int) int {
+	size := max(minQueueSize, limit)
+	if _, limited := g.Rate.Limit(); limited {
+		size = min(size, g.Rate.queueSize(g.queue.maxWait))
+	}
+	return size
 }
 
 // capacityEstimate is the measured capacity of an overloaded target: the peak
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -21,8 +21,8 @@
 	// target were set to OpenLevel at once, all demand would be admitted until
 	// the entries received a lower level.
 	spareIntervals = 5
-	// spareFraction is the largest fraction of the limit in use at which a
-	// target has spare capacity.
+	// spareFraction is the largest fraction of the limit, or of the burst of a
+	// rate, in use at which a target has spare capacity.
 	spareFraction = 0.7
 )
 
@@ -86,12 +86,12 @@
 	l.advance(now).sample(rank)
 }
 
-// RecordStart records a request that was dispatched to the upstream. The number
-// of running requests includes it.
-func (l *LevelController) RecordStart(now time.Time, running, limit int) {
+// RecordStart records a request that was dispatched to the upstream. busy tells
+// whether the target has no spare capacity since.
+func (l *LevelController) RecordStart(now time.Time, busy bool) {
 	c := l.advance(now)
 	c.started++
-	c.busy = c.busy || float64(running) > spareFraction*float64(limit)
+	c.busy = c.busy || busy
 }
 
 // RecordRefusal records a request that was refused for lack of capacity.
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -53,8 +53,9 @@
 }
 
 type levelReport struct {
-	level uint32
-	at    time.Time
+	level   uint32
+	limited bool
+	at      time.Time
 }
 
 type customerState struct {
@@ -133,7 +134,7 @@
 // RecordFeedback records the feedback of a target to a request of a customer.
 func (t *Throttle) RecordFeedback(now time.Time, name, target, customer string, f Feedback) {
 	s := t.service(name)
-	s.targets[target] = levelReport{level: min(f.Level, f.PathLevel), at: now}
+	s.targets[target] = levelReport{level: min(f.Level, f.PathLevel), limited: f.RateLimited, at: now}
 	if c := s.customer(customer); c != nil && f.Demand > 0 {
 		c.recordDemand(now, f.Demand)
 	}
@@ -195,7 +196,8 @@
 
 // Level returns the level of a service: the upper median over the unexpired
 // levels of its targets, or OpenLevel if there are none. A single overloaded
-// target thus doesn't cause refusals for the whole service.
+// target thus doesn't cause refusals for the whole service. Targets with a rate
+// limit count only if there are no others, as the others serve what they refuse.
 func (t *Throttle) Level(now time.Time, name string) uint32 {
 	s := t.services[name]
 	if s == nil {
@@ -205,13 +207,19 @@
 }
 
 func (s *serviceState) level(now time.Time) uint32 {
-	var levels []uint32
+	var levels, limitedLevels []uint32
 	for name, t := range s.targets {
-		if now.Sub(t.at) > LevelExpiry {
+		switch {
+		case now.Sub(t.at) > LevelExpiry:
 			delete(s.targets, name)
-			continue
+		case t.limited:
+			limitedLevels = append(limitedLevels, t.level)
+		default:
+			levels = append(levels, t.level)
 		}
-		levels = append(levels, t.level)
+	}
+	if len(levels) == 0 {
+		levels = limitedLevels
 	}
 	if len(levels) == 0 {
 		return OpenLevel
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -35,6 +35,7 @@
 	RequestTime       = "requestTime"       // timer: from the arrival of a request to the end of its response
 	ConcurrencyLimit  = "concurrencyLimit"  // gauge: concurrency limit of the local upstream
 	InFlight          = "inFlight"          // gauge: calls running at the local upstream
+	UpstreamRateLimit = "upstreamRateLimit" // gauge: calls per second that the local upstream accepts; 0 without a limit
 	Waiting           = "waiting"           // gauge: calls queued for the local upstream
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
--- a/core/picker/health.go
+++ b/core/picker/health.go
@@ -21,6 +21,9 @@
 	if s.trackQuality {
 		t.quality.recordResult(now, r)
 	}
+	if r == OK || r == Failed || r == Shed {
+		t.pace.recordAccepted(now)
+	}
 	switch r {
 	case OK, Refused, Shed:
 		t.recordResponse(now)
--- a/core/picker/set.go
+++ b/core/picker/set.go
@@ -80,6 +80,7 @@
 	feedbackAt          time.Time // arrival of feedback; zero without any
 	inFlightAtFeedback  int       // value of inFlight when the feedback arrived
 	quality             quality
+	pace                pace
 
 	ejected bool
 	backoff time.Duration
@@ -170,7 +171,7 @@
 		t.startCall(now)
 		return t.ID, true
 	}
-	s.candidates(q)
+	s.candidates(now, q)
 	t := choose(now, s.ownZone, rng)
 	switch {
 	case t == nil || t.overloaded(now, q.Rank):
@@ -190,10 +191,18 @@
 }
 
 // candidates fills ownZone and otherZones with the targets that may be chosen.
-func (s *Set) candidates(q Query) {
+// Targets whose pace is exhausted are among them only if there are no others.
+func (s *Set) candidates(now time.Time, q Query) {
+	s.listCandidates(q, func(t *targetState) bool { return !t.pace.exhausted(now) })
+	if len(s.ownZone)+len(s.otherZones) == 0 {
+		s.listCandidates(q, func(*targetState) bool { return true })
+	}
+}
+
+func (s *Set) listCandidates(q Query, accept func(t *targetState) bool) {
 	s.ownZone, s.otherZones = s.ownZone[:0], s.otherZones[:0]
 	for _, t := range s.targets {
-		if t.Draining || t.ejected || slices.Contains(q.Tried, t.ID) {
+		if t.Draining || t.ejected || slices.Contains(q.Tried, t.ID) || !accept(t) {
 			continue
 		}
 		if t.Zone == s.zone {
@@ -246,6 +255,7 @@
 		t.inactiveSince = now
 	}
 	t.inFlight++
+	t.pace.start(now)
 }
 
 // load estimates the number of requests at the target: the node's own calls and
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -23,13 +23,14 @@
 
 // Upstream is the state of the upstream beside a node.
 type Upstream struct {
-	ID       string `json:"id,omitempty"` // process ID, if the platform provides one
-	Service  string `json:"service"`
-	Addr     string `json:"addr"`
-	State    string `json:"state"`
-	Slots    int    `json:"slots"`
-	InFlight int    `json:"inFlight"`
-	Limit    int    `json:"limit"` // concurrency limit; 0 for no limit
+	ID        string  `json:"id,omitempty"` // process ID, if the platform provides one
+	Service   string  `json:"service"`
+	Addr      string  `json:"addr"`
+	State     string  `json:"state"`
+	Slots     int     `json:"slots"`
+	InFlight  int     `json:"inFlight"`
+	Limit     int     `json:"limit"`               // concurrency limit; 0 for no limit
+	RateLimit float64 `json:"rateLimit,omitempty"` // calls per second that the upstream accepts; 0 for no limit
 }
 
 // Member is the state of a node in the member list of the reporting node.
--- a/node/agent/load.go
+++ b/node/agent/load.go
@@ -44,7 +44,7 @@
 			load := a.target.Load()
 			a.log.Info("node load", "admitted", after.admitted-before.admitted, "refused", after.refused-before.refused,
 				"served", after.served-before.served, "attempts", after.attempts-before.attempts, "retries", after.retries-before.retries,
-				"running", load.Running, "waiting", load.Waiting, "limit", load.Limit, "processorBound", load.ProcessorBound,
+				"running", load.Running, "waiting", load.Waiting, "limit", load.Limit, "rateLimit", load.Rate, "processorBound", load.ProcessorBound,
 				"processor", after.processor-before.processor)
 		}
 		before = after
--- a/node/agent/statelog.go
+++ b/node/agent/statelog.go
@@ -28,6 +28,7 @@
 	lease        bool      // the zone lease is valid
 	others       []string  // other alive instances, sorted
 	upstream     string    // service, identifier and state; empty for none
+	rateLimit    float64   // calls per second that the upstream accepts; 0 without a limit
 	droppedLines int64     // number of dropped log lines
 	at           time.Time // on the clock of package boot
 }
@@ -71,6 +72,13 @@
 	if after.upstream != before.upstream {
 		add(hclog.Info, "upstream changed", "upstream", after.upstream, "before", before.upstream)
 	}
+	switch {
+	case after.rateLimit == before.rateLimit:
+	case after.rateLimit == 0:
+		add(hclog.Info, "upstream no longer states a rate limit", "before", before.rateLimit)
+	default:
+		add(hclog.Warn, "upstream states a rate limit", "perSecond", after.rateLimit, "before", before.rateLimit)
+	}
 	if n := after.droppedLines - before.droppedLines; n > 0 {
 		add(hclog.Warn, "log lines dropped", "lines", n, "sinceStart", after.droppedLines)
 	}
@@ -85,6 +93,7 @@
 // state returns the state of the node at the given time.
 func (a *Agent) state(now time.Time) nodeState {
 	s := nodeState{config: a.store.Offset(), epoch: a.zones.Adopted(), others: a.fleet.otherInstances(), droppedLines: a.droppedLines(), at: boot.Now()}
+	s.rateLimit = a.target.Load().Rate
 	s.change = a.store.LastChange()
 	s.stale = a.store.Current() != nil && a.store.Age(boot.Now()) > a.staleAfter()
 	a.zones.WithView(func(v zones.View) { s.lease = v.Lease.Valid(now) })
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -39,7 +39,7 @@
 	if up, ok := a.target.Upstream(now); ok {
 		s.Upstream = upstreamReport(up)
 		load := a.target.Load()
-		s.Upstream.InFlight, s.Upstream.Limit = load.Running, load.Limit
+		s.Upstream.InFlight, s.Upstream.Limit, s.Upstream.RateLimit = load.Running, load.Limit, load.Rate
 	}
 	return s
 }
@@ -55,6 +55,7 @@
 	a.metrics.SetGauge(metric.InFlight, int64(load.Running))
 	a.metrics.SetGauge(metric.Waiting, int64(load.Waiting))
 	a.metrics.SetGauge(metric.ConcurrencyLimit, int64(load.Limit))
+	a.metrics.SetGauge(metric.UpstreamRateLimit, int64(load.Rate))
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
 }
--- a/node/relay/balance.go
+++ b/node/relay/balance.go
@@ -24,10 +24,11 @@
 	dir  Directory
 	zone string
 
-	mu       sync.Mutex
-	sets     map[string]*targetSet
-	throttle *admit.Throttle
-	rng      *rand.Rand
+	mu         sync.Mutex
+	sets       map[string]*targetSet
+	statements map[string]heardStatement // by instance
+	throttle   *admit.Throttle
+	rng        *rand.Rand
 	// retryLimits returns the retry ratio and the minimum number of retries of this
 	// node for each service.
 	retryLimits func() (ratio float64, minimum int)
@@ -45,7 +46,7 @@
 // initializes its random number generator.
 func NewBalancer(dir Directory, zone string, seed uint64, opts ...BalancerOption) *Balancer {
 	b := &Balancer{
-		dir: dir, zone: zone, sets: map[string]*targetSet{}, throttle: admit.NewThrottle(),
+		dir: dir, zone: zone, sets: map[string]*targetSet{}, statements: map[string]heardStatement{}, throttle: admit.NewThrottle(),
 		rng:         rand.New(rand.NewPCG(seed, seed)),
 		retryLimits: func() (float64, int) { return retry.DefaultRatio, retry.DefaultMinRetries },
 	}
@@ -176,6 +177,7 @@
 		set.Done(now, id, r, nil)
 		return
 	}
+	f.RateLimited = set.Limited(id)
 	set.Done(now, id, r, &f.Feedback)
 	b.throttle.RecordFeedback(now, req.Service, id, req.Call.Customer, f.Feedback)
 	if f.Draining {
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -281,6 +281,7 @@
 		}
 	}
 	h := newCallHead(req, to, childAttempts)
+	h.Statement = c.statement(to.Instance)
 	s, reply, fail := c.exchange(ctx, req, to.Addr, KindCall, h)
 	if fail != nil && fail.linkLost && req.Body.buffered && ctx.Err() == nil {
 		c.metrics.Add(metric.Resumed, 1)
@@ -291,6 +292,9 @@
 			fail.outcome = retry.Failed
 		}
 	}
+	if fail == nil || fail.feedback != nil {
+		c.recordStatement(req.Service, to, &reply, time.Now())
+	}
 	if fail != nil {
 		cancel()
 		return nil, fail
@@ -319,7 +323,7 @@
 	}
 	if reply.Refusal != nil {
 		s.Reset(frame.CodeDone)
-		return nil, ReplyHead{}, refusedError(&reply)
+		return nil, reply, refusedError(&reply)
 	}
 	return s, reply, nil
 }
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -177,6 +177,25 @@
 	}
 }
 
+// applyStatement applies the rate limit that the upstream states.
+func (g *gate) applyStatement(s Statement, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.Limited {
+		g.admit.Rate.Set(now, s.PerSec)
+	} else {
+		g.admit.Rate.Clear()
+	}
+}
+
+// takeRepeat reports whether the rate limit of the upstream lets a running request be sent
+// to it once more, and if so counts it.
+func (g *gate) takeRepeat(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admit.Rate.Take(now)
+}
+
 func (g *gate) feedback(customer string, now time.Time) admit.Feedback {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -185,15 +204,18 @@
 
 // Load is the utilization of the local upstream at one moment.
 type Load struct {
-	Running, Waiting int  // number of calls
-	Limit            int  // maximum number of running calls
-	ProcessorBound   bool // the node's own processor lowers the limit; only measured for fixed slots
+	Running, Waiting int     // number of calls
+	Limit            int     // maximum number of running calls
+	ProcessorBound   bool    // the node's own processor lowers the limit; only measured for fixed slots
+	Rate             float64 // calls per second that the upstream accepts; 0 without a limit
 }
 
 func (g *gate) load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	perSecond, _ := g.admit.Rate.Limit()
 	return Load{
+		Rate:    perSecond,
 		Running: g.admit.Running(), Waiting: g.admit.Waiting(), Limit: g.currentLimit(),
 		ProcessorBound: g.fixedSlots > 0 && g.schedulerLimit.Value() < g.fixedSlots,
 	}
--- a/node/relay/protocol.go
+++ b/node/relay/protocol.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,6 +28,27 @@
 	SetHeaders(h http.Header, call *CallHead, up Upstream, token string, left time.Duration)
 	// ClassifyResponse classifies the response to a call by its status and header.
 	ClassifyResponse(call *CallHead, resp *http.Response) ResponseClass
+	// ReadStatement returns what the upstream states in a response, without the process.
+	// It reports false if that can't be read, so that the response says nothing.
+	ReadStatement(resp *http.Response) (Statement, bool)
+}
+
+// RateLimitHeader holds the requests per second that the upstream accepts from all nodes
+// together, as a decimal number, for as long as its responses carry the header.
+const RateLimitHeader = "Dogwoodsill-Rate-Limit"
+
+// ParseStatement returns the statement that the given header of a response makes. It
+// reports false for a rate that is not a number of at least 0.
+func ParseStatement(h http.Header, rateHeader string) (Statement, bool) {
+	text := h.Get(rateHeader)
+	if text == "" {
+		return Statement{}, true
+	}
+	perSec, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSec >= 0) || math.IsInf(perSec, 0) {
+		return Statement{}, false
+	}
+	return Statement{Limited: true, PerSec: perSec}, true
 }
 
 // defaultProtocol sets the token and the remaining time of a call. The upstream
@@ -43,3 +65,8 @@
 func (defaultProtocol) ClassifyResponse(*CallHead, *http.Response) ResponseClass {
 	return ResponseValid
 }
+
+// ReadStatement implements Protocol.
+func (defaultProtocol) ReadStatement(resp *http.Response) (Statement, bool) {
+	return ParseStatement(resp.Header, RateLimitHeader)
+}
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -34,10 +35,16 @@
 	State          State             `json:"state,omitempty"`
 	ID             string            `json:"id,omitempty"`         // identifier of the process; changes with a restart
 	FixedSlots     bool              `json:"fixedSlots,omitempty"` // Slots is exact, not a hint
+	StartedMS      int64             `json:"startedMs,omitempty"`  // start of the process as Unix time in milliseconds; 0 if unknown
 	TTLMS          int64             `json:"ttlMs,omitempty"`      // time to live of the announcement in milliseconds
 	Load           float64           `json:"load,omitempty"`       // hint: used fraction of its capacity, 0 to 1
 }
 
+// process returns the process that the upstream is.
+func (u Upstream) process() Process {
+	return Process{ID: cmp.Or(u.ID, u.Addr), StartedMS: u.StartedMS}
+}
+
 // Target admits the calls for the local upstream and dispatches them to it. It is
 // safe for concurrent use.
 type Target struct {
@@ -55,9 +62,10 @@
 
 	drainer super.Drainer
 
-	mu       sync.Mutex
-	upstream *Upstream
-	expires  time.Time
+	mu        sync.Mutex
+	upstream  *Upstream
+	expires   time.Time
+	statement upstreamStatement // of the upstream, or of the one that was withdrawn last
 }
 
 // Limits, sizes and times of a target.
@@ -104,7 +112,13 @@
 // live. An upstream that becomes cold again is treated like a new process.
 func (t *Target) Announce(u Upstream, now time.Time) {
 	t.mu.Lock()
-	newProcess := t.upstream == nil || t.upstream.Addr != u.Addr || t.upstream.ID != u.ID || u.State == Cold && t.upstream.State != Cold
+	coldAgain := t.upstream != nil && t.upstream.State != Cold && u.State == Cold
+	newProcess := t.upstream == nil || t.upstream.Addr != u.Addr || !t.upstream.process().same(u.process()) || coldAgain
+	if coldAgain && u.StartedMS == 0 {
+		t.statement = upstreamStatement{}
+	}
+	t.statement.setProcess(u.process())
+	t.gate.applyStatement(t.statement.Statement, now)
 	changed := t.upstream == nil || t.upstream.State != u.State || t.upstream.Service != u.Service
 	t.upstream = &u
 	t.expires = now.Add(time.Duration(u.TTLMS) * time.Millisecond)
@@ -212,6 +226,7 @@
 	defer func() { t.attempts.end(a, time.Now()) }()
 	t.balancer.StartCall(h.Service, now)
 	t.gate.measureSchedulerDelay()
+	t.adoptStatement(h.Statement, now)
 	if !t.drainer.Enter() {
 		t.refuseCall(a, h, refuse.New(refuse.NoUpstream, "the target is draining"), h.Call.Attempts)
 		return
@@ -268,7 +283,7 @@
 
 func (t *Target) sendRefusal(w replyWriter, h *CallHead, r ReplyHead) {
 	t.metrics.Add(metric.Refused+string(r.Refusal.Reason), 1)
-	r.Feedback = t.feedback(h)
+	r.Feedback, r.Statement = t.feedback(h), t.statementToSend()
 	data, err := pack(r)
 	if err == nil {
 		err = w.SendHead(data)
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -51,15 +51,15 @@
 		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
 	resp, err := c.target.client.send(req, c.head.Repeatable)
-	if isMalformedResponse(err) && c.mayRepeat() {
+	if isMalformedResponse(err) && c.mayRepeat(time.Now()) {
 		resp, err = c.target.client.fresh.RoundTrip(req)
 	}
 	if err != nil {
 		return nil, c.target.failureRefusal(err, c.gotConn.Load())
 	}
-	class := c.target.protocol.ClassifyResponse(c.head, resp)
+	class := c.classify(up, resp)
 	if class == ResponseMismatched {
-		return c.afterMismatch(req, resp)
+		return c.afterMismatch(up, req, resp)
 	}
 	if refusal := c.refusalFor(class); refusal != nil {
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes) // so that the connection can be reused
@@ -73,27 +73,39 @@
 // of an earlier response that arrived when the connection was in use again. Whether the
 // upstream executed the request is not known. A request that may run again and has no
 // body is sent once more on a connection of its own.
-func (c *upstreamCall) afterMismatch(req *http.Request, resp *http.Response) (*http.Response, *refuse.Error) {
+func (c *upstreamCall) afterMismatch(up Upstream, req *http.Request, resp *http.Response) (*http.Response, *refuse.Error) {
 	t := c.target
 	t.client.discard(resp)
 	refusal := c.refusalFor(ResponseMismatched)
-	if !c.mayRepeat() {
+	if !c.mayRepeat(time.Now()) {
 		return resp, refusal
 	}
 	again, err := t.client.fresh.RoundTrip(req)
 	if err != nil {
 		return resp, refusal
 	}
-	if class := t.protocol.ClassifyResponse(c.head, again); class != ResponseValid {
+	if class := c.classify(up, again); class != ResponseValid {
 		_ = again.Body.Close()
 		return resp, refusal
 	}
 	return again, nil
 }
 
+// classify classifies a response and records what the upstream states in it.
+func (c *upstreamCall) classify(up Upstream, resp *http.Response) ResponseClass {
+	class := c.target.protocol.ClassifyResponse(c.head, resp)
+	if class != ResponseValid && class != ResponseNotExecuted {
+		return class
+	}
+	if s, ok := c.target.protocol.ReadStatement(resp); ok {
+		c.target.recordStatement(up, s, c.began, time.Now())
+	}
+	return class
+}
+
 // mayRepeat reports whether the request may be sent to the upstream once more.
-func (c *upstreamCall) mayRepeat() bool {
-	return c.head.Repeatable && c.head.ContentLength == 0
+func (c *upstreamCall) mayRepeat(now time.Time) bool {
+	return c.head.Repeatable && c.head.ContentLength == 0 && c.target.gate.takeRepeat(now)
 }
 
 // refusalFor returns a refusal for a response that doesn't belong to the request or
@@ -208,6 +220,7 @@
 		Header:        EndToEndHeader(resp.Header),
 		ContentLength: resp.ContentLength,
 		ChildFailed:   c.active.ChildFailed(),
+		Statement:     c.target.statementToSend(),
 	})
 	if err != nil {
 		c.stream.Reset(frame.CodeInternal)
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -44,6 +44,7 @@
 	Key           string      `msgpack:"key,omitempty"`       // idempotency key, on claim streams only
 	Repeatable    bool        `msgpack:"repeatable"`          // may be sent again
 	ConfigOffset  uint64      `msgpack:"config"`              // offset of the configuration under which the call was admitted
+	Statement     *Statement  `msgpack:"statement"`           // what the sender knows from the upstream at the target; nil for nothing
 }
 
 // ReplyHead is the head of the reply to a call, which holds either the response of
@@ -57,6 +58,7 @@
 	AttemptsLeft  int           `msgpack:"attemptsLeft"` // unused attempts of a refused call
 	ChildFailed   bool          `msgpack:"childFailed"`  // a call that the upstream made for this one failed
 	Reached       bool          `msgpack:"reached"`      // the call may have been sent to the upstream before it was refused
+	Statement     *Statement    `msgpack:"statement"`    // of the upstream; nil for none
 }
 
 // ReplyTrailer follows the body of a reply that holds a response.
