epoch, zones: epochs survive a log that comes back from a copy

Cause: a read of the epochs from an offset that the store doesn't have any more gets 410 with the first retained offset. The reader skipped to that offset, which is not after its own, and read again at once, until as many new epochs had been appended as were lost. Behind it: the offsets and the numbers of epochs are given out again, and nothing distinguished the two histories.

Ruled out: the configuration as the source of the calls (its reader reads the newest records once).

A node that sees a later one reads the log anew and keeps the epochs that it knows. Epoch numbers begin with the era, so that the first epoch of an era replaces whatever the nodes know; each zone proposes one after a restore. A holder that doesn't know the epoch which that one replaces waits until a majority has adopted it for the time of a lease. Positions and updates between nodes name the era and the epoch. 410 without progress waits like any failed read. The log says that the history went back.

--- a/core/epoch/epoch_test.go
+++ b/core/epoch/epoch_test.go
@@ -304,3 +304,47 @@
 	assert.Equal(t, due(time.Minute+15*time.Minute-1), 0)
 	assert.Equal(t, due(time.Minute+15*time.Minute), 1)
 }
+
+// Guards against an epoch of a lost history that is taken for, or keeps out, one of the
+// present history, and against a zone that proposes none.
+func TestEras(t *testing.T) {
+	members := []Member{{Name: "a", Incarnation: 1, Address: "a:1", Zone: "z"}}
+	encode := func(number, base uint64) []byte {
+		data, err := Encode(Record{Epoch: &Epoch{Zone: "z", Number: number, Base: base, Members: members}})
+		assert.NilError(t, err)
+		return data
+	}
+	s := NewState()
+	s.StartEra(1)
+	s.ReachedEnd()
+	for i := range uint64(3) {
+		base := uint64(0)
+		if i > 0 {
+			base = firstOf(1) + i - 1
+		}
+		assert.Equal(t, s.Apply(i, encode(firstOf(1)+i, base)), "z")
+	}
+	assert.Assert(t, !s.StartEra(1) && s.StartEra(2))
+	assert.Assert(t, s.Rereading())
+	assert.Equal(t, s.Next, uint64(0))
+	assert.Equal(t, s.Apply(0, encode(firstOf(1), 0)), "", "a record that the copy has")
+	assert.Equal(t, s.Apply(1, encode(firstOf(1)+1, firstOf(1))), "")
+	current, _ := s.Current("z")
+	assert.Equal(t, current.Number, firstOf(1)+2, "a lost epoch stays in effect")
+	s.ReachedEnd()
+
+	now := time.Unix(1000, 0)
+	v := View{
+		Zone: "z", Self: members[0], Current: current, Adopted: now, Era: 2, EraSince: now,
+		Presences: []Presence{{Member: members[0], Alive: true, Since: now.Add(-time.Minute)}},
+	}
+	_, ok := Propose(v, now)
+	assert.Assert(t, !ok, "other nodes may still learn of the lost epoch")
+	next, ok := Propose(v, now.Add(ChangeDelay))
+	assert.Assert(t, ok)
+	assert.Equal(t, next.Number, firstOf(2))
+	assert.Equal(t, next.Base, firstOf(1)+2)
+	assert.Equal(t, s.Apply(2, encode(firstOf(2), firstOf(1)+1)), "z", "the first of the era counts whatever its base")
+	assert.Equal(t, s.Apply(3, encode(firstOf(2), firstOf(1)+2)), "", "the second doesn't")
+	assert.Equal(t, s.Apply(4, encode(firstOf(2)+1, firstOf(2))), "z")
+}
--- a/core/epoch/propose.go
+++ b/core/epoch/propose.go
@@ -52,6 +52,8 @@
 	Unretired []Epoch   // from Tracker.Unretired
 	Retired   uint64    // from Tracker.Retired
 	Presences []Presence
+	Era       uint64    // of the log
+	EraSince  time.Time // when the node learned of Era
 }
 
 // Propose decides whether the node should append an epoch of its zone now, and
@@ -73,15 +75,19 @@
 	if v.Current.Number == 0 {
 		ready = d.since.Add(FirstEpochDelay)
 	}
-	if earliest := v.Adopted.Add(MinEpochAge); v.Current.Number > 0 && earliest.After(ready) && !v.majorityRestarted() {
+	if earliest := v.Adopted.Add(MinEpochAge); v.Current.Number > 0 && earliest.After(ready) && !v.majorityRestarted() && !v.outdated() {
 		ready = earliest
 	}
 	if now.Before(ready) || !v.majoritiesReachable(d.members) {
 		return Epoch{}, false
 	}
+	number := v.Current.Number + 1
+	if v.outdated() {
+		number = firstOf(v.Era)
+	}
 	next := Epoch{
 		Zone:           v.Zone,
-		Number:         v.Current.Number + 1,
+		Number:         number,
 		Base:           v.Current.Number,
 		Members:        d.members,
 		RetiredThrough: min(v.Retired, v.Current.Number),
@@ -89,6 +95,12 @@
 	return next, HasTurn(v.presentMembers(d.members), v.Self, v.Zone, now.Sub(ready))
 }
 
+// outdated reports whether the current epoch is of an earlier era of the log, which may have
+// lost it. Other nodes may then know another one of the same number.
+func (v View) outdated() bool {
+	return eraOf(v.Current.Number) < v.Era
+}
+
 // HasTurn reports whether it is the turn of self once the given time has
 // elapsed. Members take turns of TurnDuration in rendezvous order for a key and
 // start over after the last one.
@@ -134,6 +146,9 @@
 		d.members = append(d.members, s.Member)
 		d.addChange(s.Since)
 	}
+	if v.outdated() && v.Current.Number > 0 {
+		d.addChange(v.EraSince)
+	}
 	slices.SortFunc(d.members, compareNames)
 	return d
 }
--- a/core/epoch/retire.go
+++ b/core/epoch/retire.go
@@ -15,9 +15,13 @@
 
 type zoneReports struct {
 	retired      uint64
-	firstReports map[uint64]map[string]time.Time // by epoch and member name: when a report was first counted
+	firstReports memberReports // of newer epochs
+	adoptions    memberReports // of epochs that start an era, or newer ones
 }
 
+// memberReports holds, by epoch and member name, when a report was first counted.
+type memberReports map[uint64]map[string]time.Time
+
 // NewTracker returns a tracker for the zones of a state.
 func NewTracker(s *State) *Tracker {
 	return &Tracker{state: s, zones: map[string]*zoneReports{}}
@@ -26,7 +30,7 @@
 func (t *Tracker) zone(name string) *zoneReports {
 	v := t.zones[name]
 	if v == nil {
-		v = &zoneReports{firstReports: map[uint64]map[string]time.Time{}}
+		v = &zoneReports{firstReports: memberReports{}, adoptions: memberReports{}}
 		t.zones[name] = v
 	}
 	return v
@@ -45,18 +49,29 @@
 		for _, old := range e.Members {
 			gone := m.supersedes(old) || m.Same(old) && adopted > e.Number
 			if gone {
-				v.record(e.Number, old.Name, now)
+				v.firstReports.record(e.Number, old.Name, now)
+			}
+			if e.startsEra() && (gone || m.Same(old) && adopted == e.Number) {
+				v.adoptions.record(e.Number, old.Name, now)
 			}
 		}
 	}
 }
 
-func (v *zoneReports) record(number uint64, name string, now time.Time) {
-	if v.firstReports[number] == nil {
-		v.firstReports[number] = map[string]time.Time{}
+func (r memberReports) record(number uint64, name string, now time.Time) {
+	if r[number] == nil {
+		r[number] = map[string]time.Time{}
 	}
-	if _, ok := v.firstReports[number][name]; !ok {
-		v.firstReports[number][name] = now
+	if _, ok := r[number][name]; !ok {
+		r[number][name] = now
+	}
+}
+
+func (r memberReports) deleteThrough(number uint64) {
+	for n := range r {
+		if n <= number {
+			delete(r, n)
+		}
 	}
 }
 
@@ -75,22 +90,27 @@
 		if e.Number <= v.retired {
 			continue
 		}
-		if e.Number != v.retired+1 || !v.canRetire(e, now) {
+		if !e.follows(v.retired) || !majorityReported(v.firstReports[e.Number], e, now) {
 			break
 		}
 		v.retired = e.Number
 	}
-	for n := range v.firstReports {
-		if n <= v.retired {
-			delete(v.firstReports, n)
-		}
-	}
+	v.firstReports.deleteThrough(v.retired)
+	v.adoptions.deleteThrough(v.retired)
 	return v.retired
 }
 
-func (v *zoneReports) canRetire(e Epoch, now time.Time) bool {
+// follows reports whether no epoch lies between the given one and e, as far as that can be
+// known: at the beginning of an era the last epochs of the earlier one may be lost.
+func (e Epoch) follows(number uint64) bool {
+	return e.Base <= number || e.startsEra()
+}
+
+// majorityReported reports whether a majority of the members of an epoch reported so long
+// ago that any lease under it, or for adoption reports under an earlier one, has ended.
+func majorityReported(reports map[string]time.Time, e Epoch, now time.Time) bool {
 	times := make([]time.Time, 0, len(e.Members))
-	for _, at := range v.firstReports[e.Number] {
+	for _, at := range reports {
 		times = append(times, at)
 	}
 	if len(times) < e.Majority() {
@@ -124,7 +144,21 @@
 			return false
 		}
 	}
-	return epochs[0].Number <= retired+1
+	return epochs[0].follows(retired) && t.lostEpochsRetired(self.Zone, epochs, now)
+}
+
+// lostEpochsRetired reports whether the epochs are retired that this node doesn't know
+// because an era began with an epoch whose base it lacks. They are once a majority of the
+// members of that epoch has adopted it for the time of a lease.
+func (t *Tracker) lostEpochsRetired(zone string, epochs []Epoch, now time.Time) bool {
+	v := t.zone(zone)
+	for i, e := range epochs {
+		baseKnown := e.Base == 0 || i > 0 && epochs[i-1].Number >= e.Base
+		if e.startsEra() && !baseKnown && e.Number > v.retired && !majorityReported(v.adoptions[e.Number], e, now) {
+			return false
+		}
+	}
+	return true
 }
 
 // OwnedSince reports whether self was the owner in every epoch after from up to
@@ -134,15 +168,14 @@
 	if s.HasGap(self.Zone) {
 		return false
 	}
-	want := from + 1
 	for _, e := range s.Epochs(self.Zone) {
-		if e.Number < want {
+		if e.Number <= from {
 			continue
 		}
-		if e.Number != want || !owner(e).Same(self) {
+		if e.Base != from || !owner(e).Same(self) {
 			return false
 		}
-		want++
+		from = e.Number
 	}
 	return true
 }
--- a/core/epoch/state.go
+++ b/core/epoch/state.go
@@ -38,9 +38,12 @@
 // it arrives from the log or from a peer. Records that arrive meanwhile are
 // buffered and applied afterwards.
 type State struct {
+	Era   uint64 // of the log; see StartEra
 	Next  uint64 // offset of the next record to apply
 	gap   uint64 // records before this offset were not read; 0 for none
 	zones map[string]*zone
+
+	rereading bool // the end of the log was not reached since StartEra
 }
 
 type zone struct {
@@ -62,13 +65,18 @@
 	return &State{zones: map[string]*zone{}}
 }
 
-// SkipTo records that the records before first can no longer be read.
+// SkipTo records that the records before first can no longer be read. A zone that is known
+// from an earlier era has no gap: what it lacks are records of that era, and any record of
+// the present one is newer than its epoch.
 func (s *State) SkipTo(first uint64) {
 	if first <= s.Next {
 		return
 	}
 	s.Next, s.gap = first, first
 	for _, z := range s.zones {
+		if s.rereading && len(z.epochs) > 0 {
+			continue
+		}
 		z.gap, z.buffered = first, nil
 	}
 }
@@ -78,7 +86,7 @@
 // new, since the snapshot of an existing zone is repeated well within the
 // retention time.
 func (s *State) ReachedEnd() {
-	s.gap = 0
+	s.gap, s.rereading = 0, false
 	for _, z := range s.zones {
 		if z.gap > 0 && len(z.epochs) == 0 {
 			z.closeGap()
@@ -132,14 +140,14 @@
 // Restore replaces the state of a zone by a snapshot, which may come from a
 // peer, and reports whether it did. A snapshot is accepted if it covers the gap
 // of a zone or, in a zone without a gap, has a higher current epoch. A zone
-// never reverts.
+// never reverts. A snapshot of an earlier era may have any offset.
 func (s *State) Restore(snap Snapshot) bool {
 	epochs := slices.Clone(snap.Epochs)
 	if snap.Zone == "" || !validEpochs(snap.Zone, epochs) {
 		return false
 	}
 	z := s.zone(snap.Zone)
-	newer := snap.Offset >= z.next && epochs[len(epochs)-1].Number > z.currentNumber()
+	newer := (snap.Offset >= z.next || s.Era > 0) && epochs[len(epochs)-1].Number > z.currentNumber()
 	covers := z.gap > 0 && snap.Offset >= z.gap && epochs[len(epochs)-1].Number >= z.currentNumber()
 	if !newer && !covers {
 		return false
@@ -169,7 +177,7 @@
 
 // normalize sorts the members and reports whether the epoch is valid.
 func normalize(e *Epoch) bool {
-	if e.Zone == "" || e.Number != e.Base+1 || e.RetiredThrough > e.Base || len(e.Members) == 0 {
+	if e.Zone == "" || e.Number != e.Base+1 && !e.startsEra() || e.RetiredThrough > e.Base || len(e.Members) == 0 {
 		return false
 	}
 	e.Members = slices.Clone(e.Members)
@@ -217,7 +225,7 @@
 		return false
 	}
 	z.next = offset + 1
-	if e.Base != z.currentNumber() {
+	if e.Base != z.currentNumber() && (!e.startsEra() || e.Number <= z.currentNumber()) {
 		return false
 	}
 	z.epochs = append(z.epochs, e)
--- a/core/logsvc/log.go
+++ b/core/logsvc/log.go
@@ -13,12 +13,15 @@
 	StreamClaims = "claims"
 )
 
-// Batch holds consecutive records of a stream.
+// Batch holds consecutive records of a stream. Era is the number of the history that the
+// records belong to. It grows when the service comes back from a copy that lacks records,
+// whose offsets are then given out again. It is 0 if the service loses none.
 type Batch struct {
 	First   uint64   `json:"first"`   // offset of the first record in Records
 	Next    uint64   `json:"next"`    // offset from which to continue reading
 	End     uint64   `json:"end"`     // offset after the last record of the stream at the time of the read
 	Records [][]byte `json:"records"` // base64 on the wire
+	Era     uint64   `json:"era,omitempty"`
 }
 
 // Log reads and appends records.
@@ -33,11 +36,12 @@
 }
 
 // ExpiredError reports a read from an offset whose record the service no longer
-// retains.
+// retains, or from one after the end of the stream.
 type ExpiredError struct {
 	Stream string
 	From   uint64
 	First  uint64 // offset of the first retained record
+	Era    uint64 // see Batch
 }
 
 // Error implements error.
--- a/node/agent/statelog.go
+++ b/node/agent/statelog.go
@@ -25,6 +25,7 @@
 	change       store.Change
 	stale        bool // neither the log nor a peer has confirmed the configuration recently
 	epoch        uint64
+	logEra       uint64    // 0 before the first response of the log
 	lease        bool      // the zone lease is valid
 	others       []string  // other alive instances, sorted
 	upstream     string    // service, identifier and state; empty for none
@@ -57,6 +58,9 @@
 	if after.epoch != before.epoch {
 		add(hclog.Info, "zone member list in effect", "epoch", after.epoch, "before", before.epoch)
 	}
+	if after.logEra != before.logEra && before.logEra > 0 {
+		add(hclog.Warn, "the log has come back from a copy and may lack records", "era", after.logEra, "before", before.logEra)
+	}
 	switch {
 	case before.lease && !after.lease:
 		add(hclog.Warn, "zone lease lost: no tokens are lent", "epoch", after.epoch)
@@ -92,7 +96,7 @@
 
 // state returns the state of the node at the given time.
 func (a *Agent) state(now time.Time) nodeState {
-	s := nodeState{config: a.store.Offset(), epoch: a.zones.Adopted(), others: a.fleet.otherInstances(), droppedLines: a.droppedLines(), at: boot.Now()}
+	s := nodeState{config: a.store.Offset(), epoch: a.zones.Adopted(), logEra: a.zones.Era(), others: a.fleet.otherInstances(), droppedLines: a.droppedLines(), at: boot.Now()}
 	s.rateLimit = a.target.Load().Rate
 	s.change = a.store.LastChange()
 	s.stale = a.store.Current() != nil && a.store.Age(boot.Now()) > a.staleAfter()
--- a/node/agent/statelog_test.go
+++ b/node/agent/statelog_test.go
@@ -8,7 +8,7 @@
 
 // TestNotes guards against changes of the node's state that are not logged.
 func TestNotes(t *testing.T) {
-	base := nodeState{config: 7, epoch: 3, lease: true, others: []string{"a1", "b0"}, upstream: "runs a0-1 ready"}
+	base := nodeState{config: 7, epoch: 3, logEra: 1, lease: true, others: []string{"a1", "b0"}, upstream: "runs a0-1 ready"}
 	for _, test := range []struct {
 		name   string
 		change func(*nodeState)
@@ -18,6 +18,8 @@
 		{"configuration", func(s *nodeState) { s.config = 9 }, []string{"configuration in effect"}},
 		{"stale", func(s *nodeState) { s.stale = true }, []string{"configuration not confirmed by the log or a peer"}},
 		{"epoch", func(s *nodeState) { s.epoch = 4 }, []string{"zone member list in effect"}},
+		{"era", func(s *nodeState) { s.logEra = 2 }, []string{"the log has come back from a copy and may lack records"}},
+		{"rate limit", func(s *nodeState) { s.rateLimit = 4 }, []string{"upstream states a rate limit"}},
 		{"lease", func(s *nodeState) { s.lease = false }, []string{"zone lease lost: no tokens are lent"}},
 		{"one goes, one comes", func(s *nodeState) { s.others = []string{"a1", "c0"} }, []string{"instances lost", "instances found"}},
 		{"upstream", func(s *nodeState) { s.upstream = "" }, []string{"upstream changed"}},
@@ -34,7 +36,7 @@
 		})
 	}
 	t.Run("and back", func(t *testing.T) {
-		disconnected := nodeState{config: 7, stale: true, epoch: 3}
+		disconnected := nodeState{config: 7, stale: true, epoch: 3, logEra: 1}
 		var got []string
 		for _, line := range changes(disconnected, base) {
 			got = append(got, line.text)
--- a/node/zones/tasks.go
+++ b/node/zones/tasks.go
@@ -47,19 +47,35 @@
 	case err == nil:
 		z.Fold(b, time.Now())
 	case errors.As(err, &expired):
-		z.mu.Lock()
-		defer z.mu.Unlock()
-		z.state.SkipTo(expired.First)
+		return z.handleExpired(expired, next, time.Now())
 	default:
 		return err
 	}
 	return nil
 }
 
+// handleExpired continues after a read from an offset that the log doesn't have: at its
+// first retained record, or from the beginning if its history went back. Otherwise the
+// error stands, so that the next read waits.
+func (z *Zones) handleExpired(e *logsvc.ExpiredError, from uint64, now time.Time) error {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.startEra(e.Era, now)
+	z.state.SkipTo(e.First)
+	if z.state.Next == from {
+		return e
+	}
+	return nil
+}
+
 // Fold applies a batch of the log stream "epochs".
 func (z *Zones) Fold(b logsvc.Batch, now time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
+	z.startEra(b.Era, now)
+	if b.Era < z.state.Era || b.First > z.state.Next {
+		return // read in an earlier era, or at an offset of one
+	}
 	z.fold(b.First, b.Records, b.End, now)
 }
 
@@ -156,7 +172,7 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.mergeGossip(entries, retired, now)
-	if z.state.HasGap(z.self.Zone) || now.Sub(z.lastAppend) < epoch.TurnDuration {
+	if z.state.HasGap(z.self.Zone) || z.state.Rereading() || now.Sub(z.lastAppend) < epoch.TurnDuration {
 		return epoch.Record{}, false
 	}
 	if e, ok := epoch.Propose(z.proposalView(now), now); ok {
@@ -206,6 +222,7 @@
 func (z *Zones) proposalView(now time.Time) epoch.View {
 	v := epoch.View{
 		Zone: z.self.Zone, Self: z.self, Started: z.started, Adopted: z.adopted,
+		Era: z.state.Era, EraSince: z.eraSince,
 		Unretired: z.tracker.Unretired(z.self.Zone, now), Retired: z.tracker.Retired(z.self.Zone, now),
 	}
 	v.Current, _ = z.state.Current(z.self.Zone)
--- a/node/zones/zones.go
+++ b/node/zones/zones.go
@@ -41,6 +41,7 @@
 	tracker    *epoch.Tracker
 	snapshots  *epoch.SnapshotScheduler
 	adopted    time.Time
+	eraSince   time.Time // when this node learned of the era of the log
 	lastAppend time.Time // last append of this node
 	presences  map[string]epoch.Presence
 	adoptHooks []func(now time.Time)
@@ -120,8 +121,11 @@
 
 // Position is how far a node has applied the stream.
 type Position struct {
-	Next uint64 `msgpack:"next"` // offset of the next record
-	Gap  bool   `msgpack:"gap"`  // records are missing that only a snapshot can replace
+	Next  uint64 `msgpack:"next"`  // offset of the next record
+	Gap   bool   `msgpack:"gap"`   // records are missing that only a snapshot can replace
+	Era   uint64 `msgpack:"era"`   // of the log
+	Zone  string `msgpack:"zone"`  // of the node
+	Epoch uint64 `msgpack:"epoch"` // current epoch of the zone
 }
 
 // Update holds the records from the position of a peer on, or snapshots of every zone if
@@ -131,25 +135,36 @@
 	Records   [][]byte         `msgpack:"records,omitempty"`
 	Snapshots []epoch.Snapshot `msgpack:"snapshots,omitempty"`
 	Next      uint64           `msgpack:"next"` // offset after the last record
+	Era       uint64           `msgpack:"era"`  // of the log
 }
 
 // Position returns how far this node has applied the stream.
 func (z *Zones) Position() Position {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return Position{Next: z.state.Next, Gap: z.state.HasGap(z.self.Zone)}
+	current, _ := z.state.Current(z.self.Zone)
+	return Position{
+		Next: z.state.Next, Gap: z.state.HasGap(z.self.Zone), Era: z.state.Era, Zone: z.self.Zone, Epoch: current.Number,
+	}
 }
 
-// Update returns the update for a peer, and whether there is anything new for it.
+// Update returns the update for a peer, and whether there is anything new for it. A peer in
+// an earlier era of the log, or whose epoch is older although it has all records, gets
+// snapshots: records may be lost that this node applied.
 func (z *Zones) Update(p Position) (Update, bool) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	u := Update{First: p.Next, Next: z.state.Next}
-	if p.Next >= z.state.Next && !p.Gap {
+	u := Update{First: p.Next, Next: z.state.Next, Era: z.state.Era}
+	if p.Era > z.state.Era {
+		return u, false
+	}
+	current, _ := z.state.Current(p.Zone)
+	sameEra := p.Era == z.state.Era
+	if sameEra && !p.Gap && p.Next >= z.state.Next && p.Epoch >= current.Number {
 		return u, false
 	}
 	records, ok := z.recent.From(p.Next, z.state.Next)
-	if ok && !p.Gap {
+	if sameEra && !p.Gap && ok && p.Next < z.state.Next {
 		u.Records = records
 		return u, true
 	}
@@ -158,7 +173,7 @@
 			u.Snapshots = append(u.Snapshots, s)
 		}
 	}
-	return u, len(u.Snapshots) > 0
+	return u, len(u.Snapshots) > 0 || !sameEra
 }
 
 // ApplyUpdate applies the update of a peer. Records and snapshots that are not newer change
@@ -166,6 +181,10 @@
 func (z *Zones) ApplyUpdate(u Update, now time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
+	if u.Era < z.state.Era {
+		return
+	}
+	z.startEra(u.Era, now)
 	if len(u.Records) > 0 && u.First <= z.state.Next {
 		z.fold(u.First, u.Records, u.Next, now)
 	}
@@ -180,6 +199,25 @@
 	}
 }
 
+// startEra begins to apply the log anew if its history went back. The caller holds mu.
+func (z *Zones) startEra(era uint64, now time.Time) {
+	if !z.state.StartEra(era) {
+		return
+	}
+	z.eraSince = now
+	z.recent = ring.NewRecords(maxRecentRecords)
+	if z.onNews != nil {
+		z.onNews()
+	}
+}
+
+// Era returns the era of the log, as far as this node knows.
+func (z *Zones) Era() uint64 {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.state.Era
+}
+
 // adopt updates the lease after the current epoch of a zone changed. The caller
 // holds mu.
 func (z *Zones) adopt(zone string, now time.Time) {
