store: a source that is behind confirms nothing

Cause: a read of the store proves that the node's configuration is the newest, and with strict revocation keys work only while there is such a proof. A store that has come back from a copy and holds an older version than the node gave the same proof, though it knows nothing of the changes since the copy; so did a peer whose state covers less.

Change: the source tells which version it holds. One older than what the node knew when it asked is an error, so that reads go on with pauses and the age of the configuration grows; the node keeps its version. TestStoreBehindConfirmsNothing is new with it (on the code before there is no error).

--- a/core/config/reader.go
+++ b/core/config/reader.go
@@ -147,10 +147,13 @@
 
 // ApplyPeerSnapshot replaces the state by that of another node if that covers
 // more records, and reports whether it did. The age is that of the other state;
-// see Batch.Age.
+// see Batch.Age. A state that covers fewer records confirms nothing: its log may
+// have come back from a copy.
 func (r *Reader) ApplyPeerSnapshot(now time.Time, s Snapshot, age time.Duration) bool {
 	ok := r.restore(s)
-	r.updateAsOf(now, Batch{First: s.Offset, End: s.Offset, Age: age})
+	if s.Offset >= r.state.Next {
+		r.updateAsOf(now, Batch{First: s.Offset, End: s.Offset, Age: age})
+	}
 	return ok
 }
 
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"dogwoodsill.org/core/boot"
@@ -68,21 +69,39 @@
 
 // Source is a service that stores the newest configuration as a whole.
 type Source interface {
-	// Next returns the newest configuration if it differs from the one that it
+	// Next returns the newest configuration if it is later than the one that it
 	// returned last. Otherwise it waits at most the given time for a change, and
-	// returns nil if there was none.
-	Next(ctx context.Context, wait time.Duration) (*config.Snapshot, error)
+	// returns nil if there was none. newest is the offset of the configuration that
+	// the source holds, 0 for none. It may be lower than before if the source has
+	// come back from a copy.
+	Next(ctx context.Context, wait time.Duration) (snap *config.Snapshot, newest uint64, err error)
+}
+
+// BehindError reports that a source holds an older configuration than the node. It has come
+// back from a copy, and says nothing about changes since.
+type BehindError struct {
+	Newest uint64 // offset of the configuration that the source holds
+	Known  uint64 // offset of the node's configuration when it asked
+}
+
+// Error implements error.
+func (e *BehindError) Error() string {
+	return fmt.Sprintf("the source is behind: it holds configuration %d, this node has %d", e.Newest, e.Known)
 }
 
 // ReadSource reads the configuration from a source once and applies it. The read waits at
 // most the given time for a change.
 func (s *Store) ReadSource(ctx context.Context, src Source, wait time.Duration) error {
-	sent := boot.Now()
-	snap, err := src.Next(ctx, wait)
-	if err == nil {
-		s.ApplySnapshot(snap, sent, boot.Now())
+	sent, known := boot.Now(), s.Offset()
+	snap, newest, err := src.Next(ctx, wait)
+	if err != nil {
+		return err
 	}
-	return err
+	if newest < known {
+		return &BehindError{Newest: newest, Known: known}
+	}
+	s.ApplySnapshot(snap, sent, boot.Now())
+	return nil
 }
 
 // ApplySnapshot applies the result of a call of a source that was sent at the given
