agent: nodes register again in a store that comes back from a copy

What users could see: nodes that start later don't find the others, so that a fleet falls apart after a drill in which it had just started.

Cause: a node writes its address to the directory once, at its start. What the system wrote in the lost seconds is gone. Ruled out as covered: gossip reaches all nodes as long as one registration is left.

Change: the registration tells the era in which it was stored; a node that hears of a later one registers again, spread over a second.

--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"dogwoodsill.org/core/logsvc"
@@ -28,8 +29,9 @@
 // Directory is the service through which the nodes of a fleet discover each other.
 type Directory interface {
 	// Register registers the peer address of an instance. It replaces an earlier
-	// address of the same instance.
-	Register(ctx context.Context, instance, addr string) error
+	// address of the same instance. It returns the era of the log in which the
+	// address was stored, see logsvc.Batch.
+	Register(ctx context.Context, instance, addr string) (era uint64, err error)
 	// Peers returns the addresses of all registered instances.
 	Peers(ctx context.Context) ([]string, error)
 }
@@ -48,6 +50,9 @@
 	directoryMaxWait = 30 * time.Second
 	directoryTimeout = 2 * time.Second // timeout of one request
 
+	eraCheckInterval = 250 * time.Millisecond // between two checks of the era of the log
+	eraSpread        = time.Second            // over which the nodes register again in a new era
+
 	// When a node shuts down on a platform, it first lingers: it continues to
 	// serve until the platform has noticed. refuseLead before the end of that
 	// time it starts to refuse calls to its local upstream, so that other nodes
@@ -79,31 +84,54 @@
 // addresses of other nodes from it. Of two nodes, the one that reads later than it
 // registered finds the other, so one read after the registration suffices; gossip
 // reports all others. The directory is read again while gossip knows less than half of
-// the nodes that were registered.
+// the nodes that were registered. A directory that comes back from a copy may lack the
+// registration, so the node repeats it.
 func (a *Agent) discover(ctx context.Context) error {
 	registered, complete, wait := false, false, directoryMinWait
+	var era uint64 // of the registration
 	for ctx.Err() == nil {
-		before := registered
-		registered = registered || a.register(ctx)
+		before := registered && era >= a.zones.Era()
+		registered = before
+		if !registered {
+			era, registered = a.register(ctx)
+		}
 		if !complete || a.fleet.Size() < a.knownNodes()/2 {
 			complete = a.readDirectory(ctx) && registered
 		}
 		if before {
 			wait = min(directoryGrowth*wait, directoryMaxWait)
 		}
-		super.Pause(ctx, wait)
+		if !registered {
+			super.Pause(ctx, wait)
+			continue
+		}
+		a.pauseInEra(ctx, wait, era)
 	}
 	return nil
 }
 
-func (a *Agent) register(ctx context.Context) bool {
+// pauseInEra pauses for the given time, or until the era of the log is a later one. Nodes that
+// learn of that at the same time then continue at different times.
+func (a *Agent) pauseInEra(ctx context.Context, d time.Duration, era uint64) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if a.zones.Era() > era {
+			super.Pause(ctx, rand.N(eraSpread))
+			return
+		}
+		if !super.Pause(ctx, min(eraCheckInterval, time.Until(end))) {
+			return
+		}
+	}
+}
+
+func (a *Agent) register(ctx context.Context) (era uint64, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
-	err := a.platform.Directory.Register(ctx, a.cfg.Instance.Name, a.advertisedAddr())
+	era, err := a.platform.Directory.Register(ctx, a.cfg.Instance.Name, a.advertisedAddr())
 	if err != nil {
 		a.log.Warn("registering the node failed", "error", err)
 	}
-	return err == nil
+	return era, err == nil
 }
 
 func (a *Agent) readDirectory(ctx context.Context) bool {
