member: each address of the directory is tried soon

What users could see: a node that starts a moment before the others serves nobody for half a minute, as it knows no other node and none talks to it.

Cause: of two nodes, the one that reads the directory later knows the other's address, but a node contacted one unknown address and the next one 30 s later. A node whose own read found only itself is found through nobody.

Change: after a read of the directory each unknown address gets one packet, with the gossip interval between them. TestEachNewSeedIsTried fails before: c and d are not tried.

--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -30,6 +30,7 @@
 	nextSeed     time.Duration
 	nextExpire   time.Duration
 	seedIndex    int
+	newSeeds     int      // seeds that were not tried since SetSeeds
 	probeOrder   []string // peers still to be probed in this round
 	rumors       map[string]*rumor
 	exchanges    map[string]*zoneExchange // by zone; used only while this is a border instance
--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -412,3 +412,23 @@
 	}
 	t.Logf("change reached all of 9 to 647 nodes after at most %v", worst)
 }
+
+// Guards against a node that stays alone for long because it read the directory first: the
+// others know its address, but talk to each other.
+func TestEachNewSeedIsTried(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := New(Config{Name: "a", Incarnation: 1, Addr: "a:1", Zone: "z"}, now)
+	m.SetSeeds([]string{"a:1", "b:1", "c:1", "d:1"})
+	tried := map[string]bool{}
+	for range 5 * int(GossipInterval/TickInterval) {
+		now = now.Add(TickInterval)
+		for _, msg := range m.Tick(now) {
+			tried[msg.Addr] = true
+			if msg.Addr == "b:1" { // only this one responds
+				b := Entry{Name: "b", Incarnation: 1, Version: 1, Addr: "b:1", Zone: "z"}
+				m.ReceiveReply(now, msg.ID, Packet{From: "b", Incarnation: 1, Addr: "b:1", Zone: "z", Entries: []Entry{b}})
+			}
+		}
+	}
+	assert.DeepEqual(t, tried, map[string]bool{"b:1": true, "c:1": true, "d:1": true})
+}
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -115,6 +115,7 @@
 	for range m.cfg.Seeds {
 		addr := m.cfg.Seeds[m.seedIndex%len(m.cfg.Seeds)]
 		m.seedIndex++
+		m.newSeeds = max(0, m.newSeeds-1)
 		if addr == m.cfg.Addr || known[addr] && !anySeed {
 			continue
 		}
@@ -122,6 +123,9 @@
 		m.addDigests(p)
 		m.addRumors(p, "", nil)
 		m.queue(p, nil, pendingMessage{kind: kindSeed, addr: addr})
+		if m.newSeeds > 0 {
+			m.nextSeed = m.clock
+		}
 		return
 	}
 }
@@ -264,9 +268,10 @@
 	m.markReplied(pm)
 }
 
-// SetSeeds replaces the seed addresses. One that is not a known member is tried
-// with the next gossip packet.
+// SetSeeds replaces the seed addresses. Those that are not known members are tried with the
+// next gossip packets, one each: one of them may know no other node, and so can't be found
+// through any.
 func (m *Machine) SetSeeds(addrs []string) {
-	m.cfg.Seeds = addrs
+	m.cfg.Seeds, m.newSeeds = addrs, len(addrs)
 	m.nextSeed = m.clock
 }
