agent: a node that starts asks a peer before it serves

What users could see: a withdrawn key works at a node that restarts while the store, back from a copy, doesn't have the withdrawal yet.

Cause: a starting node took what the store held for the newest and served with it until gossip told of a later version, some tenths of a second.

Change: on a platform the first configuration takes effect once a peer has been heard and none has a newer one; after a second, or if the directory lists no other node, it does so anyway. Not covered: a node that can reach the store and no peer.

--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -14,6 +14,7 @@
 	table      *table
 	self       Entry
 	superseded bool
+	heardPeer  bool // a packet of another node has arrived
 
 	formerTarget *Target // of an earlier process of this instance, if its upstream was leaving
 	joined       bool
@@ -271,6 +272,11 @@
 	return r.Entry, true
 }
 
+// HeardPeer reports whether a packet of another node has arrived.
+func (m *Machine) HeardPeer() bool {
+	return m.heardPeer
+}
+
 // FormerTarget returns the target that an earlier process of this instance announced, if its
 // upstream was leaving, or nil.
 func (m *Machine) FormerTarget() *Target {
@@ -301,7 +307,7 @@
 	if p.From == m.cfg.Name && p.Incarnation == m.cfg.Incarnation {
 		return // one of the seed addresses is our own
 	}
-	m.lastContact = m.clock
+	m.lastContact, m.heardPeer = m.clock, true
 	m.retired.merge(p.Retired, m.rumorLimit())
 	m.offsets.merge(p.Offsets, m.rumorLimit())
 	var urgent []string
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -148,6 +148,15 @@
 	return f.machine.NewerConfigPeer()
 }
 
+// knowsNewestConfig reports whether another node has been heard and no node is known to have
+// a newer configuration.
+func (f *fleet) knowsNewestConfig() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, newer := f.machine.NewerConfigPeer()
+	return f.machine.HeardPeer() && !newer
+}
+
 func (f *fleet) deliver(ctx context.Context, s member.Message) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/retry"
 	"dogwoodsill.org/core/super"
@@ -50,6 +51,11 @@
 	directoryMaxWait = 30 * time.Second
 	directoryTimeout = 2 * time.Second // timeout of one request
 
+	// firstConfigWait is how long a node that starts waits for a peer after it has read the
+	// configuration. A peer responds within a few gossip intervals, if there is any.
+	firstConfigWait     = time.Second
+	firstConfigInterval = 20 * time.Millisecond // between two checks
+
 	eraCheckInterval = 250 * time.Millisecond // between two checks of the era of the log
 	eraSpread        = time.Second            // over which the nodes register again in a new era
 
@@ -74,12 +80,34 @@
 // startPlatform starts the background tasks that only a platform with its own
 // protocols needs.
 func (a *Agent) startPlatform(cs *super.Tree) {
+	a.store.HoldFirst()
+	cs.Start("first", a.releaseFirstConfig)
 	cs.Start("read", a.readConfig(func(ctx context.Context, wait time.Duration) error {
 		return a.store.ReadSource(ctx, a.platform.ConfigSource, wait)
 	}))
 	a.tree.NewSubtree("directory").Start("meet", a.discover)
 }
 
+// releaseFirstConfig is the background task that lets the first configuration take effect when
+// a peer knows no newer one. A store that has come back from a copy may hold an older one
+// than the fleet, with keys that were revoked since.
+func (a *Agent) releaseFirstConfig(ctx context.Context) error {
+	var read time.Time // when the configuration was read, or the zero time
+	for ctx.Err() == nil && a.store.Current() == nil {
+		now := time.Now()
+		if read.IsZero() && a.store.Offset() > 0 {
+			read = now
+		}
+		alone := a.registeredNodes.Load() == 1
+		if !read.IsZero() && (alone || a.fleet.knowsNewestConfig() || now.Sub(read) >= firstConfigWait) {
+			a.store.ReleaseFirst(boot.Now())
+			return nil
+		}
+		super.Pause(ctx, firstConfigInterval)
+	}
+	return nil
+}
+
 // discover is the background task that registers the node in the directory and reads the
 // addresses of other nodes from it. Of two nodes, the one that reads later than it
 // registered finds the other, so one read after the registration suffices; gossip
--- a/node/store/store.go
+++ b/node/store/store.go
@@ -39,6 +39,7 @@
 	news       uint64    // number of the latest news
 	published  uint64    // offset as of the last news
 	failing    bool      // the last read of this node failed
+	held       bool      // the first configuration must not take effect yet
 	emptyAsOf  time.Time // time at which the source was known to have no configuration yet; zero if never
 }
 
@@ -205,7 +206,7 @@
 	s.announceProgress(now, offset != s.published)
 	s.published = offset
 	old := s.current.Load()
-	if old == nil && !confirmed && !acceptUnconfirmed {
+	if old == nil && (!confirmed || s.held) && !acceptUnconfirmed {
 		return
 	}
 	view := s.reader.View()
@@ -221,6 +222,20 @@
 	}
 }
 
+// HoldFirst keeps the first configuration from taking effect until ReleaseFirst. It must be
+// called before the background tasks start.
+func (s *Store) HoldFirst() {
+	s.held = true
+}
+
+// ReleaseFirst lets the first configuration take effect once it is confirmed.
+func (s *Store) ReleaseFirst(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = false
+	s.publish(now, FromLog, false)
+}
+
 func smallestMaxAge(v *config.View) time.Duration {
 	var smallest int64
 	for _, r := range v.Routes {
