--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -14,12 +14,11 @@
 	table      *table
 	self       Entry
 	superseded bool
-	heardPeer  bool // a packet of another node has arrived
-
-	formerTarget *Target // of an earlier process of this instance, if its upstream was leaving
-	joined       bool
-	retired      *zoneValues // highest retired epoch of each zone
-	offsets      *zoneValues // minimum configuration offset of each zone
+	joined     bool
+	heardPeer  bool        // a packet of another node has arrived
+	former     *Target     // of an earlier process of this instance, if its upstream was leaving
+	retired    *zoneValues // highest retired epoch of each zone
+	offsets    *zoneValues // minimum configuration offset of each zone
 
 	now            time.Time     // time of the last call
 	clock          time.Duration // machine time: sum of the time between calls, without pauses
@@ -280,7 +279,7 @@
 // FormerTarget returns the target that an earlier process of this instance announced, if its
 // upstream was leaving, or nil.
 func (m *Machine) FormerTarget() *Target {
-	return m.formerTarget
+	return m.former
 }
 
 // ReceiveReply handles the reply to a packet. The caller need not report that a
@@ -405,7 +404,7 @@
 		m.superseded = true
 	case e.Incarnation < m.cfg.Incarnation:
 		if e.Target != nil && e.Target.LeavingID != "" {
-			m.formerTarget = e.Target
+			m.former = e.Target
 		}
 		m.spreadEntry(m.cfg.Name, "")
 	case Compare(e, m.self) > 0:
--- a/node/relay/protocol.go
+++ b/node/relay/protocol.go
@@ -52,7 +52,7 @@
 		return s, true
 	}
 	perSec, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(perSec >= 0) || math.IsInf(perSec, 0) {
+	if err != nil || math.IsNaN(perSec) || math.IsInf(perSec, 0) || perSec < 0 {
 		return s, s.Leaving
 	}
 	s.Limited, s.PerSec = true, perSec
