admit: a limited target refuses nothing at the entry while another may have room

What users could see: for about a second after upstreams have stated a limit, 3 to 21 of 120 requests are refused as overloaded though the fourth upstream has room (bench/site TestStatedRateLimitHolds, logged by second, beside other load).

Cause: the level of a service came from its limited targets as long as no report of another one was younger than a second. A node that has only heard limited targets of its zone so refused requests that another zone would serve.

Change: levels of limited targets count only if all targets of the service are limited.

--- a/bench/site/statement_test.go
+++ b/bench/site/statement_test.go
@@ -1,6 +1,7 @@
 package site_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -14,6 +15,7 @@
 	"dogwoodsill.org/bench/fakes"
 	"dogwoodsill.org/bench/load"
 	"dogwoodsill.org/bench/site"
+	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/node/relay"
 )
 
@@ -41,6 +43,16 @@
 	return most
 }
 
+// startUnlimited starts the Press deployment with a customer theatre without a rate, so that
+// its requests depend on the upstreams only.
+func startUnlimited(t *testing.T) (context.Context, *site.Running) {
+	t.Helper()
+	ctx, r := startParallel(t)
+	assert.NilError(t, r.Publish(ctx, model.KindCustomer, "theatre", model.Customer{Unlimited: true}))
+	assert.NilError(t, r.InForce(ctx))
+	return ctx, r
+}
+
 // lookups returns requests for print runs that enter at all nodes except some.
 func lookups(r *site.Running, perSecond float64, except ...*site.Node) []load.Stream {
 	var urls []string
@@ -98,7 +110,7 @@
 		{"node of a limited upstream restarts", true, 2, time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			ctx, r := startParallel(t)
+			ctx, r := startUnlimited(t)
 			limited := nodesOf(r, "archive")[1:]
 			for _, i := range limited {
 				r.Nodes[i].Upstream.RecordArrivals()
@@ -130,7 +142,7 @@
 
 // Guards against a limit that remains after the upstream has ceased to state it.
 func TestStatedRateLimitEnds(t *testing.T) {
-	ctx, r := startParallel(t)
+	ctx, r := startUnlimited(t)
 	archives := nodesOf(r, "archive")
 	for _, i := range archives {
 		r.Nodes[i].Upstream.StateRateLimit(4)
@@ -159,7 +171,7 @@
 		{"announced", func(t *testing.T, u *fakes.Upstream) { assert.NilError(t, u.SetState(relay.Draining)) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			ctx, r := startParallel(t)
+			ctx, r := startUnlimited(t)
 			i := nodesOf(r, "archive")[1]
 			u := r.Nodes[i].Upstream
 			u.RecordArrivals()
@@ -181,7 +193,7 @@
 // Guards against an upstream that stays unused because an earlier process at its address
 // has left.
 func TestNextProcessIsServed(t *testing.T) {
-	ctx, r := startParallel(t)
+	ctx, r := startUnlimited(t)
 	i := nodesOf(r, "archive")[1]
 	u := r.Nodes[i].Upstream
 	u.RecordArrivals()
--- a/core/admit/rate_test.go
+++ b/core/admit/rate_test.go
@@ -96,7 +96,10 @@
 	for _, target := range []string{"a", "b", "c"} {
 		report(th, target, 5, true)
 	}
-	assert.Equal(t, th.Level(now, "s"), uint32(5), "all targets are limited")
+	assert.Equal(t, th.Level(now, "s"), OpenLevel, "the fourth has not reported yet")
 	report(th, "d", OpenLevel, false)
 	assert.Equal(t, th.Level(now, "s"), OpenLevel)
+	report(th, "d", 7, true)
+	th.SetLimited("s", true)
+	assert.Equal(t, th.Level(now, "s"), uint32(5), "all targets are limited")
 }
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -42,6 +42,7 @@
 
 type serviceState struct {
 	targets   map[string]levelReport
+	limited   bool // all targets have a rate limit
 	customers map[string]*customerState
 	ranks     []uint32 // ring buffer of recent requests
 	next      int
@@ -158,6 +159,11 @@
 	c.demandAt = now
 }
 
+// SetLimited records whether all targets of a service have a rate limit.
+func (t *Throttle) SetLimited(name string, limited bool) {
+	t.service(name).limited = limited
+}
+
 // Demand returns the demand of a customer as a multiple of its fair share of
 // the service, as the argument of Rank. It is 1 without a recent report.
 func (t *Throttle) Demand(now time.Time, name, customer string) float64 {
@@ -197,7 +203,7 @@
 // Level returns the level of a service: the upper median over the unexpired
 // levels of its targets, or OpenLevel if there are none. A single overloaded
 // target thus doesn't cause refusals for the whole service. Targets with a rate
-// limit count only if there are no others, as the others serve what they refuse.
+// limit count only if all have one, as the others serve what they refuse.
 func (t *Throttle) Level(now time.Time, name string) uint32 {
 	s := t.services[name]
 	if s == nil {
@@ -218,8 +224,8 @@
 			levels = append(levels, t.level)
 		}
 	}
-	if len(levels) == 0 {
-		levels = limitedLevels
+	if s.limited {
+		levels = append(levels, limitedLevels...)
 	}
 	if len(levels) == 0 {
 		return OpenLevel
--- a/core/picker/pace.go
+++ b/core/picker/pace.go
@@ -78,6 +78,22 @@
 	t.pace.limited = limited
 }
 
+// AllLimited reports whether there are targets and the upstreams of all that don't drain
+// state a rate limit.
+func (s *Set) AllLimited() bool {
+	n := 0
+	for _, t := range s.targets {
+		switch {
+		case t.Draining:
+		case !t.pace.limited:
+			return false
+		default:
+			n++
+		}
+	}
+	return n > 0
+}
+
 // Limited reports whether the upstream of a target states a rate limit.
 func (s *Set) Limited(id string) bool {
 	t := s.find(id)
--- a/core/picker/pace_test.go
+++ b/core/picker/pace_test.go
@@ -68,7 +68,9 @@
 	now := time.Unix(1000, 0)
 	s.Update([]Target{{ID: "a", Zone: "z"}, {ID: "b", Zone: "y"}})
 	s.SetLimited(now, "a", true)
+	assert.Assert(t, !s.AllLimited())
 	s.SetLimited(now, "b", true)
+	assert.Assert(t, s.AllLimited())
 	for range 20 {
 		_, ok := s.Pick(now, Query{}, rng)
 		assert.Assert(t, ok)
--- a/node/relay/balance.go
+++ b/node/relay/balance.go
@@ -137,6 +137,7 @@
 		targets = append(targets, picker.Target{ID: c.ID, Zone: c.Zone, Draining: c.State == Draining})
 	}
 	s.picker.Update(targets)
+	b.throttle.SetLimited(service, s.picker.AllLimited())
 	return s
 }
 
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -165,6 +165,7 @@
 	if s != nil && s.Leaving {
 		targets.Drain(from.ID)
 	}
+	b.throttle.SetLimited(service, targets.AllLimited())
 }
 
 // keepStatement keeps a statement about the upstream beside an instance and removes old
