--- a/bench/site/statement_test.go
+++ b/bench/site/statement_test.go
@@ -48,7 +48,9 @@
 func startUnlimited(t *testing.T) (context.Context, *site.Running) {
 	t.Helper()
 	ctx, r := startParallel(t)
-	assert.NilError(t, r.Publish(ctx, model.KindCustomer, "theatre", model.Customer{Unlimited: true}))
+	theatre := r.Site.Customers["theatre"]
+	theatre.Unlimited = true
+	assert.NilError(t, r.Publish(ctx, model.KindCustomer, "theatre", theatre))
 	assert.NilError(t, r.InForce(ctx))
 	return ctx, r
 }
