agent: registrations in a new era are spread by the size of the fleet

9,700 nodes that register again within a second exceed the writes of any store of the platform; they now come 10 ms apart on average, over a second at least, so that nothing changes up to 100 nodes.

--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -57,7 +57,10 @@
 	firstConfigInterval = 20 * time.Millisecond // between two checks
 
 	eraCheckInterval = 250 * time.Millisecond // between two checks of the era of the log
-	eraSpread        = time.Second            // over which the nodes register again in a new era
+	// In a new era the nodes of a fleet register again one registrationInterval apart on
+	// average, over minRegistrationSpread at least, since the store bounds its writes.
+	registrationInterval  = 10 * time.Millisecond
+	minRegistrationSpread = time.Second
 
 	// When a node shuts down on a platform, it first lingers: it continues to
 	// serve until the platform has noticed. refuseLead before the end of that
@@ -143,7 +146,8 @@
 func (a *Agent) pauseInEra(ctx context.Context, d time.Duration, era uint64) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		if a.zones.Era() > era {
-			super.Pause(ctx, rand.N(eraSpread))
+			spread := time.Duration(a.knownNodes()) * registrationInterval
+			super.Pause(ctx, rand.N(max(minRegistrationSpread, spread)))
 			return
 		}
 		if !super.Pause(ctx, min(eraCheckInterval, time.Until(end))) {
