relay: what an upstream states is applied only when it changes

Cause: each response applied the statement to the gate anew, and each reply made the caller look through the targets of the service whether all are limited, though neither had changed. That is work on the path of every call, under two locks.

Change: both happen on a change only. Behaviour is the same: setting a rate again to its value did nothing, and a change of the list of targets is seen in updatedSet. Found by reading; the gain was not measured.

--- a/core/picker/pace.go
+++ b/core/picker/pace.go
@@ -68,14 +68,16 @@
 	}
 }
 
-// SetLimited records whether the upstream of a target states a rate limit.
-func (s *Set) SetLimited(now time.Time, id string, limited bool) {
+// SetLimited records whether the upstream of a target states a rate limit. It reports
+// whether that is a change.
+func (s *Set) SetLimited(now time.Time, id string, limited bool) bool {
 	t := s.find(id)
 	if t == nil || t.pace.limited == limited {
-		return
+		return false
 	}
 	t.pace.advance(now)
 	t.pace.limited = limited
+	return true
 }
 
 // AllLimited reports whether there are targets and the upstreams of all that don't drain
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -106,10 +106,12 @@
 	t.mu.Lock()
 	leaves := false
 	if t.upstream != nil && t.statement.same(p) {
-		wasLeaving := t.statement.Leaving
+		before := t.statement.Statement
 		change(&t.statement)
-		leaves = t.statement.Leaving && !wasLeaving
-		t.gate.applyStatement(t.statement.Statement, now)
+		leaves = t.statement.Leaving && !before.Leaving
+		if t.statement.Statement != before {
+			t.gate.applyStatement(t.statement.Statement, now)
+		}
 	}
 	t.mu.Unlock()
 	if leaves {
@@ -161,11 +163,14 @@
 		return
 	}
 	targets := b.ensureSet(service).picker
-	targets.SetLimited(now, from.ID, s != nil && s.Limited)
-	if s != nil && s.Leaving {
+	changed := targets.SetLimited(now, from.ID, s != nil && s.Limited)
+	leaving := s != nil && s.Leaving
+	if leaving {
 		targets.Drain(from.ID)
 	}
-	b.throttle.SetLimited(service, targets.AllLimited())
+	if changed || leaving {
+		b.throttle.SetLimited(service, targets.AllLimited())
+	}
 }
 
 // keepStatement keeps a statement about the upstream beside an instance and removes old
