entry: requests that end without a complete answer are counted and logged

Each such request is now counted by cause (aborted.callerLeft, aborted.responseFailed) and logged with the error.

The closing of idle connections moves into one method, without a change of what it does.

--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -20,6 +20,7 @@
 	LogLinesDropped   = "logLinesLeftOut"   // gauge: lines dropped since the start
 	Retries           = "retries"           // attempts after the first of a call
 	Resumed           = "resumed"           // attempts resumed on a new link
+	Aborted           = "aborted."          // requests that ended without a complete answer, followed by the cause
 	Served            = "served"            // calls dispatched to the local upstream
 	UpstreamErrors    = "upstreamErrors"    // failed exchanges with the local upstream
 	TokensBorrowed    = "tokensBorrowed"    // millitokens received as loans
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -83,19 +83,20 @@
 	}
 }
 
-// removeIdle removes and returns the connections that have been idle for longer
-// than limit.
-func (c *idleConns) removeIdle(limit time.Duration, now time.Time) []net.Conn {
+// closeIdle closes the connections that have been idle for longer than limit.
+func (c *idleConns) closeIdle(limit time.Duration, now time.Time) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []net.Conn
+	var expired []net.Conn
 	for conn, since := range c.since {
 		if now.Sub(since) > limit {
-			out = append(out, conn)
+			expired = append(expired, conn)
 			delete(c.since, conn)
 		}
 	}
-	return out
+	c.mu.Unlock()
+	for _, conn := range expired {
+		_ = conn.Close()
+	}
 }
 
 // idleLimit determines the idle time limit to enforce. A caller that doesn't
@@ -126,11 +127,8 @@
 	var enforced idleLimit
 	return super.Every(ctx, idleCheckInterval, func(now time.Time) {
 		limit := enforced.update(time.Duration(s.callerLimits().IdleTimeoutMS)*time.Millisecond, now)
-		if limit <= 0 {
-			return
-		}
-		for _, conn := range s.idle.removeIdle(limit, now) {
-			_ = conn.Close()
+		if limit > 0 {
+			s.idle.closeIdle(limit, now)
 		}
 	})
 }
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -262,6 +262,22 @@
 		"customer", q.id.customer, "reason", e.Reason, "executed", e.Executed, "detail", e.Detail, "after", took)
 }
 
+// Causes of the end of a request without a complete answer.
+const (
+	abortedByCaller  = "callerLeft"     // the connection ended, or the caller cancelled the request
+	abortedByFailure = "responseFailed" // the response could not be read or written to its end
+)
+
+// logAborted counts and logs a request that ended without a complete answer.
+func (q *request) logAborted(cause string, err error) {
+	q.server.metrics.Add(metric.Aborted+cause, 1)
+	if !q.server.log.IsInfo() || !q.server.logLimiter.Allow(q.now) {
+		return
+	}
+	q.server.log.Info("request ended without a complete answer", "request", q.server.protocol.RequestID(q.r.Header), "route", q.route.Name,
+		"cause", cause, "error", err, "after", time.Since(q.now))
+}
+
 // send dispatches the admitted request and writes the response.
 func (q *request) send() *refuse.Error {
 	s := q.server
@@ -279,10 +295,22 @@
 		return e
 	}
 	defer func() { _ = resp.Body.Close() }()
-	WriteResponse(q.w, resp)
+	if err := WriteResponse(q.w, resp); err != nil {
+		q.abort(err)
+	}
 	return nil
 }
 
+// abort closes the connection of a request whose response can't be completed.
+func (q *request) abort(err error) {
+	cause := abortedByFailure
+	if q.r.Context().Err() != nil {
+		cause = abortedByCaller
+	}
+	q.logAborted(cause, err)
+	panic(http.ErrAbortHandler)
+}
+
 // outbound returns the request to relay, without the API key.
 func (q *request) outbound(body *relay.Body) *relay.Request {
 	header := relay.EndToEndHeader(q.r.Header)
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -189,7 +189,7 @@
 	w, r := c.Response(), c.Request()
 	started := time.Now()
 	q := &request{server: s, w: w, r: r, now: started}
-	outcome := q.abortedOutcome // counted if handle panics, as WriteResponse does to abort the connection
+	outcome := q.abortedOutcome // counted if handle panics, as abort does
 	defer func() { q.count(outcome(), time.Since(started)) }()
 	e := q.handle()
 	q.endChild(e, w.Status)
@@ -239,10 +239,10 @@
 	}
 }
 
-// WriteResponse writes a response. If the body ends early, it aborts the
-// connection, so that the caller can't mistake the truncated response for a
+// WriteResponse writes a response. After an error the caller of WriteResponse must
+// abort the connection, so that the truncated response can't be mistaken for a
 // complete one.
-func WriteResponse(w http.ResponseWriter, resp *relay.Response) {
+func WriteResponse(w http.ResponseWriter, resp *relay.Response) error {
 	h := w.Header()
 	for name, values := range resp.Header {
 		h[name] = values
@@ -256,11 +256,12 @@
 		out = &flushWriter{w: w, rc: http.NewResponseController(w)}
 	}
 	if err := relay.CopyBody(out, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		return err
 	}
 	for name, values := range resp.Trailer().Trailer {
 		h[http.TrailerPrefix+name] = values
 	}
+	return nil
 }
 
 // flushWriter flushes after each write, for bodies of unknown length.
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -176,7 +176,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	defer func() { unused = resp.Trailer().AttemptsLeft }()
-	entry.WriteResponse(w, resp)
+	if err := entry.WriteResponse(w, resp); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	return nil
 }
 
