--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -341,7 +341,7 @@
 	a.linger(ctx)
 	err := errs.Combine(
 		a.target.Drain(ctx),
-		a.entry.HTTP().Shutdown(ctx),
+		a.entry.Shutdown(ctx),
 		a.local.HTTP().Shutdown(ctx),
 		a.claims.Drain(ctx),
 	)
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -185,7 +185,7 @@
 	if a.platform == nil {
 		return
 	}
-	a.entry.HTTP().SetKeepAlivesEnabled(false)
+	a.entry.StopKeepAlives()
 	times := a.ShutdownTimes()
 	super.Pause(ctx, min(times.Linger.D(), times.Timeout.D()/lingerDivisor)-refuseLead)
 	a.target.RefuseNewCalls()
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -179,6 +179,17 @@
 	return s.http
 }
 
+// StopKeepAlives makes the server close each connection after its next response, and
+// idle ones at once.
+func (s *Server) StopKeepAlives() {
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+// Shutdown stops the server gracefully.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
 // identity is the customer of a request with the identifier and the text of its
 // API key.
 type identity struct {
