entry: no request is passed on whose connection is closed as idle

Callers saw requests on kept connections that ran and whose connection ended without an answer, when the idle limit or a shutdown closed connections.

net/http counts a connection as idle until the whole head of a request was read and the goroutine that read it has said so. The idle limit, and the closing of idle connections at the start of a shutdown, looked at that state and closed connections whose request was about to be passed on. The class of the fault: a decision on a state that another goroutine has already left.

The server now decides under one lock whether a connection is closed or its next request is handled. Closing marks the connection; a request that has been read on a marked connection is counted (aborted.connClosed) and not passed on, so that its caller may send it again. A shutdown marks the idle connections before net/http closes them.

--- /dev/null
+++ b/node/entry/conns.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"dogwoodsill.org/core/metric"
+)
+
+// callerConns holds the connections of callers. It decides whether a connection is
+// closed or its next request is handled, so that no request is passed on whose
+// connection is closed without an answer. The state that net/http keeps can't decide
+// it, since a connection counts as idle there until the head of a request was read
+// completely. It is safe for concurrent use.
+type callerConns struct {
+	metrics *metric.Set
+
+	mu       sync.Mutex
+	byConn   map[net.Conn]*callerConn
+	stopping bool // each connection is closed when it becomes idle
+}
+
+// callerConn is the state of one connection.
+type callerConn struct {
+	idleSince time.Time // zero unless the connection waits for a request
+	requests  int       // number of requests that are handled
+	closed    bool
+}
+
+func newCallerConns(m *metric.Set) *callerConns {
+	return &callerConns{metrics: m, byConn: map[net.Conn]*callerConn{}}
+}
+
+// callerConnKey is the context key of the connection of a request.
+type callerConnKey struct{}
+
+// withConn is the ConnContext callback of http.Server.
+func (c *callerConns) withConn(ctx context.Context, conn net.Conn) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byConn[conn] = &callerConn{}
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// track is the ConnState callback of http.Server.
+func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	if c.update(conn, state, time.Now()) {
+		_ = conn.Close()
+	}
+}
+
+// update records the state of a connection and reports whether to close it.
+func (c *callerConns) update(conn net.Conn, state http.ConnState, now time.Time) (shut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc := c.byConn[conn]
+	if cc == nil {
+		return false
+	}
+	cc.idleSince = time.Time{}
+	switch state {
+	case http.StateIdle:
+		cc.idleSince = now
+		if c.stopping {
+			return cc.closeIfIdle()
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(c.byConn, conn)
+	default:
+	}
+	return false
+}
+
+// closeIfIdle marks the connection as closed if it waits for a request, and reports whether
+// it did. The caller holds callerConns.mu.
+func (cc *callerConn) closeIfIdle() bool {
+	if cc.idleSince.IsZero() || cc.requests > 0 || cc.closed {
+		return false
+	}
+	cc.closed = true
+	return true
+}
+
+// handle returns a handler that calls h unless the connection of the request is closed.
+func (c *callerConns) handle(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(callerConnKey{}).(net.Conn)
+		if !c.begin(conn) {
+			c.metrics.Add(metric.Aborted+abortedByClose, 1)
+			panic(http.ErrAbortHandler)
+		}
+		defer c.end(conn)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// begin records that a request is handled. It returns false if the connection was
+// closed.
+func (c *callerConns) begin(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cc := c.byConn[conn]
+	if cc == nil {
+		return true // not a connection of this server's listener
+	}
+	if cc.closed {
+		return false
+	}
+	cc.requests++
+	return true
+}
+
+func (c *callerConns) end(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cc := c.byConn[conn]; cc != nil {
+		cc.requests--
+	}
+}
+
+// closeIdle closes the connections that have been idle for longer than limit.
+func (c *callerConns) closeIdle(limit time.Duration, now time.Time) {
+	c.closeWhere(func(cc *callerConn) bool { return now.Sub(cc.idleSince) > limit })
+}
+
+// stop closes the idle connections, and later each one that becomes idle.
+func (c *callerConns) stop() {
+	c.mu.Lock()
+	c.stopping = true
+	c.mu.Unlock()
+	c.closeWhere(func(*callerConn) bool { return true })
+}
+
+// closeWhere closes the idle connections for which f returns true.
+func (c *callerConns) closeWhere(f func(cc *callerConn) bool) {
+	c.mu.Lock()
+	var closing []net.Conn
+	for conn, cc := range c.byConn {
+		if f(cc) && cc.closeIfIdle() {
+			closing = append(closing, conn)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range closing {
+		_ = conn.Close()
+	}
+}
--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -144,7 +144,7 @@
 	go func() {
 		defer close(stop)
 		for began := time.Now(); time.Since(began) < 2*time.Second; {
-			s.idle.closeIdle(0, time.Now())
+			s.conns.closeIdle(0, time.Now())
 		}
 	}()
 	assert.Equal(t, sent.count(sendOnKeptConns(addr, 16, stop)), 0, "requests passed on without an answer")
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"dogwoodsill.org/core/model"
@@ -65,40 +63,6 @@
 	return int64(n)
 }
 
-// idleConns holds the idle connections of callers, with the time at which each
-// became idle.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
-}
-
-// track is the ConnState callback of http.Server.
-func (c *idleConns) track(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state == http.StateIdle {
-		c.since[conn] = time.Now()
-	} else {
-		delete(c.since, conn)
-	}
-}
-
-// closeIdle closes the connections that have been idle for longer than limit.
-func (c *idleConns) closeIdle(limit time.Duration, now time.Time) {
-	c.mu.Lock()
-	var expired []net.Conn
-	for conn, since := range c.since {
-		if now.Sub(since) > limit {
-			expired = append(expired, conn)
-			delete(c.since, conn)
-		}
-	}
-	c.mu.Unlock()
-	for _, conn := range expired {
-		_ = conn.Close()
-	}
-}
-
 // idleLimit determines the idle time limit to enforce. A caller that doesn't
 // know a lowered limit yet reuses its connections according to the previous
 // one. A lowered limit therefore takes effect only after the time of the
@@ -128,7 +92,7 @@
 	return super.Every(ctx, idleCheckInterval, func(now time.Time) {
 		limit := enforced.update(time.Duration(s.callerLimits().IdleTimeoutMS)*time.Millisecond, now)
 		if limit > 0 {
-			s.idle.closeIdle(limit, now)
+			s.conns.closeIdle(limit, now)
 		}
 	})
 }
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -265,6 +265,7 @@
 // Causes of the end of a request without a complete answer.
 const (
 	abortedByCaller  = "callerLeft"     // the connection ended, or the caller cancelled the request
+	abortedByClose   = "connClosed"     // the request arrived while its idle connection was being closed; it was not passed on
 	abortedByFailure = "responseFailed" // the response could not be read or written to its end
 )
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -93,7 +92,7 @@
 	metrics *metric.Set
 	limits  setup.Limits
 	active  *activeRequests
-	idle    idleConns
+	conns   *callerConns
 	http    *http.Server
 
 	callerRetries *callerRetryDetector
@@ -147,9 +146,8 @@
 func New(st *store.Store, p Dependencies, m *metric.Set, limits setup.Limits, opts ...Option) *Server {
 	s := &Server{
 		store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, counter: p.Counter, metrics: m,
-		limits: limits, active: newActiveRequests(limits.RevokeGrace.D()), protocol: defaultProtocol{}, callerRetries: newCallerRetryDetector(), split: route.NewSplitter(), log: hclog.NewNullLogger(), logLimiter: lines.NewLimiter(0),
+		limits: limits, active: newActiveRequests(limits.RevokeGrace.D()), conns: newCallerConns(m), protocol: defaultProtocol{}, callerRetries: newCallerRetryDetector(), split: route.NewSplitter(), log: hclog.NewNullLogger(), logLimiter: lines.NewLimiter(0),
 	}
-	s.idle.since = map[net.Conn]time.Time{}
 	for _, o := range opts {
 		o(s)
 	}
@@ -164,12 +162,13 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	s.http = &http.Server{
-		Handler:           e,
+		Handler:           s.conns.handle(e),
 		Protocols:         protocols,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout.D(),
 		IdleTimeout:       limits.IdleTimeout.D(),
-		ConnState:         s.idle.track,
+		ConnContext:       s.conns.withConn,
+		ConnState:         s.conns.track,
 	}
 	return s
 }
@@ -182,11 +181,13 @@
 // StopKeepAlives makes the server close each connection after its next response, and
 // idle ones at once.
 func (s *Server) StopKeepAlives() {
+	s.conns.stop() // first, since net/http may close a connection whose request is being read
 	s.http.SetKeepAlivesEnabled(false)
 }
 
 // Shutdown stops the server gracefully.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.conns.stop()
 	return s.http.Shutdown(ctx)
 }
 
