--- a/node/entry/limits_test.go
+++ b/node/entry/limits_test.go
@@ -68,7 +68,7 @@
 // can learn of a lowered limit.
 func TestIdleLimit(t *testing.T) {
 	start := time.Unix(1000, 0)
-	const long, short = 15 * time.Second, 5 * time.Second
+	const long, mid, short = 15 * time.Second, 10 * time.Second, 5 * time.Second
 	type step struct {
 		after       time.Duration
 		limit, want time.Duration
@@ -82,6 +82,8 @@
 		{"higher at once", []step{{0, short, short}, {1, long, long}}},
 		{"lower after as long again", []step{{0, long, long}, {1, short, long}, {long, short, long}, {long + 2, short, short}}},
 		{"lower and back", []step{{0, long, long}, {1, short, long}, {2, long, long}, {long + 2, short, long}}},
+		{"lower in series", []step{{0, long, long}, {1, mid, long}, {long, short, long}, {long + 2, short, mid}, {long + mid + 1, short, short}}},
+		{"lower, then higher than that", []step{{0, long, long}, {1, short, long}, {2, mid, long}, {long + 2, mid, mid}}},
 		{"lifted", []step{{0, long, long}, {1, 0, 0}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
