entry: each replaced idle limit remains in effect for its own time

Callers that reuse a connection according to the last limit but one found it closed when the configuration had lowered the limit twice.

Only the first of several reductions was remembered, and when the time of the limit before it was over, the newest limit was enforced at once. The class of the fault: one place for the past of a value that changes more than once. All replaced limits are kept now, each until its own time is over.

TestIdleLimit, "lower in series": 5 s was enforced instead of 10 s.

--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"dogwoodsill.org/core/model"
@@ -64,25 +65,34 @@
 }
 
 // idleLimit determines the idle time limit to enforce. A caller that doesn't
-// know a lowered limit yet reuses its connections according to the previous
-// one. A lowered limit therefore takes effect only after the time of the
-// previous limit has passed.
+// know a changed limit yet reuses its connections according to an earlier one.
+// A limit therefore remains in effect for its own time after it was replaced.
 type idleLimit struct {
-	enforced  time.Duration // limit in effect
-	loweredAt time.Time     // when the configuration lowered the limit; zero if enforced is the configured limit
+	configured time.Duration // 0 means no limit
+	replaced   []replacedLimit
+}
+
+// replacedLimit is an earlier limit of the configuration.
+type replacedLimit struct {
+	limit time.Duration
+	at    time.Time // when it was replaced
 }
 
 // update returns the limit to enforce for a configured limit; 0 means no limit.
 func (l *idleLimit) update(configured time.Duration, now time.Time) time.Duration {
-	switch {
-	case configured <= 0 || l.enforced <= 0 || configured >= l.enforced:
-		l.enforced, l.loweredAt = configured, time.Time{}
-	case l.loweredAt.IsZero():
-		l.loweredAt = now
-	case now.Sub(l.loweredAt) > l.enforced:
-		l.enforced, l.loweredAt = configured, time.Time{}
+	if configured != l.configured {
+		l.replaced = append(l.replaced, replacedLimit{limit: l.configured, at: now})
+		l.configured = configured
+	}
+	l.replaced = slices.DeleteFunc(l.replaced, func(r replacedLimit) bool { return now.Sub(r.at) > r.limit })
+	if configured <= 0 {
+		return 0
+	}
+	enforced := configured
+	for _, r := range l.replaced {
+		enforced = max(enforced, r.limit)
 	}
-	return l.enforced
+	return enforced
 }
 
 // CloseIdle is the background task that closes connections that have been idle
