entry: the deadline that ends a body can't reach the next request

Callers whose chunked request was answered before its body was read to the end lost the next request on the connection: it was cancelled, or the connection ended without an answer. A caller that was refused while it sent a body got a reset, which may overtake the refusal; a withdrawn key ends uploads this way.

A read deadline in the past was set from a goroutine of its own when the context of the request ended, which it always does, at its normal end too. By then net/http used the connection for the rest of the body or for the next request. The class of the fault: a change of a shared connection without an owner after the end of the request.

The body of a request now owns the read deadline until it is released before the handler returns.

--- a/node/entry/active.go
+++ b/node/entry/active.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -89,48 +87,6 @@
 	r.bodyComplete = true
 }
 
-// bodyReader returns the body of a request. Reading fails when the body stalls,
-// is too large, or is incomplete at the end of the grace period after the
-// revocation of its API key.
-func (s *Server) bodyReader(ctx context.Context, w http.ResponseWriter, r *http.Request) io.Reader {
-	req, _ := ctx.Value(activeRequestKey{}).(*activeRequest)
-	if r.Body == nil || r.Body == http.NoBody {
-		req.markBodyComplete()
-		return http.NoBody
-	}
-	body := r.Body
-	if limit := s.bodyLimit(); limit > 0 {
-		body = http.MaxBytesReader(w, body, limit)
-	}
-	p := &progressReader{r: body, req: req, rc: http.NewResponseController(w), timeout: s.limits.ProgressTimeout.D()}
-	stop := context.AfterFunc(ctx, func() { _ = p.rc.SetReadDeadline(time.Unix(1, 0)) }) // a deadline in the past ends a pending read
-	p.stop = func() { stop() }
-	return p
-}
-
-// progressReader sets a new read deadline before each read.
-type progressReader struct {
-	r       io.Reader
-	req     *activeRequest
-	rc      *http.ResponseController
-	timeout time.Duration
-	stop    func()
-}
-
-// Read implements io.Reader.
-func (p *progressReader) Read(b []byte) (int, error) {
-	_ = p.rc.SetReadDeadline(time.Now().Add(p.timeout))
-	n, err := p.r.Read(b)
-	if err != nil {
-		p.stop()
-		_ = p.rc.SetReadDeadline(time.Time{})
-	}
-	if errors.Is(err, io.EOF) {
-		p.req.markBodyComplete()
-	}
-	return n, err
-}
-
 // MergeContexts returns a context with the values of a that ends when a or b
 // ends.
 func MergeContexts(a, b context.Context) (context.Context, context.CancelFunc) {
--- a/node/entry/active_test.go
+++ b/node/entry/active_test.go
@@ -53,7 +53,7 @@
 // TestRefusalEndsUploadInOrder guards against a connection that is reset after a refusal
 // while the caller still sends the body, so that the caller may lose the refusal.
 func TestRefusalEndsUploadInOrder(t *testing.T) {
-	_, addr := newTestServer(t, func(_ context.Context, req *relay.Request) (*relay.Response, int, *refuse.Error) {
+	_, addr := newTestServer(t, func(_ context.Context, _ *relay.Request) (*relay.Response, int, *refuse.Error) {
 		return nil, 0, refuse.New(refuse.Overloaded, "the target is overloaded")
 	})
 	for range 20 {
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -44,6 +44,7 @@
 	// callerRetry says that the caller was probably refused before and repeats
 	// the request.
 	callerRetry bool
+	body        *callerBody // nil until the request is admitted
 	// parent is the request on whose behalf the local upstream makes this one;
 	// nil for a request of a caller.
 	parent *chain.ActiveCall
@@ -284,7 +285,10 @@
 	s := q.server
 	ctx, done := s.active.begin(q.r.Context(), q.id.keyID)
 	defer done()
-	body, err := relay.NewBody(s.bodyReader(ctx, q.w, q.r), q.r.ContentLength, q.trailer)
+	q.body = s.newBody(ctx, q.w, q.r)
+	stop := context.AfterFunc(ctx, q.body.interrupt)
+	body, err := relay.NewBody(q.body, q.r.ContentLength, q.trailer)
+	stop()
 	if err != nil {
 		return q.withUnknownExecutionIfKeyed(bodyError(ctx, err))
 	}
@@ -296,6 +300,7 @@
 		return e
 	}
 	defer func() { _ = resp.Body.Close() }()
+	q.announceClose()
 	if err := WriteResponse(q.w, resp); err != nil {
 		q.abort(err)
 	}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -202,6 +202,7 @@
 	started := time.Now()
 	q := &request{server: s, w: w, r: r, now: started}
 	outcome := q.abortedOutcome // counted if handle panics, as abort does
+	defer q.endBody()
 	defer func() { q.count(outcome(), time.Since(started)) }()
 	e := q.handle()
 	q.endChild(e, w.Status)
@@ -209,10 +210,7 @@
 	if e != nil {
 		s.metrics.Add(metric.Refused+string(e.Reason), 1)
 		q.logRefusal(e, time.Since(started))
-		if r.ContentLength < 0 {
-			// Without this, net/http reads the rest of the body before it sends the response.
-			w.Header().Set("Connection", "close")
-		}
+		q.announceClose()
 		return s.protocol.WriteRefusal(w, r, e)
 	}
 	s.metrics.Observe(metric.RequestTime, time.Since(started))
