--- a/node/entry/refusal_test.go
+++ b/node/entry/refusal_test.go
@@ -1,16 +1,20 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 )
 
@@ -40,3 +44,18 @@
 	}
 	_ = pw.Close()
 }
+
+// TestPanicIsAnswered guards against a request that gets no answer because its handling
+// panicked.
+func TestPanicIsAnswered(t *testing.T) {
+	_, addr := newTestServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		panic("a fault of this test only")
+	})
+	r, err := http.NewRequest(http.MethodPost, "http://"+addr, strings.NewReader("body"))
+	assert.NilError(t, err)
+	r.Host = "press.example"
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+}
