entry: a request whose handling panics is refused

The connection of such a request was closed without an answer and the requests behind it on the connection were lost too. No panic of this kind is known; the guarantee that each request that was read ends in one answer or refusal had a gap here.

A panic before the response is started is logged with its stack and answered with 502, execution unknown; after that the connection is aborted and counted as before.

--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,6 +18,7 @@
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/route"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 	"dogwoodsill.org/node/tokens"
@@ -77,6 +79,27 @@
 	return e
 }
 
+// handleGuarded is handle that refuses a request whose handling panics. If the response was
+// started, it aborts the connection.
+func (q *request) handleGuarded(started func() bool) (e *refuse.Error) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			panic(v) // logged already
+		}
+		err := &super.PanicError{Task: "request", Value: v, Stack: debug.Stack()}
+		q.server.log.Error("handling a request panicked", "error", err)
+		if started() {
+			q.abort(err)
+		}
+		e = refuse.New(refuse.UpstreamFailed, "the node failed while it handled the request").WithExecuted(refuse.ExecutionUnknown)
+	}()
+	return q.handle()
+}
+
 // withUnknownExecutionIfKeyed returns the refusal of a request that did not
 // reach the owner of its idempotency key. If the request carries a key and is
 // not repeatable, the execution state is unknown: an earlier request with the
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -204,7 +204,7 @@
 	outcome := q.abortedOutcome // counted if handle panics, as abort does
 	defer q.endBody()
 	defer func() { q.count(outcome(), time.Since(started)) }()
-	e := q.handle()
+	e := q.handleGuarded(func() bool { return w.Committed })
 	q.endChild(e, w.Status)
 	outcome = func() burn.Outcome { return outcomeOf(e, w.Status) }
 	if e != nil {
