bench/fakes: upstreams that crash in requests of a test's choice

CrashOn makes the process of an upstream end shortly after it has begun to run a matching request: its connections close without a response, its port refuses connections, and after some time a new process with another ID and a later start is at the same address. The upstream records the arrivals of such requests, its crashes and which requests ran at each. Announcements now state the start of the process.

A bound socket that doesn't listen reserves the port of each upstream, so that nothing else can get it while the upstream is down.

--- a/bench/fakes/statement.go
+++ b/bench/fakes/statement.go
@@ -30,6 +30,7 @@
 func (u *Upstream) Replace() error {
 	u.mu.Lock()
 	u.id, u.rateLimit, u.leaving, u.state = uuid.NewString(), 0, false, relay.Ready
+	u.startedMS = max(time.Now().UnixMilli(), u.startedMS+1)
 	u.mu.Unlock()
 	return u.Announce()
 }
--- a/bench/fakes/tap.go
+++ b/bench/fakes/tap.go
@@ -6,13 +6,17 @@
 	"sync"
 )
 
-// maxTapBytes is the maximum number of bytes that a tap records.
+// maxTapBytes is the maximum number of bytes that a record holds.
 const maxTapBytes = 8 << 20
 
 // tap is a listener that records the bytes received on its connections.
 type tap struct {
 	net.Listener
+	record *record
+}
 
+// record holds the bytes received on the connections of one or more listeners.
+type record struct {
 	mu       sync.Mutex
 	received [][]byte
 	n        int
@@ -24,29 +28,34 @@
 	if err != nil {
 		return nil, err
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.received = append(t.received, nil)
-	return &tapConn{Conn: c, tap: t, i: len(t.received) - 1}, nil
+	return &tapConn{Conn: c, record: t.record, i: t.record.addConn()}, nil
+}
+
+// addConn adds a connection and returns its index.
+func (r *record) addConn() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.received = append(r.received, nil)
+	return len(r.received) - 1
 }
 
-// record appends received bytes to the record of connection i. Bytes beyond
+// add appends received bytes to the record of connection i. Bytes beyond
 // maxTapBytes are not recorded.
-func (t *tap) record(i int, p []byte) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.n+len(p) > maxTapBytes {
+func (r *record) add(i int, p []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.n+len(p) > maxTapBytes {
 		return
 	}
-	t.n += len(p)
-	t.received[i] = append(t.received[i], p...)
+	r.n += len(p)
+	r.received[i] = append(r.received[i], p...)
 }
 
 // contains reports whether the bytes received on any connection contain s.
-func (t *tap) contains(s []byte) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, b := range t.received {
+func (r *record) contains(s []byte) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, b := range r.received {
 		if bytes.Contains(b, s) {
 			return true
 		}
@@ -57,13 +66,13 @@
 // tapConn is a connection whose received bytes are recorded.
 type tapConn struct {
 	net.Conn
-	tap *tap
-	i   int
+	record *record
+	i      int
 }
 
 // Read implements net.Conn.
 func (c *tapConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.tap.record(c.i, p[:n])
+	c.record.add(c.i, p[:n])
 	return n, err
 }
--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,14 +37,15 @@
 	Calls   []string // paths called through the node for each request; must be set before the first request
 
 	local    string // base URL of the node's local listener
-	listener *tap
-	server   *http.Server
+	addr     *net.TCPAddr
+	port     *os.File // reserves the port of addr
+	received record
 	client   *http.Client
 	slots    chan struct{}
 	waiting  atomic.Int64
 	delay    atomic.Int64 // service time in nanoseconds
 	started  atomic.Int64
-	received atomic.Int64
+	complete atomic.Int64 // requests received completely
 
 	cancelled atomic.Int64
 	truncated atomic.Int64
@@ -57,9 +60,18 @@
 	loadHint  float64
 
 	id        string      // of the process
+	startedMS int64       // start of the process as Unix time in milliseconds
 	rateLimit float64     // stated in responses; 0 for none
 	leaving   bool        // stated in responses
 	arrivals  []time.Time // of requests since RecordArrivals
+
+	process  *process // the current one, or the last one while the upstream is down
+	down     bool     // after a crash
+	closed   bool
+	rule     crashRule
+	running  map[string]int // number of running requests by identifier
+	crashing []*CrashingRequest
+	crashes  []Crash
 }
 
 // UpstreamOption is an option of StartUpstream.
@@ -85,13 +97,14 @@
 // StartUpstream starts an upstream that announces itself periodically at the local
 // listener of its node.
 func StartUpstream(service, localAddr string, opts ...UpstreamOption) (*Upstream, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	port, addr, err := reservePort()
 	if err != nil {
 		return nil, err
 	}
 	u := &Upstream{
-		Service: service, Slots: 50, Queue: 200, local: "http://" + localAddr,
-		id: uuid.NewString(), listener: &tap{Listener: ln}, runs: map[string]Run{}, state: relay.Ready,
+		Service: service, Slots: 50, Queue: 200, local: "http://" + localAddr, addr: addr, port: port,
+		id: uuid.NewString(), startedMS: time.Now().UnixMilli(), state: relay.Ready,
+		runs: map[string]Run{}, running: map[string]int{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	for _, opt := range opts {
@@ -99,13 +112,17 @@
 	}
 	u.slots = make(chan struct{}, u.Slots)
 	u.slotsHint = u.Slots
-	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = u.server.Serve(u.listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	u.stop = cancel
-	if err := u.announce(ctx); err != nil {
+	u.mu.Lock()
+	err = u.startProcess()
+	u.mu.Unlock()
+	if err != nil {
 		cancel()
-		return nil, err
+		return nil, errors.Join(err, port.Close())
+	}
+	if err := u.announce(ctx); err != nil {
+		return nil, errors.Join(err, u.Close())
 	}
 	go u.keepAnnouncing(ctx)
 	return u, nil
@@ -129,18 +146,22 @@
 	}
 }
 
-// Announce announces the upstream immediately.
+// Announce announces the upstream immediately, unless it is down.
 func (u *Upstream) Announce() error {
 	return u.announce(context.Background())
 }
 
 func (u *Upstream) announce(ctx context.Context) error {
 	u.mu.Lock()
+	down := u.down
 	ann := relay.Upstream{
-		Service: u.Service, ID: u.id, Addr: u.Addr(), Slots: u.slotsHint, Load: u.loadHint, State: u.state,
-		TTLMS: announceTTL.Milliseconds(),
+		Service: u.Service, ID: u.id, StartedMS: u.startedMS, Addr: u.Addr(), Slots: u.slotsHint, Load: u.loadHint,
+		State: u.state, TTLMS: announceTTL.Milliseconds(),
 	}
 	u.mu.Unlock()
+	if down {
+		return nil
+	}
 	body, err := json.Marshal(ann)
 	if err != nil {
 		return err
@@ -163,7 +184,7 @@
 
 // Addr returns the address at which the upstream listens.
 func (u *Upstream) Addr() string {
-	return u.listener.Addr().String()
+	return u.addr.String()
 }
 
 // SetServiceTime sets the service time of subsequent requests.
@@ -213,7 +234,11 @@
 func (u *Upstream) Close() error {
 	u.stop()
 	u.client.CloseIdleConnections()
-	return u.server.Close()
+	u.mu.Lock()
+	p := u.process
+	u.closed = true
+	u.mu.Unlock()
+	return errors.Join(p.end(), u.port.Close())
 }
 
 // Started returns the number of requests that started to run.
@@ -223,7 +248,7 @@
 
 // Received returns the number of requests that were received completely.
 func (u *Upstream) Received() int64 {
-	return u.received.Load()
+	return u.complete.Load()
 }
 
 // InService returns the number of requests that are running.
@@ -269,7 +294,7 @@
 // Saw reports whether the bytes received on any connection contain s. Bytes
 // beyond maxTapBytes are not searched.
 func (u *Upstream) Saw(s string) bool {
-	return u.listener.contains([]byte(s))
+	return u.received.contains([]byte(s))
 }
 
 // Answer is the body of the upstream's responses.
@@ -282,7 +307,9 @@
 
 // ServeHTTP implements http.Handler.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	u.recordArrival(time.Now())
+	now := time.Now()
+	u.recordArrival(now)
+	crashing := u.recordCrashing(r, now)
 	u.writeStatement(w.Header())
 	if u.waiting.Add(1) > int64(u.Queue) {
 		u.waiting.Add(-1)
@@ -299,12 +326,17 @@
 		return
 	}
 	u.count(r)
+	defer u.begin(r, crashing, time.Now())()
 	n, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		u.truncated.Add(1)
 		return
 	}
-	u.received.Add(1)
+	u.complete.Add(1)
+	if crashing != nil {
+		<-r.Context().Done()
+		return
+	}
 	if !u.work(r.Context()) || u.serveSpecial(w, r) {
 		return
 	}
