relay: an earlier refusal of the same identifier is not taken for that of the request

Cause: a refusal that states the identifier of the request counted as its own. But one identifier can reach an upstream twice on one kept connection: a call that is made again because the request above it ran again, or a caller that repeats an identifier. A second copy of the first refusal then answers the second request, which the upstream runs. The same held for a 421 that states no identifier.

Seen before the change, in the new tests (the request ran):

relay TestRefusalSentTwice: 18 cases fail: same identifier, no body, with a body and in chunks; plain, after a 1xx response, before reading the body; 503 and 429 e is not nil: overloaded: the upstream refused the request (executed: no) platform TestRefusalSentTwice: /503, /429 and /421 with named=true/same=true, and /421/named=false/same=false, each on-use/safe 503 (after.status int) != 200: overloaded: the upstream refused the request (executed: no); the upstream ran it 1 times

Only requests that may run again were affected. All cases of requests that must not run twice passed before the change, with the platform's protocol and our own, without a body, with one and in chunks: they have connections of their own. Refusals with Connection: close passed too, as such a connection is not used again.

Ruled out: closing the connection after each refusal. It needs no memory, but costs a connection a refusal, at the moment when the upstream is full and may reset connections. Noticing bytes before the connection is used again: a copy may arrive any time later.

Change: a connection remembers the identifiers of its latest 32 refusals. A refusal with one of them has an unknown outcome: the connection is closed, and the request is sent once more on one of its own if it may run again and has no body. This is safe because the original of each copy arrived on the same connection before it. Older refusals are forgotten, so a copy that is late by 32 refusals on its connection would still count.

--- a/node/relay/crash.go
+++ b/node/relay/crash.go
@@ -145,7 +145,7 @@
 	}
 	w.broken = &brokenProcess{Process: c.process, at: now}
 	for r := range w.running {
-		if !r.gotConn.Load() || !c.process.same(r.process) {
+		if r.conn.Load() == nil || !c.process.same(r.process) {
 			continue
 		}
 		if f, ok := r.fingerprint(); ok {
--- a/node/relay/crash_test.go
+++ b/node/relay/crash_test.go
@@ -19,7 +19,7 @@
 func startedCall(path string, p Process, g *crash.Registry, now time.Time) *upstreamCall {
 	c := &upstreamCall{head: &CallHead{Method: http.MethodGet, URI: path}, body: &requestBody{}, process: p, began: now}
 	c.body.sum.End()
-	c.gotConn.Store(true)
+	c.conn.Store(&upstreamConn{})
 	if f, ok := c.fingerprint(); ok && g.KnowsHead(f.Head) {
 		c.head.Fingerprint = &f
 	}
--- a/node/relay/protocol.go
+++ b/node/relay/protocol.go
@@ -28,6 +28,10 @@
 	SetHeaders(h http.Header, call *CallHead, up Upstream, token string, left time.Duration)
 	// ClassifyResponse classifies the response to a call by its status and header.
 	ClassifyResponse(call *CallHead, resp *http.Response) ResponseClass
+	// ResponseID returns the identifier of the request that a response states, or an empty
+	// string if it states none. Refusals with the same identifier on one connection can't
+	// be told apart.
+	ResponseID(resp *http.Response) string
 	// ReadStatement returns what the upstream states in a response, without the process.
 	// It reports false if that can't be read, so that the response says nothing.
 	ReadStatement(resp *http.Response) (Statement, bool)
@@ -74,6 +78,9 @@
 	return ResponseValid
 }
 
+// ResponseID implements Protocol.
+func (defaultProtocol) ResponseID(*http.Response) string { return "" }
+
 // ReadStatement implements Protocol.
 func (defaultProtocol) ReadStatement(resp *http.Response) (Statement, bool) {
 	return ParseStatement(resp.Header, RateLimitHeader, LeavingHeader)
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -28,7 +28,7 @@
 	active  *chain.ActiveCall
 	body    *requestBody
 	began   time.Time
-	gotConn atomic.Bool // a connection was obtained, so the upstream may have seen the request
+	conn    atomic.Pointer[upstreamConn] // last connection obtained; nil if there was none, so that the upstream can't have seen the request
 
 	process  Process            // of the upstream
 	isolated *crash.Fingerprint // set if the call must not run beside others of its kind
@@ -48,7 +48,7 @@
 	sample := c.sample(resp, time.Now())
 	if refusal != nil {
 		t.gate.leave(sample, 0, time.Now())
-		t.sendRefusal(c.attempt, c.head, ReplyHead{Refusal: refusal, AttemptsLeft: c.active.RemainingAttempts(), Reached: c.gotConn.Load()})
+		t.sendRefusal(c.attempt, c.head, ReplyHead{Refusal: refusal, AttemptsLeft: c.active.RemainingAttempts(), Reached: c.conn.Load() != nil})
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -69,10 +69,10 @@
 		resp, err = c.target.client.fresh.RoundTrip(req)
 	}
 	if err != nil {
-		if c.gotConn.Load() && ctx.Err() == nil {
+		if c.conn.Load() != nil && ctx.Err() == nil {
 			c.target.noteBrokenExchange(c, up)
 		}
-		return nil, c.target.failureRefusal(err, c.gotConn.Load())
+		return nil, c.target.failureRefusal(err, c.conn.Load() != nil)
 	}
 	class := c.classify(up, resp)
 	if class == ResponseMismatched {
@@ -86,7 +86,7 @@
 	return resp, nil
 }
 
-// afterMismatch handles a response that doesn't belong to the request, such as a second copy
+// afterMismatch handles a response that doesn't or may not belong to the request, such as a second copy
 // of an earlier response that arrived when the connection was in use again. Whether the
 // upstream executed the request is not known. A request that may run again and has no
 // body is sent once more on a connection of its own.
@@ -108,9 +108,15 @@
 	return again, nil
 }
 
-// classify classifies a response and records what the upstream states in it.
+// classify classifies a response and records what the upstream states in it. A refusal that
+// may be a second copy of an earlier one doesn't tell whether the upstream executes the
+// request.
 func (c *upstreamCall) classify(up Upstream, resp *http.Response) ResponseClass {
 	class := c.target.protocol.ClassifyResponse(c.head, resp)
+	refused := class == ResponseNotExecuted || class == ResponseWrongUpstream
+	if refused && !c.conn.Load().recordRefusal(c.target.protocol.ResponseID(resp)) {
+		return ResponseMismatched
+	}
 	if class != ResponseValid && class != ResponseNotExecuted {
 		return class
 	}
@@ -166,7 +172,7 @@
 func (c *upstreamCall) request(ctx context.Context, up Upstream) (*http.Request, error) {
 	h := c.head
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { c.gotConn.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { c.conn.Store(info.Conn.(*upstreamConn)) },
 	})
 	c.body = &requestBody{stream: c.stream}
 	if h.ContentLength == 0 {
--- a/node/relay/upstream_client.go
+++ b/node/relay/upstream_client.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -16,6 +19,8 @@
 	// memory as a whole. It equals the default limit for the header of a caller's
 	// request.
 	maxResponseHeaderBytes = 32 << 10
+	// maxRememberedRefusals limits the memory that a connection uses for its refusals.
+	maxRememberedRefusals = 32
 )
 
 // upstreamClient sends requests to the upstream. It keeps connections for requests that may
@@ -28,7 +33,7 @@
 
 func newUpstreamClient() *upstreamClient {
 	kept := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dialUpstream,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
@@ -40,6 +45,39 @@
 	return &upstreamClient{kept: kept, fresh: fresh}
 }
 
+// upstreamConn is a connection to the upstream. It remembers the refusals that arrived on
+// it, because a second copy of one may follow at any later time.
+type upstreamConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	refused []string // identifiers that the latest refusals state, oldest first
+}
+
+func dialUpstream(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &upstreamConn{Conn: conn}, nil
+}
+
+// recordRefusal records a refusal that states the given identifier, which may be empty. It
+// reports false if the refusal may be a second copy of an earlier one.
+func (c *upstreamConn) recordRefusal(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.refused, id) {
+		return false
+	}
+	if len(c.refused) == maxRememberedRefusals {
+		c.refused = slices.Delete(c.refused, 0, 1)
+	}
+	c.refused = append(c.refused, id)
+	return true
+}
+
 // send sends a request and returns the response.
 func (c *upstreamClient) send(req *http.Request, repeatable bool) (*http.Response, error) {
 	if !repeatable {
