relay: a refusal of the repeat doesn't hide that the request may run

Cause: if bytes that are no response came on a kept connection, a request that may run again was sent once more, and the result of the repeat was the result of the call. If the upstream refused the repeat, for instance because the first sending filled it, the call was reported as not executed while it ran. A foreign response to the repeat also led to a third sending.

Seen before the change, in the new test:

TestRefusalOfRepeat expression is false: e != nil && e.Executed == refuse.ExecutionUnknown: overloaded: the upstream refused the request (executed: no)

Ruled out: foreign responses; afterMismatch already kept the unknown outcome. Requests that must not run twice are not repeated.

Change: both cases share one repeat. Anything but a valid response to it leaves the outcome of the first sending, which is unknown, and there is no third sending.

--- a/node/relay/crash.go
+++ b/node/relay/crash.go
@@ -177,10 +177,10 @@
 	return true
 }
 
-// noteBrokenExchange handles an exchange that the upstream broke off without a
-// response.
-func (t *Target) noteBrokenExchange(c *upstreamCall, up Upstream) {
-	if up.State == Draining || !t.crashes.brokeOff(c, time.Now()) {
+// noteIfBroken handles a failed exchange if the upstream broke it off.
+func (c *upstreamCall) noteIfBroken(ctx context.Context, up Upstream) {
+	t := c.target
+	if c.conn.Load() == nil || ctx.Err() != nil || up.State == Draining || !t.crashes.brokeOff(c, time.Now()) {
 		return
 	}
 	super.Go("check of the upstream", func(err error) {
--- a/node/relay/refusal_copy_test.go
+++ b/node/relay/refusal_copy_test.go
@@ -27,6 +27,7 @@
 	testIDHeader      = "Test-Id"
 	testRefusedHeader = "Test-Refused"
 	refusedPath       = "/refused"
+	garbledPath       = "/garbled"
 )
 
 // idProtocol is a Protocol in which responses state the identifier of their request.
@@ -62,7 +63,8 @@
 )
 
 // refusingUpstream refuses the requests with refusedPath without running them, and writes
-// each refusal once more when its connection is used again.
+// each refusal once more when its connection is used again. A request with garbledPath is
+// refused on a new connection; on a used one it runs, and its response can't be read.
 type refusingUpstream struct {
 	status int
 	how    string
@@ -86,7 +88,7 @@
 	defer func() { _ = conn.Close() }()
 	u.conns.Add(1)
 	r, late := bufio.NewReader(conn), ""
-	for {
+	for used := false; ; used = true {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
@@ -94,12 +96,16 @@
 		id := testIDHeader + ": " + req.Header.Get(testIDHeader) + "\r\n"
 		out := late + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + id + "\r\nran"
 		late = ""
-		if req.URL.Path == refusedPath {
+		switch {
+		case req.URL.Path == refusedPath, req.URL.Path == garbledPath && !used:
 			out = u.refusal(id)
 			if u.how != refuseOnce {
 				late = out
 			}
-		} else {
+		case req.URL.Path == garbledPath:
+			u.ran.Add(1)
+			out = "bytes of no response\r\n\r\n"
+		default:
 			u.ran.Add(1)
 		}
 		if u.how == refuseEarly {
@@ -224,6 +230,31 @@
 	}
 }
 
+// TestRefusalOfRepeat guards against a request that is reported as not executed because the
+// upstream refused its repeat, though it runs the request as it was sent first.
+func TestRefusalOfRepeat(t *testing.T) {
+	u := &refusingUpstream{status: http.StatusServiceUnavailable, how: refuseOnce}
+	c := callerToUpstream(t, u, WithProtocol(idProtocol{}))
+	do := func(path string) (*Response, *refuse.Error) {
+		body, err := NewBody(http.NoBody, 0, nil)
+		assert.NilError(t, err)
+		resp, _, e := c.Do(t.Context(), &Request{
+			Service: "s", Method: http.MethodGet, URI: path, Body: body, RequestID: path, Repeatable: true,
+			Call: model.Call{Attempts: 2, Deadline: time.Now().Add(10 * time.Second)},
+		})
+		return resp, e
+	}
+	first, e := do("/")
+	assert.Assert(t, e == nil, "%v", e)
+	_, err := io.Copy(io.Discard, first.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, first.Body.Close())
+	_, e = do(garbledPath)
+	assert.Assert(t, e != nil && e.Executed == refuse.ExecutionUnknown, "%v", e)
+	assert.Equal(t, u.ran.Load(), int64(2))
+	assert.Equal(t, u.conns.Load(), int64(2))
+}
+
 // TestRefusalsKeepConnection guards against a new connection for each refusal of an upstream
 // that is full.
 func TestRefusalsKeepConnection(t *testing.T) {
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -65,14 +65,13 @@
 		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
 	resp, err := c.target.client.send(req, c.head.Repeatable)
-	if isMalformedResponse(err) && c.mayRepeat(time.Now()) {
-		resp, err = c.target.client.fresh.RoundTrip(req)
-	}
 	if err != nil {
-		if c.conn.Load() != nil && ctx.Err() == nil {
-			c.target.noteBrokenExchange(c, up)
+		refusal := c.target.failureRefusal(err, c.conn.Load() != nil)
+		if isMalformedResponse(err) {
+			return c.repeat(up, req, nil, refusal)
 		}
-		return nil, c.target.failureRefusal(err, c.conn.Load() != nil)
+		c.noteIfBroken(ctx, up)
+		return nil, refusal
 	}
 	class := c.classify(up, resp)
 	if class == ResponseMismatched {
@@ -86,19 +85,23 @@
 	return resp, nil
 }
 
-// afterMismatch handles a response that doesn't or may not belong to the request, such as a second copy
-// of an earlier response that arrived when the connection was in use again. Whether the
-// upstream executed the request is not known. A request that may run again and has no
-// body is sent once more on a connection of its own.
+// afterMismatch handles a response that doesn't or may not belong to the request, such as a
+// second copy of an earlier response that arrived when the connection was in use again.
 func (c *upstreamCall) afterMismatch(up Upstream, req *http.Request, resp *http.Response) (*http.Response, *refuse.Error) {
-	t := c.target
-	t.client.discard(resp)
-	refusal := c.refusalFor(ResponseMismatched)
+	c.target.client.discard(resp)
+	return c.repeat(up, req, resp, c.refusalFor(ResponseMismatched))
+}
+
+// repeat sends a request that may run again and has no body once more on a connection of its
+// own. Whether the upstream executed it as it was first sent is not known, so that anything
+// but a valid response leaves the outcome of the first sending.
+func (c *upstreamCall) repeat(up Upstream, req *http.Request, resp *http.Response, refusal *refuse.Error) (*http.Response, *refuse.Error) {
 	if !c.mayRepeat(time.Now()) {
 		return resp, refusal
 	}
-	again, err := t.client.fresh.RoundTrip(req)
+	again, err := c.target.client.fresh.RoundTrip(req)
 	if err != nil {
+		c.noteIfBroken(req.Context(), up)
 		return resp, refusal
 	}
 	if class := c.classify(up, again); class != ResponseValid {
