frame: check a message before it is decoded

What was seen: one short message of a peer ends the process. No recover helps: both are fatal errors of the runtime. A hello, which is read before the peer has shown the secret, makes the node allocate 4 GiB with 12 bytes.

Cause: the msgpack library (v5.4.1) allocates the length that a list or byte string claims before it reads the elements (its own limit is compared wrongly for lists, and there is none for byte strings), and it calls itself for each level of a value that it skips.

Fix: frame.Decode walks through the message first. Each element takes one byte at least, so a length above the rest of the message is a lie; depth is bounded; extension types, which no message has, are refused, since the library reads a map behind their head. All three places that decode bytes of a peer use it: calls, hellos and the heads of relayed calls.

Open: a message of up to 16 MiB with as many empty elements as bytes still takes the memory of the decoded structs. Only a peer with the secret can send one.

Measured: go test -race ./core/frame ./node/relay ./node/agent passes.

--- a/core/frame/call.go
+++ b/core/frame/call.go
@@ -103,7 +103,7 @@
 	if len(msg) == 0 {
 		msg = inline()
 	}
-	return msgpack.Unmarshal(msg, v)
+	return Decode(msg, v)
 }
 
 func resetCode(err error, fallback Code) Code {
--- a/core/frame/hello.go
+++ b/core/frame/hello.go
@@ -222,7 +222,7 @@
 		return err
 	}
 	h.peerMsg = bytes.Clone(msg)
-	if err := msgpack.Unmarshal(h.peerMsg, &h.peer); err != nil {
+	if err := Decode(h.peerMsg, &h.peer); err != nil {
 		return h.reject(&HandshakeError{Reason: "malformed hello", Cause: err})
 	}
 	return h.checkHello()
--- a/node/agent/malformed_test.go
+++ b/node/agent/malformed_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"testing"
@@ -76,12 +78,32 @@
 	assert.Equal(t, a.tokens.ShareCount(), 0) // acquires the lock of zones
 }
 
-// sendAll sends a message of one kind, as it is and mutated, each on a stream of its own.
+// oddMessages are messages that must not end the process: nested deeply, or with lengths that
+// they only claim to have.
+func oddMessages() [][]byte {
+	const headBytes = 60 << 10
+	odd := [][]byte{
+		bytes.Repeat([]byte{0x91}, headBytes),
+		bytes.Repeat([]byte{0x81, 0xa1, 'x'}, headBytes/3),
+		{0xdd, 0xff, 0xff, 0xff, 0xff},
+	}
+	for _, field := range []string{"entries", "want", "epochs", "zone", "unknown"} {
+		named := append([]byte{0x81, 0xa0 | byte(len(field))}, field...)
+		odd = append(odd,
+			append(named[:len(named):len(named)], 0xdd, 0xff, 0xff, 0xff, 0xff),
+			append(named[:len(named):len(named)], 0xc6, 0xff, 0xff, 0xff, 0xff),
+			append(named[:len(named):len(named)], bytes.Repeat([]byte{0x91}, headBytes)...))
+	}
+	return odd
+}
+
+// sendAll sends a message of one kind, as it is, odd and mutated, each on a stream of its own.
 func sendAll(t *testing.T, a *Agent, au *auth, kind uint8, data []byte, rng *rand.Rand) {
 	t.Helper()
 	const rounds = 200
 	var session *frame.Session
-	for i := range rounds {
+	odd := oddMessages()
+	for i := range rounds + len(odd) {
 		if session == nil {
 			conn, err := net.Dial("tcp", a.Addrs().Peers)
 			assert.NilError(t, err)
@@ -90,12 +112,16 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		msg := data
-		if i > 0 {
+		switch {
+		case i > len(odd):
 			msg = mutate(rng, data)
+		case i > 0:
+			msg = odd[i-1]
 		}
 		st, err := session.Open(ctx, kind, msg)
 		if err == nil {
 			_ = st.CloseWrite(msg)
+			_, _ = io.Copy(io.Discard, st) // a stream that is reset at once may be dropped before its message is decoded
 			st.Reset(frame.CodeCanceled)
 		}
 		cancel()
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -9,6 +9,7 @@
 
 	"dogwoodsill.org/core/admit"
 	"dogwoodsill.org/core/crash"
+	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
 )
@@ -100,6 +101,6 @@
 
 func unpack[T any](data []byte) (T, error) {
 	var v T
-	err := msgpack.Unmarshal(data, &v)
+	err := frame.Decode(data, &v)
 	return v, err
 }
