member, agent: pass over entries at whose address no node can be

Cause: only an empty address was refused.

Evidence on the code before: TestOddDirectoryEntries/port_out_of_range: assertion failed: 3 (int64) != 2 (int64) TestOddEntries/port_out_of_range, /huge_port, /port_0, /no_host, ...: the odd target is listed TestOddPackets/offset_and_address: assertion failed: addr is odd

Fix: member.Dialable requires a host and a port of 1 to 65535. Gossip entries, the address of a packet's sender and the directory's addresses are checked with it; what the directory loses is logged. The other entries of the packet or list are used, as the tests require.

Measured: go test -race ./core/member ./node/agent ./platform and go test ./node/zones ./node/tokens pass.

--- a/core/member/entry.go
+++ b/core/member/entry.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"encoding/binary"
 	"maps"
+	"net"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -104,7 +106,7 @@
 
 // valid reports whether an entry received from another node is well-formed.
 func (e Entry) valid() bool {
-	if e.Name == "" || e.Zone == "" || e.Addr == "" || e.State > Left {
+	if e.Name == "" || e.Zone == "" || !Dialable(e.Addr) || e.State > Left {
 		return false
 	}
 	if max(len(e.Name), len(e.Zone), len(e.Addr)) > maxNameBytes {
@@ -159,3 +161,10 @@
 	c.Load = a.Load
 	return sameTarget(a, &c)
 }
+
+// Dialable reports whether an address has a host and a port, so that a node can be there.
+func Dialable(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	n, perr := strconv.ParseUint(port, 10, 16)
+	return err == nil && perr == nil && host != "" && n > 0
+}
--- a/core/member/entry_test.go
+++ b/core/member/entry_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,6 +129,89 @@
 	assert.Equal(t, targets, 0)
 }
 
+// Guards against an entry that hides the others of its packet, and against one that is used
+// although no node can be at its address.
+func TestOddEntries(t *testing.T) {
+	now := time.Unix(1000, 0)
+	good := func(name string) Entry {
+		return Entry{Name: name, Incarnation: 1, Version: 1, Addr: name + ":1", Zone: "y", Target: &Target{Service: "s", Slots: 3}}
+	}
+	for _, test := range []struct {
+		name   string
+		change func(*Entry)
+	}{
+		{"no address", func(e *Entry) { e.Addr = "" }},
+		{"no port", func(e *Entry) { e.Addr = "10.0.0.1" }},
+		{"port 0", func(e *Entry) { e.Addr = "10.0.0.1:0" }},
+		{"port out of range", func(e *Entry) { e.Addr = "10.0.0.1:70000" }},
+		{"huge port", func(e *Entry) { e.Addr = "10.0.0.1:99999999999999999999" }},
+		{"negative port", func(e *Entry) { e.Addr = "10.0.0.1:-1" }},
+		{"no host", func(e *Entry) { e.Addr = ":1" }},
+		{"address of other bytes", func(e *Entry) { e.Addr = "\xff\x00" }},
+		{"long address", func(e *Entry) { e.Addr = strings.Repeat("h", maxNameBytes) + ":1" }},
+		{"no name", func(e *Entry) { e.Name = "" }},
+		{"no zone", func(e *Entry) { e.Zone = "" }},
+		{"unknown state", func(e *Entry) { e.State = 200 }},
+		{"unknown state of the target", func(e *Entry) { e.Target.State = 200 }},
+		{"negative slots", func(e *Entry) { e.Target.Slots = -1 }},
+		{"long service", func(e *Entry) { e.Target.Service = strings.Repeat("s", maxLabelBytes+1) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m := New(Config{Name: "self", Incarnation: 1, Addr: "self:1", Zone: "z"}, now)
+			odd := good("b")
+			test.change(&odd)
+			m.Receive(now, Packet{From: "a", Incarnation: 1, Zone: "y", Addr: odd.Addr, Entries: []Entry{good("a"), odd, good("c")}})
+			var names []string
+			for _, e := range m.Targets("s") {
+				names = append(names, e.Name)
+			}
+			assert.DeepEqual(t, names, []string{"a", "c"})
+			m.Receive(now, Packet{From: "a", Incarnation: 1, Zone: "y", Addr: "a:1", Entries: []Entry{good("d")}})
+			assert.Equal(t, len(m.Targets("s")), 3)
+		})
+	}
+}
+
+// Guards against a packet with numbers out of range after which the machine no longer sends, or
+// sends without end, or names a peer that can't be dialled.
+func TestOddPackets(t *testing.T) {
+	const odd = "10.0.0.1:70000"
+	for _, test := range []struct {
+		name   string
+		packet Packet
+	}{
+		{"offset and address", Packet{Offset: math.MaxUint64, Addr: odd}},
+		{"epoch", Packet{Epoch: math.MaxUint64}},
+		{"ages", Packet{Digests: []Digest{{Zone: "z", AgeMS: math.MaxInt64}, {Zone: "y", AgeMS: math.MinInt64}, {Zone: "y", AgeMS: math.MaxInt64 / 2}}}},
+		{"buckets", Packet{BucketRefs: []BucketRefs{{Zone: "z", Bucket: math.MaxInt}, {Zone: "z", Bucket: math.MinInt}}}},
+		{"zone values", Packet{Retired: map[string]uint64{"z": math.MaxUint64, "": 1}, Offsets: map[string]uint64{"y": math.MaxUint64}}},
+		{"report", Packet{OffsetReport: &OffsetReport{MembersHash: 1, MinOffset: math.MaxUint64}}},
+		{"leaving", Packet{Entries: []Entry{{Name: "c", Incarnation: math.MaxUint64, Version: math.MaxUint64, Addr: "c:1", Zone: "z", Target: &Target{
+			Service: "s", Slots: math.MaxInt, LeavingID: "i", LeavingStartedMS: math.MinInt64,
+		}}}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			m := New(Config{Name: "self", Incarnation: 1, Addr: "self:1", Zone: "z"}, now)
+			p := test.packet
+			p.From, p.Incarnation, p.Zone = "b", 1, "z"
+			reply, out := m.Receive(now, p)
+			assert.Assert(t, encodedSize(reply) < 4*maxSyncBytes)
+			sent := len(out)
+			m.Receive(now, Packet{From: "a", Incarnation: 1, Zone: "z", Entries: []Entry{{Name: "a", Incarnation: 1, Addr: "a:1", Zone: "z", Target: &Target{Service: "s"}}}})
+			const seconds = 10
+			for range seconds * time.Second / TickInterval {
+				now = now.Add(TickInterval)
+				sent += len(m.Tick(now))
+			}
+			assert.Assert(t, sent >= seconds && sent < 20*seconds, "%d messages", sent)
+			assert.Assert(t, len(m.Targets("s")) >= 1)
+			addr, _ := m.NewerConfigPeer()
+			assert.Assert(t, addr != odd)
+		})
+	}
+}
+
 // Guards against generations that don't grow with a change, or that grow
 // without one and cause needless work in callers.
 func TestGenerations(t *testing.T) {
@@ -165,6 +250,10 @@
 		{From: "a", Zone: "y", Entries: []Entry{e, {Name: "self", Incarnation: 9, Addr: "q", Zone: "z"}}},
 		{From: "a", Zone: "", Digests: []Digest{{Zone: "z", Sum: 3, AgeMS: -9, Buckets: []uint64{1}}, {Zone: "nowhere"}}},
 		{From: "self", BucketRefs: []BucketRefs{{Zone: "z", Bucket: 64}, {Zone: "z", Bucket: -1, Refs: []Ref{{Name: "self"}}}}},
+		{From: "a", Addr: "a:70000", Offset: math.MaxUint64, Entries: []Entry{{Name: "b", Incarnation: math.MaxUint64, Addr: "b:-1", Zone: "z"}}},
+		{From: "a", Zone: "y", Digests: []Digest{{Zone: "y", AgeMS: math.MaxInt64}}, Entries: []Entry{{
+			Name: "b", Version: math.MaxUint64, Addr: "b:1", Zone: "y", Target: &Target{Slots: math.MaxInt, LeavingID: "i", LeavingStartedMS: math.MinInt64},
+		}}},
 		{Want: []string{"self", "self", ""}, OffsetReport: &OffsetReport{MinOffset: 4}, Retired: map[string]uint64{"": 1}},
 	} {
 		data, err := msgpack.Marshal(p)
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -329,7 +329,7 @@
 	for _, d := range p.Digests {
 		m.recordZoneContact(d.Zone, time.Duration(d.AgeMS)*time.Millisecond)
 	}
-	if p.Offset > max(m.self.Offset, m.newestConfig.offset) {
+	if p.Offset > max(m.self.Offset, m.newestConfig.offset) && Dialable(p.Addr) {
 		m.newestConfig = configPeer{offset: p.Offset, addr: p.Addr}
 	}
 	r, ok := m.table.records[p.From]
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/logsvc"
+	"dogwoodsill.org/core/member"
 	"dogwoodsill.org/core/retry"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/entry"
@@ -174,6 +177,13 @@
 		a.log.Warn("node directory unreachable", "error", err)
 		return false
 	}
+	peers = slices.DeleteFunc(peers, func(addr string) bool {
+		odd := !member.Dialable(addr)
+		if odd {
+			a.log.Warn("directory entry passed over: not an address", "entry", fmt.Sprintf("%.100q", addr))
+		}
+		return odd
+	})
 	a.registeredNodes.Store(int64(len(peers)))
 	a.fleet.setSeeds(peers)
 	return true
