epoch: pass over epochs of an era that the log hasn't reached

What was seen: one record of another writer in the stream of epochs with a number far too large takes precedence for good: every node adopts it, and all epochs that nodes propose afterwards are refused, so the members of a zone stay those of that record.

Evidence, TestOddRecords on the code before: number_of_a_later_era: assertion failed: (uint64) != 3 (uint64) number_of_the_last_era: assertion failed: (uint64) != 3 (uint64) snapshot_of_a_later_era: assertion failed: (uint64) != 3 (uint64) snapshot_with_a_huge_retired_number: assertion failed: (uint64) != 0 (uint64)

A node learns the era of a response before it applies the records of it, and an epoch is proposed only in an era that is known, so no valid epoch is lost. The 15 other odd records of the test (nested, huge and infinite numbers, other types, bytes that are no JSON) changed nothing before: the position moves on before a record is decoded, and encoding/json bounds the depth.

Open: a well-formed record with the next number and members that don't exist can't be told from a proposal.

Measured: go test -race ./core/epoch ./core/quota ./node/zones ./node/tokens ./node/claims passes.

--- a/core/epoch/era.go
+++ b/core/epoch/era.go
@@ -25,6 +25,12 @@
 	return eraOf(e.Number) > 0 && e.Number == firstOf(eraOf(e.Number)) && e.Base < e.Number
 }
 
+// isFuture reports whether an epoch is of a later era than the log. No node proposes one, and
+// it would take precedence over all epochs that nodes propose.
+func (s *State) isFuture(e Epoch) bool {
+	return eraOf(e.Number) > s.Era
+}
+
 // StartEra begins to apply the log anew after its history went back. The epochs known so
 // far remain in effect until newer ones replace them. It has no effect unless the era is
 // later than that of the state.
--- a/core/epoch/state.go
+++ b/core/epoch/state.go
@@ -111,7 +111,7 @@
 	if rec.Snapshot != nil {
 		return s.applySnapshot(offset, *rec.Snapshot)
 	}
-	if rec.Epoch == nil || !normalize(rec.Epoch) {
+	if rec.Epoch == nil || !normalize(rec.Epoch) || s.isFuture(*rec.Epoch) {
 		return ""
 	}
 	z := s.zone(rec.Epoch.Zone)
@@ -146,6 +146,10 @@
 	if snap.Zone == "" || !validEpochs(snap.Zone, epochs) {
 		return false
 	}
+	last := epochs[len(epochs)-1]
+	if s.isFuture(last) || snap.RetiredThrough > last.Number {
+		return false
+	}
 	z := s.zone(snap.Zone)
 	newer := (snap.Offset >= z.next || s.Era > 0) && epochs[len(epochs)-1].Number > z.currentNumber()
 	covers := z.gap > 0 && snap.Offset >= z.gap && epochs[len(epochs)-1].Number >= z.currentNumber()
--- a/node/zones/zones_test.go
+++ b/node/zones/zones_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,6 +93,61 @@
 	assert.Assert(t, peers.retireCalls > 0)
 }
 
+// TestOddRecords guards against a record of another writer that stops the reader, takes the place
+// of the epochs, or makes the proposers stop.
+func TestOddRecords(t *testing.T) {
+	self := epoch.Member{Name: "a", Incarnation: 1, Address: "127.0.0.1:1", Zone: "z"}
+	encode := func(r epoch.Record) string {
+		data, err := epoch.Encode(r)
+		assert.NilError(t, err)
+		return string(data)
+	}
+	numbered := func(number, base, retired uint64) epoch.Epoch {
+		return epoch.Epoch{Zone: "z", Number: number, Base: base, RetiredThrough: retired, Members: []epoch.Member{self}}
+	}
+	record := func(number, base uint64) string {
+		e := numbered(number, base, 0)
+		return encode(epoch.Record{Epoch: &e})
+	}
+	snapshot := func(s epoch.Snapshot) string { return encode(epoch.Record{Snapshot: &s}) }
+	const firstOfEra9 = 9<<24 + 1
+	for _, test := range []struct{ name, record string }{
+		{"empty", ""},
+		{"bytes that can't be read", "\xff\xfe\x00"},
+		{"no object", "7"},
+		{"nested", strings.Repeat("[", 1<<20)},
+		{"nested in an unknown field", `{"x":` + strings.Repeat("[", 20000) + strings.Repeat("]", 20000) + "}"},
+		{"nested in a known field", `{"epoch":{"members":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + "}}"},
+		{"huge number", `{"epoch":{"zone":"z","number":99999999999999999999,"base":1,"members":[{"name":"a","zone":"z"}]}}`},
+		{"infinite number", `{"epoch":{"zone":"z","number":1e999,"base":1,"members":[{"name":"a","zone":"z"}]}}`},
+		{"negative number", `{"epoch":{"zone":"z","number":-1,"base":1,"members":[{"name":"a","zone":"z"}]}}`},
+		{"members of another type", `{"epoch":{"zone":"z","number":2,"base":1,"members":"a"}}`},
+		{"no members", `{"epoch":{"zone":"z","number":2,"base":1}}`},
+		{"last number", record(math.MaxUint64, math.MaxUint64-1)},
+		{"number of a later era", record(firstOfEra9, 0)},
+		{"number of the last era", record(math.MaxUint64>>24<<24+1, 1)},
+		{"snapshot of later records", snapshot(epoch.Snapshot{Zone: "z", Offset: math.MaxUint64, Epochs: []epoch.Epoch{numbered(7, 6, 0)}})},
+		{"snapshot of a later era", snapshot(epoch.Snapshot{Zone: "z", Offset: 1, Epochs: []epoch.Epoch{numbered(firstOfEra9, 0, 0)}})},
+		{"snapshot with a huge retired number", snapshot(epoch.Snapshot{Zone: "z", Offset: 1, RetiredThrough: math.MaxUint64, Epochs: []epoch.Epoch{numbered(2, 1, 0)}})},
+		{"snapshot without epochs", snapshot(epoch.Snapshot{Zone: "z", Offset: 1})},
+		{"both", `{"epoch":{},"snapshot":{}}`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			log := &fakeLog{records: [][]byte{[]byte(record(1, 0)), []byte(test.record), []byte(record(2, 1)), []byte(record(3, 2))}}
+			z := New(self, log, &fakePeers{}, time.Hour, func(err error) { t.Error(err) })
+			for range 2 {
+				assert.NilError(t, z.readOnce(t.Context()))
+				z.WithView(func(v View) {
+					assert.Equal(t, v.State.Next, uint64(len(log.records)))
+					assert.Equal(t, v.State.Retired("z"), uint64(0))
+				})
+				assert.Equal(t, z.Adopted(), uint64(len(log.records)-1))
+				log.records = append(log.records, []byte(record(4, 3)))
+			}
+		})
+	}
+}
+
 // Guards against a member that confirms an epoch older than the one that it
 // adopted.
 func TestConfirmNamesAdoptedEpoch(t *testing.T) {
