bench/site: the stated rate limit test no longer depends on the machine

Cause: the test sent 120 requests a second whatever the machine could do, and took for granted that the unlimited upstream has room for them. Beside load its responses become slow and its adaptive concurrency limit falls (seen: 16 to 4); the target and, by its level, the entries then refuse.

--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -34,6 +34,7 @@
 	Make     func(i int) Request
 	BaseURLs []string // of the nodes, used round-robin
 	Retries  int      // immediate repeats after a failure or refusal, each to the next node
+	InFlight int      // largest number of requests in flight, the others are sent later; 0 for no bound
 }
 
 // Outcome is the result of sending a request once.
@@ -45,6 +46,7 @@
 	Took     time.Duration
 	Status   int             // 0 if there was no complete response
 	Reason   string          // problem type of a refusal, without its prefix
+	Detail   string          // of a refusal
 	Executed refuse.Executed // of a refusal
 	Answer   fakes.Answer    // of a success
 	Replayed bool
@@ -100,12 +102,17 @@
 	outcomes []Outcome
 }
 
-// stream sends requests at the rate of a stream, whether or not responses arrive.
+// stream sends requests at the rate of a stream, whether or not responses arrive unless
+// the stream bounds its requests in flight.
 func (r *runner) stream(ctx context.Context, s Stream, d time.Duration) {
 	began := time.Now()
 	every := time.Duration(float64(time.Second) / s.Rate)
 	tick := time.NewTicker(max(every, time.Millisecond))
 	defer tick.Stop()
+	var slots chan struct{}
+	if s.InFlight > 0 {
+		slots = make(chan struct{}, s.InFlight)
+	}
 	for i := 0; ; {
 		select {
 		case <-ctx.Done():
@@ -114,7 +121,10 @@
 		}
 		elapsed := min(time.Since(began), d)
 		for ; float64(i) < elapsed.Seconds()*s.Rate; i++ {
-			r.start(ctx, s, i)
+			if !acquire(ctx, slots) {
+				return
+			}
+			r.start(ctx, s, i, slots)
 		}
 		if elapsed >= d {
 			return
@@ -122,13 +132,35 @@
 	}
 }
 
-func (r *runner) start(ctx context.Context, s Stream, i int) {
+// acquire waits for a slot. It returns false if ctx is done first. Without slots it
+// doesn't wait.
+func acquire(ctx context.Context, slots chan<- struct{}) bool {
+	if slots == nil {
+		return true
+	}
+	select {
+	case slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func release(slots <-chan struct{}) {
+	if slots != nil {
+		<-slots
+	}
+}
+
+func (r *runner) start(ctx context.Context, s Stream, i int, slots <-chan struct{}) {
 	if r.inFlight.Add(1) > maxInFlight {
 		r.inFlight.Add(-1)
 		r.skipped.Add(1)
+		release(slots)
 		return
 	}
 	r.open.Go(func() {
+		defer release(slots)
 		defer r.inFlight.Add(-1)
 		q := s.Make(i)
 		for n := range s.Retries + 1 {
@@ -185,7 +217,7 @@
 	case strings.HasPrefix(contentType, refuse.ContentType):
 		var p refuse.Problem
 		if o.Err = json.Unmarshal(data, &p); o.Err == nil {
-			o.Reason, o.Executed = strings.TrimPrefix(p.Type, refuse.TypePrefix), p.Executed
+			o.Reason, o.Detail, o.Executed = strings.TrimPrefix(p.Type, refuse.TypePrefix), p.Detail, p.Executed
 		}
 	case o.Status == http.StatusOK:
 		if o.Err = json.Unmarshal(data, &o.Answer); o.Err == nil && o.Answer.ID != o.ID {
