entry, relay: a status that can't be passed on ends in a whole refusal

What callers saw: an upstream that answers with a status below 100, which net/http reads, made the handler panic when it wrote that status. Since a panic is answered, the refusal had the upstream's headers: its signature, and its length, so that the body broke off.

Cause: headers of a response that was not started were left for the refusal; and such a status counted as a response. Now the headers are cleared, and a status that isn't final (below 200, also an unasked 101) is no response: its connection is closed and the request ends like one whose response belongs to another.

TestInvalidStatusEndsInRefusal failed with 'unexpected EOF' before, TestInvalidStatusIsNoResponse with class 0; both pass.

--- /dev/null
+++ b/node/entry/refused_response_test.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/node/relay"
+)
+
+// TestInvalidStatusEndsInRefusal guards against a refusal with headers of an upstream whose
+// response can't be passed on.
+func TestInvalidStatusEndsInRefusal(t *testing.T) {
+	_, addr := newTestServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		return &relay.Response{
+			Status: 99, Header: http.Header{"Signature": {"s"}}, ContentLength: 5, Body: io.NopCloser(strings.NewReader("hello")),
+			Trailer: func() relay.ReplyTrailer { return relay.ReplyTrailer{Complete: true} },
+		}, 0, nil
+	})
+	conn, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: press.example\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, resp.Header.Get("Signature"), "")
+}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -95,6 +95,7 @@
 		if started() {
 			q.abort(err)
 		}
+		clear(q.w.Header()) // of the response that was not started
 		e = refuse.New(refuse.UpstreamFailed, "the node failed while it handled the request").WithExecuted(refuse.ExecutionUnknown)
 	}()
 	return q.handle()
--- a/node/relay/target_test.go
+++ b/node/relay/target_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -45,3 +46,20 @@
 		})
 	}
 }
+
+// TestInvalidStatusIsNoResponse guards against a status that net/http reads and can't write.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	target := NewTarget(1, store.New(), chain.NewTable(), NewBalancer(noTargets{}, "z", 1), metric.New(), func() {})
+	c := &upstreamCall{target: target, head: &CallHead{}}
+	for _, test := range []struct {
+		status int
+		want   ResponseClass
+	}{
+		{99, ResponseMismatched},
+		{0, ResponseMismatched},
+		{http.StatusSwitchingProtocols, ResponseMismatched},
+		{200, ResponseValid},
+	} {
+		assert.Equal(t, c.classify(Upstream{}, &http.Response{StatusCode: test.status}), test.want)
+	}
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -115,6 +115,9 @@
 // may be a second copy of an earlier one doesn't tell whether the upstream executes the
 // request.
 func (c *upstreamCall) classify(up Upstream, resp *http.Response) ResponseClass {
+	if resp.StatusCode < http.StatusOK {
+		return ResponseMismatched // no final status, though net/http returns some
+	}
 	class := c.target.protocol.ClassifyResponse(c.head, resp)
 	refused := class == ResponseNotExecuted || class == ResponseWrongUpstream
 	if refused && !c.conn.Load().recordRefusal(c.target.protocol.ResponseID(resp)) {
