agent: connections of callers are closed in order after a refused upload

net/http ends the sending direction of a connection before it closes it, if the caller still sends a body, so that the response isn't overtaken by a reset. The wrapper that counts the connections of a caller hid CloseWrite, so that the end was never sent: the connection was reset after 500 ms.

TestLimitedConnsEndUploadInOrder failed with 'connection reset by peer' and passes.

--- a/node/agent/connlimit.go
+++ b/node/agent/connlimit.go
@@ -72,3 +72,12 @@
 	c.release()
 	return c.Conn.Close()
 }
+
+// CloseWrite ends the sending direction, so that net/http can do so before it closes a
+// connection on which the caller still sends.
+func (c *limitedConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
