entry: an HTTP/2 request without a body counts as received

Callers whose key was withdrawn while a request without a body was running got it aborted after the grace period, as if the body were still arriving: over HTTP/2 such a request doesn't have http.NoBody, and nothing reads its body.

TestEmptyHTTP2BodyIsComplete failed before and passes.

--- a/node/entry/body.go
+++ b/node/entry/body.go
@@ -38,7 +38,7 @@
 func (s *Server) newBody(ctx context.Context, w http.ResponseWriter, r *http.Request) *callerBody {
 	req, _ := ctx.Value(activeRequestKey{}).(*activeRequest)
 	b := &callerBody{req: req, rc: http.NewResponseController(w), timeout: s.limits.ProgressTimeout.D(), left: r.ContentLength}
-	if r.Body == nil || r.Body == http.NoBody {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.complete = true
 		req.markBodyComplete()
 		b.r = http.NoBody
