entry: a caller that stalls gets its refusal, and its connection ends

What callers saw: a request that was refused before its body was needed, such as one without a route, got no refusal while the rest of a body of up to 256 KiB was missing, or kept its connection open for good, which also keeps a shutdown busy. net/http reads such a rest without a deadline.

Refusals have a length, so that a caller has the whole refusal before the rest of its body is read.

TestStalledUploadIsClosed failed before ('no refusal' and no end within 10 s), TestRefusalHasLength without a length; both pass, and the packages entry and platform with the race detector.

--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -142,6 +142,13 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
+	body, err := json.Marshal(e.Problem())
+	if err != nil {
+		return err
+	}
+	body = append(body, '\n')
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(e.Status())
-	return json.NewEncoder(w).Encode(e.Problem())
+	_, err = w.Write(body)
+	return err
 }
--- a/node/entry/body.go
+++ b/node/entry/body.go
@@ -130,6 +130,18 @@
 		// net/http then sends the response without reading the rest of the body first.
 		q.w.Header().Set("Connection", "close")
 	}
+	if q.body == nil && q.r.ContentLength != 0 {
+		q.boundDiscard(time.Now())
+	}
+}
+
+// boundDiscard bounds the time in which net/http reads and discards the body of a request
+// that was refused before its body was needed. net/http lifts the deadline before the next
+// request.
+func (q *request) boundDiscard(now time.Time) {
+	if err := http.NewResponseController(q.w).SetReadDeadline(now.Add(lingerTimeout)); err != nil {
+		q.server.log.Debug("the time to read the rest of a body is not limited", "error", err)
+	}
 }
 
 // endBody ends the use of the body after the response. If the body was not read to its end,
