local: a call of the upstream ends in an answer like a request of a caller

An upstream whose call made the handler panic got a closed connection, and a refused call with a body in chunks got its refusal only after the body. The listener for upstreams lacked what the listener for callers has.

Both now share PanicRefusal; the refusal of a call in chunks closes its connection.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -205,7 +205,7 @@
 	}
 	a.peers = newPeerServer(a, auth)
 	a.entry = entry.New(a.store, a.entryDependencies(), a.metrics, a.cfg.Limits, a.entryOptions()...)
-	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes)
+	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes, local.WithLogger(a.log))
 	a.ops = opsapi.New(a.Status, a.BurnCounts, a.Metrics)
 	return nil
 }
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -90,17 +90,24 @@
 		if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 			panic(v) // logged already
 		}
-		err := &super.PanicError{Task: "request", Value: v, Stack: debug.Stack()}
+		refusal, err := PanicRefusal(q.w, v)
 		q.server.log.Error("handling a request panicked", "error", err)
 		if started() {
 			q.abort(err)
 		}
-		clear(q.w.Header()) // of the response that was not started
-		e = refuse.New(refuse.UpstreamFailed, "the node failed while it handled the request").WithExecuted(refuse.ExecutionUnknown)
+		e = refusal
 	}()
 	return q.handle()
 }
 
+// PanicRefusal returns the refusal of a request whose handling panicked with v before its
+// response was started, and the panic as an error.
+func PanicRefusal(w http.ResponseWriter, v any) (*refuse.Error, error) {
+	clear(w.Header()) // of the response that was not started
+	e := refuse.New(refuse.UpstreamFailed, "the node failed while it handled the request").WithExecuted(refuse.ExecutionUnknown)
+	return e, &super.PanicError{Task: "request", Value: v, Stack: debug.Stack()}
+}
+
 // withUnknownExecutionIfKeyed returns the refusal of a request that did not
 // reach the owner of its idempotency key. If the request carries a key and is
 // not repeatable, the execution state is unknown: an earlier request with the
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
 	"dogwoodsill.org/core/chain"
@@ -42,11 +44,23 @@
 	claimer entry.Claimer
 	metrics *metric.Set
 	http    *http.Server
+	log     hclog.Logger
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithLogger sets the logger. By default, nothing is logged.
+func WithLogger(l hclog.Logger) Option {
+	return func(s *Server) { s.log = l }
 }
 
 // New returns a server that is not listening yet.
-func New(st *store.Store, calls *chain.Table, target *relay.Target, caller *relay.Caller, claimer entry.Claimer, m *metric.Set, headerBytes int) *Server {
-	s := &Server{store: st, calls: calls, target: target, caller: caller, claimer: claimer, metrics: m}
+func New(st *store.Store, calls *chain.Table, target *relay.Target, caller *relay.Caller, claimer entry.Claimer, m *metric.Set, headerBytes int, opts ...Option) *Server {
+	s := &Server{store: st, calls: calls, target: target, caller: caller, claimer: claimer, metrics: m, log: hclog.NewNullLogger()}
+	for _, o := range opts {
+		o(s)
+	}
 	e := echo.New()
 	e.POST(AnnouncePath, s.announce)
 	e.DELETE(AnnouncePath, s.withdraw)
@@ -106,13 +120,37 @@
 
 func (s *Server) call(c echo.Context) error {
 	w, r := c.Response(), c.Request()
-	if e := s.handle(w, r, time.Now()); e != nil {
+	if e := s.handleGuarded(w, r, time.Now()); e != nil {
 		s.metrics.Add(metric.Refused+string(e.Reason), 1)
+		if r.ContentLength < 0 {
+			w.Header().Set("Connection", "close") // net/http then sends the refusal without reading the rest of the body first
+		}
 		return e.Write(w)
 	}
 	return nil
 }
 
+// handleGuarded is handle that refuses a call whose handling panics. If the response was
+// started, it aborts the connection.
+func (s *Server) handleGuarded(w *echo.Response, r *http.Request, now time.Time) (e *refuse.Error) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			panic(v)
+		}
+		refusal, err := entry.PanicRefusal(w, v)
+		s.log.Error("handling a call of the upstream panicked", "error", err)
+		if w.Committed {
+			panic(http.ErrAbortHandler)
+		}
+		e = refusal
+	}()
+	return s.handle(w, r, now)
+}
+
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, now time.Time) *refuse.Error {
 	parent, ok := s.calls.Lookup(r.Header.Get(chain.CallHeader), now)
 	if !ok {
