entry: idle connections stay open while the server lingers

Callers saw connections end without an answer at each planned shutdown, although the node lingers so that they can turn to others first.

Cause: at the start of the linger time all idle connections were closed. Callers learn of the shutdown later, so whoever sent a request at that moment lost it. net/http also closes a connection after a response without announcing it if keep-alives are disabled meanwhile.

Seen before the change, in the new tests:

TestKeptConnAnswersWhileLingering error is not nil: unexpected EOF TestShutdownAnswersRequests/callers_stop_while_it_lingers 4499 requests read, 4315 answered; 667 sent without an answer, 0 of them passed on

Change: while the server lingers, each response announces the close of its connection (a GOAWAY frame for HTTP/2), and idle connections are closed only by Shutdown. Callers that have learned of the shutdown don't use them any more, and those that haven't get an answer.

--- a/node/entry/conns.go
+++ b/node/entry/conns.go
@@ -18,9 +18,10 @@
 type callerConns struct {
 	metrics *metric.Set
 
-	mu       sync.Mutex
-	byConn   map[net.Conn]*callerConn
-	stopping bool // each connection is closed when it becomes idle
+	mu        sync.Mutex
+	byConn    map[net.Conn]*callerConn
+	lingering bool // responses announce that their connection is closed
+	stopping  bool // each connection is closed when it becomes idle
 }
 
 // callerConn is the state of one connection.
@@ -93,10 +94,29 @@
 			panic(http.ErrAbortHandler)
 		}
 		defer c.end(conn)
+		c.announceClose(w.Header())
 		h.ServeHTTP(w, r)
 	})
 }
 
+// linger makes all responses announce that their connection is closed. Idle connections
+// stay open, since their callers may be sending the next request.
+func (c *callerConns) linger() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering = true
+}
+
+// announceClose adds the announcement to the header of a response if linger or stop was
+// called. For HTTP/2, net/http sends a GOAWAY frame instead.
+func (c *callerConns) announceClose(h http.Header) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lingering || c.stopping {
+		h.Set("Connection", "close")
+	}
+}
+
 // begin records that a request is handled. It returns false if the connection was
 // closed.
 func (c *callerConns) begin(conn net.Conn) bool {
--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -47,8 +48,9 @@
 
 func (stubCounter) Count(time.Time, burn.Request, []model.SLO) {}
 
-// newTestServer returns a server with one open route, and its address.
-func newTestServer(t *testing.T, sender stubSender) (s *Server, addr string) {
+// newTestServer returns a server with one open route, and its address. Its listener is
+// wrapped by each function in listen.
+func newTestServer(t *testing.T, sender stubSender, listen ...func(net.Listener) net.Listener) (s *Server, addr string) {
 	t.Helper()
 	body, err := json.Marshal(model.Route{Pattern: "press.example/", Service: "orders", Open: true, OpenUnlimited: true})
 	assert.NilError(t, err)
@@ -58,6 +60,9 @@
 	s = New(st, Dependencies{Sender: sender, Ranker: stubRanker{}, Counter: stubCounter{}}, metric.New(), setup.Default().Limits)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	for _, wrap := range listen {
+		ln = wrap(ln)
+	}
 	go func() { _ = s.HTTP().Serve(ln) }()
 	t.Cleanup(func() { _ = s.HTTP().Close() })
 	return s, ln.Addr().String()
@@ -165,3 +170,126 @@
 		assert.Equal(t, sent.count(sendOnKeptConns(addr, 16, stop)), 0, "requests passed on without an answer")
 	}
 }
+
+// roundTrip sends a request on a connection and returns the response, whose body was read.
+func roundTrip(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: press.example\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	return resp
+}
+
+// dial opens a connection that is closed at the end of the test.
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// TestKeptConnAnswersWhileLingering guards against cutting requests that cross the close
+// of an idle connection although callers don't know yet that the server will stop.
+func TestKeptConnAnswersWhileLingering(t *testing.T) {
+	var sent passedOn
+	s, addr := newTestServer(t, sent.send)
+	conn := dial(t, addr)
+	assert.Assert(t, !roundTrip(t, conn).Close)
+	s.StopKeepAlives()
+	resp := roundTrip(t, conn)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close, "the close must be announced")
+}
+
+// tallies counts what a server reads and writes on its connections.
+type tallies struct {
+	heads, responses atomic.Int64 // complete heads of requests read, responses written
+}
+
+func (n *tallies) listen(ln net.Listener) net.Listener {
+	return &countingListener{Listener: ln, n: n}
+}
+
+type countingListener struct {
+	net.Listener
+	n *tallies
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, n: l.n}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	n *tallies
+}
+
+// Read implements net.Conn. Each request of these tests arrives in one piece.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.heads.Add(int64(bytes.Count(p[:n], []byte("\r\n\r\n"))))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		c.n.responses.Add(int64(bytes.Count(p, []byte("HTTP/1.1 "))))
+	}
+	return n, err
+}
+
+// TestShutdownAnswersRequests guards against requests that a server which shuts down has
+// read and doesn't answer.
+func TestShutdownAnswersRequests(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		stopped bool // callers stop while the server lingers
+	}{
+		{"callers stop while it lingers", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var n tallies
+			var sent passedOn
+			var unanswered, dropped int
+			for range 50 {
+				s, addr := newTestServer(t, sent.send, n.listen)
+				stop, shut := make(chan struct{}), make(chan struct{})
+				time.AfterFunc(5*time.Millisecond, s.StopKeepAlives)
+				time.AfterFunc(10*time.Millisecond, func() {
+					if test.stopped {
+						close(stop)
+						return
+					}
+					defer close(shut)
+					assert.Check(t, s.Shutdown(t.Context()))
+				})
+				paths := sendOnKeptConns(addr, 16, stop)
+				if test.stopped {
+					assert.Check(t, s.Shutdown(t.Context()))
+					close(shut)
+				}
+				<-shut
+				unanswered += len(paths)
+				dropped += sent.count(paths)
+			}
+			t.Logf("%d requests read, %d answered; %d sent without an answer, %d of them passed on", n.heads.Load(), n.responses.Load(), unanswered, dropped)
+			assert.Equal(t, dropped, 0, "requests passed on without an answer")
+			assert.Equal(t, n.heads.Load(), n.responses.Load(), "requests read and responses written")
+			if test.stopped {
+				assert.Equal(t, unanswered, 0, "requests without an answer")
+			}
+		})
+	}
+}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -178,11 +178,10 @@
 	return s.http
 }
 
-// StopKeepAlives makes the server close each connection after its next response, and
-// idle ones at once.
+// StopKeepAlives makes the server close each connection after its next response, which
+// announces the close. Idle connections stay open until Shutdown.
 func (s *Server) StopKeepAlives() {
-	s.conns.stop() // first, since net/http may close a connection whose request is being read
-	s.http.SetKeepAlivesEnabled(false)
+	s.conns.linger()
 }
 
 // Shutdown stops the server gracefully.
