entry: a shutdown answers the requests that it reads

Callers that open a connection shortly before the shutdown of a node, or whose request crosses the close of an idle connection, saw it end without an answer.

Cause: net/http drops each request whose head it reads after its shutdown has begun, on connections that it accepted before. Idle connections were closed at the same moment.

Change: the shutdown first refuses new requests, with an announced close, and closes the listener. It waits at most 100 ms for requests on idle connections and at most 1 s for the first request of new ones; net/http's shutdown comes last. A connection is not closed between the end of a request's handling and the end of its response.

Tried first: closing all connections without a request in progress at the end of the wait.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -235,7 +235,7 @@
 	a.store.OnChange(a.checkWait)
 	a.zones.OnNews(a.news.signal)
 	ls := a.tree.NewSubtree("listeners")
-	ls.Start("callers", serveHTTP(a.entry.HTTP(), a.callersListener()))
+	ls.Start("callers", serveHTTP(a.entry, a.callersListener()))
 	ls.Start("idle callers", a.entry.CloseIdle)
 	ls.Start("local", serveHTTP(a.local.HTTP(), a.listeners.local))
 	ls.Start("operations", serveHTTP(a.ops, a.listeners.ops))
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -65,8 +65,13 @@
 	return &report.Upstream{ID: u.ID, Service: u.Service, Addr: u.Addr, State: string(u.State), Slots: u.Slots}
 }
 
+// httpServer serves HTTP on a listener.
+type httpServer interface {
+	Serve(ln net.Listener) error
+}
+
 // serveHTTP returns the background task that serves HTTP on a listener.
-func serveHTTP(s *http.Server, ln net.Listener) func(context.Context) error {
+func serveHTTP(s httpServer, ln net.Listener) func(context.Context) error {
 	return func(context.Context) error {
 		err := s.Serve(ln)
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
--- a/node/entry/conns.go
+++ b/node/entry/conns.go
@@ -8,6 +8,18 @@
 	"time"
 
 	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/super"
+)
+
+const (
+	// idleCloseDelay is how long a shutdown answers requests on idle connections before it
+	// closes them.
+	idleCloseDelay = 100 * time.Millisecond
+	// firstRequestTimeout is how long a shutdown waits for the first request of connections
+	// that were accepted before.
+	firstRequestTimeout = time.Second
+	// pendingCheckInterval is the time between two checks for such connections.
+	pendingCheckInterval = 5 * time.Millisecond
 )
 
 // callerConns holds the connections of callers. It decides whether a connection is
@@ -21,6 +33,7 @@
 	mu        sync.Mutex
 	byConn    map[net.Conn]*callerConn
 	lingering bool // responses announce that their connection is closed
+	refusing  bool // requests are refused
 	stopping  bool // each connection is closed when it becomes idle
 }
 
@@ -28,6 +41,7 @@
 type callerConn struct {
 	idleSince time.Time // zero unless the connection waits for a request
 	requests  int       // number of requests that are handled
+	used      bool      // a request was handled
 	closed    bool
 }
 
@@ -65,7 +79,7 @@
 	switch state {
 	case http.StateIdle:
 		cc.idleSince = now
-		if c.stopping {
+		if c.stopping && cc.used {
 			return cc.closeIfIdle()
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -107,12 +121,24 @@
 	c.lingering = true
 }
 
-// announceClose adds the announcement to the header of a response if linger or stop was
-// called. For HTTP/2, net/http sends a GOAWAY frame instead.
+// refuse makes all new requests be refused, and implies linger.
+func (c *callerConns) refuse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingering, c.refusing = true, true
+}
+
+func (c *callerConns) isRefusing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusing
+}
+
+// announceClose adds the announcement to the header of a response if linger was called. For HTTP/2, net/http sends a GOAWAY frame instead.
 func (c *callerConns) announceClose(h http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lingering || c.stopping {
+	if c.lingering {
 		h.Set("Connection", "close")
 	}
 }
@@ -130,6 +156,7 @@
 		return false
 	}
 	cc.requests++
+	cc.used = true
 	return true
 }
 
@@ -146,20 +173,67 @@
 	c.closeWhere(func(cc *callerConn) bool { return now.Sub(cc.idleSince) > limit })
 }
 
-// stop closes the idle connections, and later each one that becomes idle.
+// stop closes the idle connections, and later each one that becomes idle. Those without
+// a request so far stay open until closeUnused.
 func (c *callerConns) stop() {
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
-	c.closeWhere(func(*callerConn) bool { return true })
+	c.closeWhere(func(cc *callerConn) bool { return cc.used })
+}
+
+// awaitRequests waits, for at most limit, until no request can arrive on a connection that
+// is still open.
+func (c *callerConns) awaitRequests(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for c.hasPending() && super.Pause(ctx, pendingCheckInterval) {
+	}
+}
+
+// isPending reports whether the next request may arrive on the connection or is being read,
+// or the last response is being written.
+func (cc *callerConn) isPending() bool {
+	return cc.requests == 0 && !cc.closed
+}
+
+func (c *callerConns) hasPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cc := range c.byConn {
+		if cc.isPending() {
+			return true
+		}
+	}
+	return false
+}
+
+// closeUnused closes the connections that are still without a request.
+func (c *callerConns) closeUnused() {
+	c.closeIf((*callerConn).closeIfUnused)
+}
+
+// closeIfUnused marks the connection as closed if it had no request, and reports whether it
+// did. The caller holds callerConns.mu.
+func (cc *callerConn) closeIfUnused() bool {
+	if cc.used || cc.closed {
+		return false
+	}
+	cc.closed = true
+	return true
 }
 
 // closeWhere closes the idle connections for which f returns true.
 func (c *callerConns) closeWhere(f func(cc *callerConn) bool) {
+	c.closeIf(func(cc *callerConn) bool { return f(cc) && cc.closeIfIdle() })
+}
+
+// closeIf closes the connections that mark, called with mu held, has marked as closed.
+func (c *callerConns) closeIf(mark func(cc *callerConn) bool) {
 	c.mu.Lock()
 	var closing []net.Conn
 	for conn, cc := range c.byConn {
-		if f(cc) && cc.closeIfIdle() {
+		if mark(cc) {
 			closing = append(closing, conn)
 		}
 	}
--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/burn"
@@ -63,7 +64,7 @@
 	for _, wrap := range listen {
 		ln = wrap(ln)
 	}
-	go func() { _ = s.HTTP().Serve(ln) }()
+	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.HTTP().Close() })
 	return s, ln.Addr().String()
 }
@@ -208,6 +209,7 @@
 
 // tallies counts what a server reads and writes on its connections.
 type tallies struct {
+	conns            atomic.Int64 // connections accepted
 	heads, responses atomic.Int64 // complete heads of requests read, responses written
 }
 
@@ -226,6 +228,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.n.conns.Add(1)
 	return &countingConn{Conn: conn, n: l.n}, nil
 }
 
@@ -258,6 +261,7 @@
 		stopped bool // callers stop while the server lingers
 	}{
 		{"callers stop while it lingers", true},
+		{"callers never stop", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var n tallies
@@ -293,3 +297,42 @@
 		})
 	}
 }
+
+// TestShutdownAnswersNewConn guards against dropping the first request of a connection
+// that was accepted before the shutdown.
+func TestShutdownAnswersNewConn(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	var n tallies
+	s, addr := newTestServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		close(began)
+		<-release
+		return okResponse(), 0, nil
+	}, n.listen)
+	running, waiting := dial(t, addr), dial(t, addr)
+	_, err := io.WriteString(running, "GET / HTTP/1.1\r\nHost: press.example\r\n\r\n")
+	assert.NilError(t, err)
+	<-began
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n.conns.Load() < 2 {
+			return poll.Continue("not accepted yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	shut := make(chan error)
+	go func() { shut <- s.Shutdown(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if conn, err := net.Dial("tcp", addr); err == nil {
+			_ = conn.Close()
+			return poll.Continue("still listening")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	resp := roundTrip(t, waiting)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Close && resp.Header.Get("Retry-After") != "", "%v", resp.Header)
+	close(release)
+	first, err := http.ReadResponse(bufio.NewReader(running), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, first.StatusCode, http.StatusOK)
+	assert.NilError(t, <-shut)
+}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -65,6 +65,9 @@
 	if e := q.resolve(cur); e != nil {
 		return e
 	}
+	if q.server.conns.isRefusing() {
+		return q.withUnknownExecutionIfKeyed(refuse.New(refuse.NotReady, "the node shuts down").WithRetryAfter(time.Second))
+	}
 	if e := q.newCall(cur); e != nil {
 		return q.withUnknownExecutionIfKeyed(e)
 	}
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -102,8 +104,10 @@
 	log           hclog.Logger
 	logLimiter    *lines.Limiter
 
-	mu    sync.Mutex // guards split
-	split *route.Splitter
+	mu         sync.Mutex // guards the fields below
+	split      *route.Splitter
+	listener   net.Listener  // nil before Serve
+	serveEnded chan struct{} // closed when Serve returns
 }
 
 // Option configures a Server.
@@ -184,9 +188,40 @@
 	s.conns.linger()
 }
 
-// Shutdown stops the server gracefully.
+// Serve accepts connections until Shutdown is called or the HTTP server is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	ended := make(chan struct{})
+	defer close(ended)
+	s.mu.Lock()
+	s.listener, s.serveEnded = ln, ended
+	s.mu.Unlock()
+	return s.http.Serve(ln)
+}
+
+// closeListener closes the listener and waits until all connections that it accepted are
+// known to conns.
+func (s *Server) closeListener() {
+	s.mu.Lock()
+	ln, ended := s.listener, s.serveEnded
+	s.mu.Unlock()
+	if ln == nil {
+		return
+	}
+	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.log.Warn("closing the listener for callers failed", "error", err)
+	}
+	<-ended
+}
+
+// Shutdown stops the server gracefully. Requests that still arrive are refused. net/http
+// drops requests whose head it reads after its own shutdown began, so that comes last.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.conns.refuse()
+	s.closeListener()
+	s.conns.awaitRequests(ctx, idleCloseDelay)
 	s.conns.stop()
+	s.conns.awaitRequests(ctx, firstRequestTimeout)
+	s.conns.closeUnused()
 	return s.http.Shutdown(ctx)
 }
 
