entry: requests without an answer have a log limit of their own

Lines about refusals shared their limit and may displace those that operators need.

Seen before the change, in the new test:

TestAbortedRequestIsLogged string "" does not contain "request ended without a complete answer"

The limits are of the same rate, so a node may write twice as many lines about requests as before.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -63,6 +63,7 @@
 	registeredNodes atomic.Int64 // number of nodes in the platform's directory
 
 	logLimiter      *lines.Limiter             // limits log lines about single requests
+	abortLogLimiter *lines.Limiter             // limits those about requests that end without a complete answer
 	droppedByOutput func() int64               // number of log lines that the output dropped; may be nil
 	settingsSource  SettingsSource             // nil if the settings don't change while the process runs
 	effective       atomic.Pointer[setup.Node] // settings in effect: cfg with the reloaded changes
@@ -125,7 +126,8 @@
 		logLimiter:  lines.NewLimiter(cfg.Logging.LinesPerSecond),
 		sources:     sources{Sources: config.NewSources(cfg.Instance.Name)},
 
-		pendingReads: map[*pendingRead]struct{}{},
+		abortLogLimiter: lines.NewLimiter(cfg.Logging.LinesPerSecond),
+		pendingReads:    map[*pendingRead]struct{}{},
 	}
 	a.effective.Store(&cfg)
 	for _, opt := range opts {
--- a/node/agent/statelog.go
+++ b/node/agent/statelog.go
@@ -108,10 +108,10 @@
 }
 
 // droppedLines returns the number of log lines dropped since the start, by the
-// limit on lines about single requests or by the output. It also updates the
+// limits on lines about single requests or by the output. It also updates the
 // metric.
 func (a *Agent) droppedLines() int64 {
-	n := a.logLimiter.Dropped()
+	n := a.logLimiter.Dropped() + a.abortLogLimiter.Dropped()
 	if a.droppedByOutput != nil {
 		n += a.droppedByOutput()
 	}
--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -52,13 +52,25 @@
 // newTestServer returns a server with one open route, and its address. Its listener is
 // wrapped by each function in listen.
 func newTestServer(t *testing.T, sender stubSender, listen ...func(net.Listener) net.Listener) (s *Server, addr string) {
+	t.Helper()
+	s = newServer(t, sender)
+	return s, serve(t, s, listen...)
+}
+
+// newServer returns a server with one open route that is not listening yet.
+func newServer(t *testing.T, sender stubSender, opts ...Option) *Server {
 	t.Helper()
 	body, err := json.Marshal(model.Route{Pattern: "press.example/", Service: "orders", Open: true, OpenUnlimited: true})
 	assert.NilError(t, err)
 	st := store.New()
 	now := boot.Now()
 	st.ApplySnapshot(&config.Snapshot{Offset: 1, Objects: []config.Object{{Kind: model.KindRoute, Name: "r", Revision: 1, Body: body}}}, now, now)
-	s = New(st, Dependencies{Sender: sender, Ranker: stubRanker{}, Counter: stubCounter{}}, metric.New(), setup.Default().Limits)
+	return New(st, Dependencies{Sender: sender, Ranker: stubRanker{}, Counter: stubCounter{}}, metric.New(), setup.Default().Limits, opts...)
+}
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, s *Server, listen ...func(net.Listener) net.Listener) (addr string) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	for _, wrap := range listen {
@@ -66,7 +78,7 @@
 	}
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.HTTP().Close() })
-	return s, ln.Addr().String()
+	return ln.Addr().String()
 }
 
 // okResponse returns an empty response.
--- a/node/entry/refusal_test.go
+++ b/node/entry/refusal_test.go
@@ -1,16 +1,21 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
+	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/setup"
@@ -59,3 +64,22 @@
 	assert.NilError(t, resp.Body.Close())
 	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
 }
+
+// TestAbortedRequestIsLogged guards against lines about refused requests that displace those
+// about requests without a complete answer.
+func TestAbortedRequestIsLogged(t *testing.T) {
+	var out bytes.Buffer
+	refusals := lines.NewLimiter(1)
+	assert.Assert(t, refusals.Allow(time.Now().Add(time.Hour)))
+	s := newServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		body := io.NopCloser(iotest.ErrReader(&relay.TruncatedError{Service: "orders"}))
+		return &relay.Response{Status: http.StatusOK, ContentLength: 1, Body: body}, 0, nil
+	}, WithLogger(hclog.New(&hclog.LoggerOptions{Output: &out}), refusals, lines.NewLimiter(1)))
+	conn := dial(t, serve(t, s))
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: press.example\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Shutdown(t.Context()))
+	assert.Assert(t, cmp.Contains(out.String(), "request ended without a complete answer"))
+}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -290,7 +290,7 @@
 
 // logRefusal logs a refused request.
 func (q *request) logRefusal(e *refuse.Error, took time.Duration) {
-	if !q.server.log.IsInfo() || !q.server.logLimiter.Allow(q.now) {
+	if !q.server.log.IsInfo() || !q.server.refusalLines.Allow(q.now) {
 		return
 	}
 	q.server.log.Info("request refused", "request", q.server.protocol.RequestID(q.r.Header), "route", q.route.Name,
@@ -307,7 +307,7 @@
 // logAborted counts and logs a request that ended without a complete answer.
 func (q *request) logAborted(cause string, err error) {
 	q.server.metrics.Add(metric.Aborted+cause, 1)
-	if !q.server.log.IsInfo() || !q.server.logLimiter.Allow(q.now) {
+	if !q.server.log.IsInfo() || !q.server.abortLines.Allow(q.now) {
 		return
 	}
 	q.server.log.Info("request ended without a complete answer", "request", q.server.protocol.RequestID(q.r.Header), "route", q.route.Name,
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -102,7 +102,8 @@
 	origin        string // service of the local instance
 	parents       *chain.Table
 	log           hclog.Logger
-	logLimiter    *lines.Limiter
+	refusalLines  *lines.Limiter // limits log lines about refused requests
+	abortLines    *lines.Limiter // limits log lines about requests without a complete answer
 
 	mu         sync.Mutex // guards the fields below
 	split      *route.Splitter
@@ -130,9 +131,10 @@
 	return func(s *Server) { s.parents = t }
 }
 
-// WithLogger sets the logger for refused requests and the limiter of its lines.
-func WithLogger(l hclog.Logger, limiter *lines.Limiter) Option {
-	return func(s *Server) { s.log, s.logLimiter = l, limiter }
+// WithLogger sets the logger and the limiters of its lines about refused requests and about
+// requests that end without a complete answer.
+func WithLogger(l hclog.Logger, refusals, aborts *lines.Limiter) Option {
+	return func(s *Server) { s.log, s.refusalLines, s.abortLines = l, refusals, aborts }
 }
 
 // Dependencies are the components that a server uses to admit and send
@@ -150,7 +152,7 @@
 func New(st *store.Store, p Dependencies, m *metric.Set, limits setup.Limits, opts ...Option) *Server {
 	s := &Server{
 		store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, counter: p.Counter, metrics: m,
-		limits: limits, active: newActiveRequests(limits.RevokeGrace.D()), conns: newCallerConns(m), protocol: defaultProtocol{}, callerRetries: newCallerRetryDetector(), split: route.NewSplitter(), log: hclog.NewNullLogger(), logLimiter: lines.NewLimiter(0),
+		limits: limits, active: newActiveRequests(limits.RevokeGrace.D()), conns: newCallerConns(m), protocol: defaultProtocol{}, callerRetries: newCallerRetryDetector(), split: route.NewSplitter(), log: hclog.NewNullLogger(), refusalLines: lines.NewLimiter(0), abortLines: lines.NewLimiter(0),
 	}
 	for _, o := range opts {
 		o(s)
