entry: a shutdown leaves the end of HTTP/2 connections to net/http

Callers on HTTP/2 lost responses when a node shut down: net/http reports such a connection as idle before its last response is flushed, and the shutdown closed it at that moment.

net/http ends HTTP/2 connections by a GOAWAY frame once their streams have ended, so they are left to it. TestShutdownAnswersHTTP2, 10 shutdowns with 8 streams each, failed before on the code of today ('server sent GOAWAY and closed the connection') and passes, as do entry, agent and platform with the race detector.

--- a/node/entry/conns.go
+++ b/node/entry/conns.go
@@ -43,6 +43,7 @@
 	requests  int       // number of requests that are handled
 	used      bool      // a request was handled
 	closed    bool
+	http2     bool // net/http reports it as idle before the last response is sent, and ends it by a GOAWAY frame
 }
 
 func newCallerConns(m *metric.Set) *callerConns {
@@ -79,7 +80,7 @@
 	switch state {
 	case http.StateIdle:
 		cc.idleSince = now
-		if c.stopping && cc.used {
+		if c.stopping && cc.used && !cc.http2 {
 			return cc.closeIfIdle()
 		}
 	case http.StateClosed, http.StateHijacked:
@@ -103,7 +104,7 @@
 func (c *callerConns) handle(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(callerConnKey{}).(net.Conn)
-		if !c.begin(conn) {
+		if !c.begin(conn, r.ProtoMajor > 1) {
 			c.metrics.Add(metric.Aborted+abortedByClose, 1)
 			panic(http.ErrAbortHandler)
 		}
@@ -134,7 +135,8 @@
 	return c.refusing
 }
 
-// announceClose adds the announcement to the header of a response if linger was called. For HTTP/2, net/http sends a GOAWAY frame instead.
+// announceClose adds the announcement to the header of a response if linger was called. For
+// HTTP/2, net/http sends a GOAWAY frame instead.
 func (c *callerConns) announceClose(h http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,7 +147,7 @@
 
 // begin records that a request is handled. It returns false if the connection was
 // closed.
-func (c *callerConns) begin(conn net.Conn) bool {
+func (c *callerConns) begin(conn net.Conn, http2 bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc := c.byConn[conn]
@@ -156,7 +158,7 @@
 		return false
 	}
 	cc.requests++
-	cc.used = true
+	cc.used, cc.http2 = true, http2
 	return true
 }
 
@@ -179,7 +181,7 @@
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
-	c.closeWhere(func(cc *callerConn) bool { return cc.used })
+	c.closeWhere(func(cc *callerConn) bool { return cc.used && !cc.http2 })
 }
 
 // awaitRequests waits, for at most limit, until no request can arrive on a connection that
@@ -194,7 +196,7 @@
 // isPending reports whether the next request may arrive on the connection or is being read,
 // or the last response is being written.
 func (cc *callerConn) isPending() bool {
-	return cc.requests == 0 && !cc.closed
+	return cc.requests == 0 && !cc.closed && !cc.http2
 }
 
 func (c *callerConns) hasPending() bool {
--- a/node/entry/http2_test.go
+++ b/node/entry/http2_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 )
 
@@ -26,13 +29,17 @@
 func get(t *testing.T, c *http.Client, addr string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+"/", nil)
-	assert.NilError(t, err)
+	if !assert.Check(t, err) {
+		return
+	}
 	req.Host = "press.example"
 	resp, err := c.Do(req)
-	assert.NilError(t, err)
+	if !assert.Check(t, err) {
+		return
+	}
 	_, err = io.Copy(io.Discard, resp.Body)
-	assert.NilError(t, err)
-	assert.NilError(t, resp.Body.Close())
+	assert.Check(t, err)
+	assert.Check(t, resp.Body.Close())
 }
 
 // TestHTTP2BodyNotReadToEnd guards against a panic, which ends the process, when a read deadline
@@ -61,3 +68,43 @@
 	get(t, http2Client(t), addr)
 	assert.Assert(t, complete)
 }
+
+// TestShutdownAnswersHTTP2 guards against an HTTP/2 connection that is closed before its last
+// responses are sent.
+func TestShutdownAnswersHTTP2(t *testing.T) {
+	const streams = 8
+	for range 10 {
+		var running sync.WaitGroup
+		running.Add(streams)
+		proceed := make(chan struct{})
+		s, addr := newTestServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+			running.Done()
+			<-proceed
+			return okResponse(), 0, nil
+		})
+		shut := make(chan error)
+		go func() {
+			running.Wait()
+			s.StopKeepAlives()
+			shut <- s.Shutdown(t.Context())
+		}()
+		go func() {
+			defer close(proceed)
+			for !s.conns.isStopping() && super.Pause(t.Context(), time.Millisecond) {
+			}
+		}()
+		c := http2Client(t)
+		var callers sync.WaitGroup
+		for range streams {
+			callers.Go(func() { get(t, c, addr) })
+		}
+		callers.Wait()
+		assert.NilError(t, <-shut)
+	}
+}
+
+func (c *callerConns) isStopping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping
+}
