entry, agent: requests of callers are refused while a node drains

After the linger time, in which callers learn of the shutdown, new requests of callers are refused as not run. Calls that the upstream makes for running requests are served on. TestRequestsAreRefusedWhileDraining; with calls of the upstream refused as well it fails (503 in place of 200). Not covered: requests that are in flight at the very end are still cut.

--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -19,6 +19,7 @@
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/burn"
+	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
@@ -348,3 +349,43 @@
 	assert.Equal(t, first.StatusCode, http.StatusOK)
 	assert.NilError(t, <-shut)
 }
+
+// parentHeader holds the identifier of the parent of a call in parentProtocol.
+const parentHeader = "Test-Parent"
+
+// parentProtocol is the default protocol with calls of the upstream.
+type parentProtocol struct{ defaultProtocol }
+
+// ParentID implements Protocol.
+func (parentProtocol) ParentID(h http.Header) string { return h.Get(parentHeader) }
+
+// TestRequestsAreRefusedWhileDraining guards against a request that is accepted shortly before
+// the process ends and cut off then, and against refusing the calls of running requests.
+func TestRequestsAreRefusedWhileDraining(t *testing.T) {
+	parents := chain.NewTable()
+	parents.Begin(t.Context(), "r", "running", model.Call{Deadline: time.Now().Add(time.Minute)})
+	var sent passedOn
+	s := newServer(t, sent.send, WithParents(parents), WithProtocol(parentProtocol{}))
+	addr := serve(t, s)
+	s.RefuseRequests()
+	for _, test := range []struct {
+		name, header string
+		want         int
+	}{
+		{"request of a caller", "", http.StatusServiceUnavailable},
+		{"call of a running request", parentHeader + ": running\r\n", http.StatusOK},
+		{"call of no running request", parentHeader + ": other\r\n", http.StatusServiceUnavailable},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			conn := dial(t, addr)
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: press.example\r\n"+test.header+"\r\n")
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, test.want)
+			assert.Assert(t, resp.Close)
+		})
+	}
+}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -65,10 +65,11 @@
 	if e := q.resolve(cur); e != nil {
 		return e
 	}
-	if q.server.conns.isRefusing() {
+	parent := q.findParent()
+	if parent == nil && q.server.conns.isRefusing() {
 		return q.withUnknownExecutionIfKeyed(refuse.New(refuse.NotReady, "the node shuts down").WithRetryAfter(time.Second))
 	}
-	if e := q.newCall(cur); e != nil {
+	if e := q.newCall(cur, parent); e != nil {
 		return q.withUnknownExecutionIfKeyed(e)
 	}
 	release, e := q.admit()
@@ -156,7 +157,7 @@
 
 // newCall sets q.call, which the request carries to its target and its child
 // calls.
-func (q *request) newCall(cur *store.Config) *refuse.Error {
+func (q *request) newCall(cur *store.Config, parent *chain.ActiveCall) *refuse.Error {
 	timeout, e := q.timeout()
 	if e != nil {
 		return e
@@ -165,7 +166,6 @@
 	if q.route.Route.Attempts > 0 {
 		attempts = q.route.Route.Attempts
 	}
-	q.findParent()
 	q.call = model.Call{
 		Root:        uuid.NewString(),
 		Customer:    q.id.customer,
@@ -176,22 +176,26 @@
 		Origin:      q.server.origin,
 		LatencyGoal: time.Duration(q.route.Route.LatencyGoalMS) * time.Millisecond,
 	}
-	if q.parent != nil {
+	if parent != nil {
+		q.parent = parent
 		q.inherit(q.parent.Call)
 	}
 	return nil
 }
 
-// findParent looks up the request on whose behalf the local upstream makes this
-// one. A request of a customer has no parent.
-func (q *request) findParent() {
+// findParent returns the request on whose behalf the local upstream makes this one, or nil
+// if there is none. A request of a customer has no parent.
+func (q *request) findParent() *chain.ActiveCall {
 	s := q.server
 	if s.parents == nil || q.id.customer != "" {
-		return
+		return nil
 	}
-	if id := s.protocol.ParentID(q.r.Header); id != "" {
-		q.parent, _ = s.parents.LookupByID(id, q.now)
+	id := s.protocol.ParentID(q.r.Header)
+	if id == "" {
+		return nil
 	}
+	parent, _ := s.parents.LookupByID(id, q.now)
+	return parent
 }
 
 // inherit copies the properties that the whole call chain shares from the
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -190,6 +190,13 @@
 	s.conns.linger()
 }
 
+// RefuseRequests makes the server refuse new requests of callers, since they may not end
+// before the shutdown. Calls that the local upstream makes for running requests are served
+// until Shutdown.
+func (s *Server) RefuseRequests() {
+	s.conns.refuse()
+}
+
 // Serve accepts connections until Shutdown is called or the HTTP server is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	ended := make(chan struct{})
