--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -389,3 +389,30 @@
 		})
 	}
 }
+
+// TestLingerOverHTTP2 guards against cutting the requests of HTTP/2 connections while the
+// server lingers.
+func TestLingerOverHTTP2(t *testing.T) {
+	var sent passedOn
+	var n tallies
+	s, addr := newTestServer(t, sent.send, n.listen)
+	client := http2Client(t)
+	post := func() {
+		r, err := http.NewRequest(http.MethodPost, "http://"+addr, http.NoBody)
+		assert.NilError(t, err)
+		r.Host = "press.example"
+		resp, err := client.Do(r)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, resp.ProtoMajor, 2)
+		assert.Equal(t, resp.Header.Get("Connection"), "")
+	}
+	post()
+	s.StopKeepAlives()
+	post()
+	assert.Equal(t, n.conns.Load(), int64(1))
+	for range 3 {
+		post()
+	}
+}
