--- a/core/crash/fingerprint.go
+++ b/core/crash/fingerprint.go
@@ -23,13 +23,18 @@
 // HeadDigest returns the digest of all parts of a request except its body. The
 // caller is the customer of the request; it is empty for requests without a key.
 func HeadDigest(method, uri, caller string) Digest {
+	return truncate(hashParts(method, uri, caller))
+}
+
+// hashParts returns the hash of a list of strings. The length of each precedes it, so that
+// lists that are divided differently have different hashes.
+func hashParts(parts ...string) hash.Hash {
 	h := sha256.New()
-	for _, part := range []string{method, uri, caller} {
-		// The length separates the parts.
+	for _, part := range parts {
 		_ = binary.Write(h, binary.BigEndian, uint64(len(part)))
 		_, _ = io.WriteString(h, part)
 	}
-	return truncate(h)
+	return h
 }
 
 // BodyDigest computes the digest of a body from its chunks. The zero value is
@@ -74,11 +79,7 @@
 
 // ProcessID returns the identifier of the end of an upstream process.
 func ProcessID(instance, id string, startedMS int64) uint64 {
-	h := sha256.New()
-	for _, part := range []string{instance, id} {
-		_ = binary.Write(h, binary.BigEndian, uint64(len(part)))
-		_, _ = io.WriteString(h, part)
-	}
+	h := hashParts(instance, id)
 	_ = binary.Write(h, binary.BigEndian, startedMS)
 	return binary.BigEndian.Uint64(h.Sum(nil))
 }
--- a/core/crash/registry.go
+++ b/core/crash/registry.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// isolates reports whether the request must not be executed beside others of its kind.
+func (r *record) isolates(now time.Time) bool {
+	return r.count() >= IsolateAfter && !r.expired(now)
+}
+
 // export returns the record in the form for other nodes.
 func (r *record) export(f Fingerprint, now time.Time) Record {
 	return Record{Fingerprint: f, Ended: slices.Clone(r.ended), Cleared: slices.Clone(r.cleared), Isolated: slices.Clone(r.isolated), AgeMS: max(0, now.Sub(r.last).Milliseconds())}
@@ -146,7 +151,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r, ok := g.records[f]
-	return ok && r.count() >= IsolateAfter && !r.expired(now)
+	return ok && r.isolates(now)
 }
 
 // IsolatedWithHead returns the records of the requests with a head for which Isolates
@@ -159,7 +164,7 @@
 	defer g.mu.Unlock()
 	var out []Record
 	for f, r := range g.records {
-		if f.Head == head && r.count() >= IsolateAfter && !r.expired(now) {
+		if f.Head == head && r.isolates(now) {
 			out = append(out, r.export(f, now))
 		}
 	}
@@ -209,7 +214,7 @@
 func (g *Registry) onlyIsolated(suspects []Fingerprint, now time.Time) bool {
 	var found []Fingerprint
 	for _, f := range suspects {
-		if r, ok := g.records[f]; ok && r.count() >= IsolateAfter && !r.expired(now) && !slices.Contains(found, f) {
+		if r, ok := g.records[f]; ok && r.isolates(now) && !slices.Contains(found, f) {
 			found = append(found, f)
 		}
 	}
