--- a/review/stand/lost.go
+++ b/review/stand/lost.go
@@ -125,8 +125,12 @@
 				if _, left := out[n].Load("out"); left {
 					continue // the platform has taken the node out: its clients get no new work
 				}
-				inner.Go(func() { do(c, n, "client of "+n.Name, s.newID(), "POST", "press.example", "/order/1", lostKey, clientLimit) })
-				inner.Go(func() { do(c, n, "client of "+n.Name, s.newID(), "GET", "press.example", "/history/1", lostKey, clientLimit) })
+				inner.Go(func() {
+					do(c, n, "client of "+n.Name, s.newID(), "POST", "press.example", "/order/1", lostKey, clientLimit)
+				})
+				inner.Go(func() {
+					do(c, n, "client of "+n.Name, s.newID(), "GET", "press.example", "/history/1", lostKey, clientLimit)
+				})
 			}
 		})
 	}
