--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # deploy file: go build -ldflags=-linkmode=external -o target/ ./platform
 set -euo pipefail
 cd "$(dirname "$0")/stand"
-GOWORK=off GOFLAGS= go build -o ../bin/stand .
+GOWORK=off GOFLAGS= go build -buildvcs=false -o ../bin/stand .
--- a/review/stand/leave.go
+++ b/review/stand/leave.go
@@ -27,6 +27,7 @@
 	}
 	t.born = time.Now().UnixMilli()
 	t.seq.Store(0)
+	t.leaving.Store(false)
 	t.srv = &http.Server{Handler: t.Target}
 	go func() { _ = t.srv.Serve(ln) }()
 	beats, cancel := context.WithCancel(ctx)
@@ -92,6 +93,7 @@
 // SIGTERM afterwards, both start again, the target under the Id that it had.
 func (s *Site) restartMachine(n *Node, t *restartable) error {
 	t.cancel()
+	t.leaving.Store(true)
 	acked := t.beat("draining")
 	s.say("%s: draining, acknowledged %v", t.ID, acked)
 	time.Sleep(2500 * time.Millisecond) // DrainS and a little longer
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -51,6 +51,8 @@
 	running atomic.Int64
 	seq     atomic.Int64
 	born    int64
+	leaving atomic.Bool // the health check says so
+	mute    atomic.Bool // no more heartbeats
 }
 
 func (t *Target) start(ctx context.Context) error {
@@ -67,7 +69,9 @@
 
 func (t *Target) beats(ctx context.Context) {
 	for {
-		t.beat("ready")
+		if !t.mute.Load() {
+			t.beat("ready")
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -95,6 +99,9 @@
 	if r.URL.Path == "/healthz" {
 		h.Set("Instance-Id", t.ID)
 		h.Set("Instance-Load", load)
+		if t.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	if id != "" {
