--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x review/bin/stand ] && [ -x target/platform ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
-exec review/bin/stand quota "$here/record.txt"
+exec review/bin/stand leave "$here/record.txt"
