--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -23,6 +23,7 @@
 type Node struct {
 	Name, Zone, IP                   string
 	Callers, Ready, Control, Service string
+	Peers, Operations, Local         string
 	App                              string // address of the target
 	StoreAddr                        string
 
@@ -49,7 +50,8 @@
 	cancel context.CancelFunc
 	ids    atomic.Int64
 	prefix string
-	net    int
+	net    int // second number of the addresses
+	port   int // first of the ports of each machine
 }
 
 func newSite(record string) (*Site, error) {
@@ -71,17 +73,26 @@
 	s := &Site{dir: dir, binary: binary, record: f, began: time.Now(), Runs: &Runs{}}
 	s.prefix = fmt.Sprintf("%08x", rand.Uint32())
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	for s.net = 10 + rand.IntN(200); ; s.net = 10 + rand.IntN(200) {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:7000", s.net))
-		if err == nil {
-			_ = ln.Close()
-			break
-		}
+	for !s.choosePorts() {
 	}
 	s.Store, err = startStore(fmt.Sprintf("127.%d.0.1", s.net))
 	return s, err
 }
 
+// choosePorts draws a network in 127.0.0.0/8 and the first of seven ports below those that the
+// system gives to connections. It reports whether the ports are free.
+func (s *Site) choosePorts() bool {
+	s.net, s.port = 10+rand.IntN(200), 20000+10*rand.IntN(1000)
+	for i := range 7 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", s.net, s.port+i))
+		if err != nil {
+			return false
+		}
+		_ = ln.Close()
+	}
+	return true
+}
+
 func (s *Site) log(format string, args ...any) {
 	s.recMu.Lock()
 	defer s.recMu.Unlock()
@@ -98,7 +109,10 @@
 	ip := fmt.Sprintf("127.%d.%d.%d", s.net, zoneNo+1, no+1)
 	n := &Node{
 		Name: fmt.Sprintf("sidecar-%s-%d", zone, no+1), Zone: zone, IP: ip, Service: service, site: s,
-		Callers: ip + ":8548", Ready: ip + ":8546", Control: ip + ":8540", App: ip + ":8547", StoreAddr: s.Store.Addr,
+		StoreAddr: s.Store.Addr,
+	}
+	for i, addr := range []*string{&n.Callers, &n.Ready, &n.Control, &n.App, &n.Peers, &n.Operations, &n.Local} {
+		*addr = fmt.Sprintf("%s:%d", ip, s.port+i)
 	}
 	n.settings = filepath.Join(s.dir, n.Name+".toml")
 	s.Nodes = append(s.Nodes, n)
@@ -111,7 +125,7 @@
 }
 
 // render writes the settings that deploy/node.toml gives. All machines of a script share
-// 127.0.0.1, so only listen.local is at the machine's own loopback address.
+// 127.0.0.1, so listen.local is at the machine's own loopback address.
 func (n *Node) render(zones []string) {
 	list := ""
 	for i, z := range zones {
@@ -125,9 +139,9 @@
 zone = %q
 [listen]
 callers = %q
-local = "%s:7015"
-peers = "%s:7000"
-operations = "%s:7001"
+local = %q
+peers = %q
+operations = %q
 ready = %q
 announcements = %q
 [log]
@@ -155,7 +169,7 @@
 [shutdown]
 timeout = "6s"
 linger = "2.2s"
-`, n.Name, n.Zone, n.Callers, n.IP, n.IP, n.IP, n.Ready, n.Control, n.StoreAddr, n.site.Store.Addr, n.Service, n.App, list)
+`, n.Name, n.Zone, n.Callers, n.Local, n.Peers, n.Operations, n.Ready, n.Control, n.StoreAddr, n.site.Store.Addr, n.Service, n.App, list)
 	_ = os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
