--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -52,7 +52,6 @@
 	seq     atomic.Int64
 	born    int64
 	leaving atomic.Bool // the health check says so
-	mute    atomic.Bool // no more heartbeats
 }
 
 func (t *Target) start(ctx context.Context) error {
@@ -69,9 +68,7 @@
 
 func (t *Target) beats(ctx context.Context) {
 	for {
-		if !t.mute.Load() {
-			t.beat("ready")
-		}
+		t.beat("ready")
 		select {
 		case <-ctx.Done():
 			return
