entry: a request keeps its query and its own headers

Headers Authorization (Basic) and X-Api-Key of the caller's own were dropped, or taken for the key and refused with 401.

Cause: to keep API keys from upstreams, the entry removed whatever might hold one, by its name. On a platform whose keys come in Authorization these names are the caller's data.

The protocol now names the header that carries the key, and only that one is removed. A request that contains its key elsewhere in the header or the URI is refused with 400, since it can neither be passed on nor changed. A claim that is forwarded to its owner keeps the host and the identifier of the request.

--- a/core/keys/doc.go
+++ b/core/keys/doc.go
@@ -1,3 +1,3 @@
 // Package keys generates the API keys of customers, computes their digests, and
-// removes keys from requests.
+// finds keys in requests.
 package keys
--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -20,10 +20,6 @@
 	HeaderAPIKey        = "X-Api-Key"
 )
 
-// keyParameters are names of query parameters in which callers send keys by
-// mistake.
-var keyParameters = []string{"api_key", "apikey", "x-api-key", "access_token", "key"}
-
 // keyBytes is the number of random bytes of a key.
 const keyBytes = 32
 
@@ -40,47 +36,50 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// FromHeader returns the key in a request header, or the empty string.
-func FromHeader(h http.Header) string {
+// Credential is an API key and the name of the header that carries it.
+type Credential struct {
+	Key, Header string
+}
+
+// FromHeader returns the key in X-Api-Key or, if that is not set, in Authorization. The key is
+// empty if there is none.
+func FromHeader(h http.Header) Credential {
 	if key := strings.TrimSpace(h.Get(HeaderAPIKey)); key != "" {
-		return key
+		return Credential{Key: key, Header: HeaderAPIKey}
 	}
+	return FromBearer(h)
+}
+
+// FromBearer returns the key in Authorization with the scheme Bearer. The key is empty if there
+// is none.
+func FromBearer(h http.Header) Credential {
 	scheme, rest, ok := strings.Cut(h.Get(HeaderAuthorization), " ")
 	if !ok || !strings.EqualFold(scheme, "Bearer") {
-		return ""
+		return Credential{}
 	}
-	return strings.TrimSpace(rest)
+	return Credential{Key: strings.TrimSpace(rest), Header: HeaderAuthorization}
 }
 
-// Strip removes the key from a header or trailer: the fields Authorization,
-// Proxy-Authorization and X-Api-Key, and any other field whose name or values
-// contain the key.
-func Strip(h http.Header, key string) {
-	h.Del(HeaderAuthorization)
-	h.Del("Proxy-Authorization")
-	h.Del(HeaderAPIKey)
+// FindCopy returns the name of a field of a header that contains the key, other than the one
+// that carries it, or the empty string.
+func FindCopy(h http.Header, c Credential) string {
 	for name, values := range h {
-		if containsLiteral(name, key) || containsAny(values, key) {
-			delete(h, name)
+		if name != c.Header && (containsLiteral(strings.ToLower(name), strings.ToLower(c.Key)) || containsAny(values, c.Key)) {
+			return name
 		}
 	}
+	return ""
 }
 
-// StripQuery removes from a raw query the parameters named in keyParameters
-// and those that contain the key. It returns a query without such parameters
-// unchanged.
-func StripQuery(raw, key string) string {
-	if raw == "" {
-		return raw
-	}
-	parts := strings.Split(raw, "&")
-	kept := parts[:0]
-	for _, part := range parts {
-		if !carriesKey(part, key) {
-			kept = append(kept, part)
+// StripTrailer removes from a trailer the fields that contain the key, and Authorization, which
+// must not be sent in trailers. A trailer arrives too late to refuse its request.
+func StripTrailer(h http.Header, key string) {
+	h.Del(HeaderAuthorization)
+	for name, values := range h {
+		if containsLiteral(strings.ToLower(name), strings.ToLower(key)) || containsAny(values, key) {
+			delete(h, name)
 		}
 	}
-	return strings.Join(kept, "&")
 }
 
 // Contains reports whether s contains the key, literally or percent-encoded.
@@ -92,22 +91,6 @@
 	return err == nil && containsLiteral(decoded, key)
 }
 
-// carriesKey reports whether a query parameter is named in keyParameters or
-// contains the key.
-func carriesKey(part, key string) bool {
-	name, _, _ := strings.Cut(part, "=")
-	decoded, err := url.QueryUnescape(name)
-	if err != nil {
-		decoded = name
-	}
-	for _, q := range keyParameters {
-		if strings.EqualFold(decoded, q) {
-			return true
-		}
-	}
-	return Contains(part, key)
-}
-
 func containsAny(values []string, key string) bool {
 	for _, v := range values {
 		if Contains(v, key) {
--- a/node/entry/claim.go
+++ b/node/entry/claim.go
@@ -59,7 +59,7 @@
 	if cur == nil {
 		return nil, refuse.New(refuse.NotReady, "the node has no configuration yet").WithRetryAfter(time.Second)
 	}
-	id, e := identify(cur, r.Header)
+	id, e := s.identify(cur, r)
 	if e != nil {
 		return nil, e
 	}
--- a/node/entry/protocol.go
+++ b/node/entry/protocol.go
@@ -5,12 +5,16 @@
 	"strconv"
 	"time"
 
+	"dogwoodsill.org/core/keys"
 	"dogwoodsill.org/core/refuse"
 )
 
 // Protocol reads the headers by which callers control a request, and writes
 // refusals. Implementations are safe for concurrent use.
 type Protocol interface {
+	// Credential returns the API key of a request and the header that carries it. All other
+	// headers belong to the caller and are passed on.
+	Credential(h http.Header) keys.Credential
 	// Timeout returns how long the caller waits for the response, or 0 if the
 	// header doesn't say.
 	Timeout(h http.Header) (time.Duration, *refuse.Error)
@@ -29,6 +33,11 @@
 // TimeoutHeader and writes refusals as problem documents.
 type defaultProtocol struct{}
 
+// Credential implements Protocol.
+func (defaultProtocol) Credential(h http.Header) keys.Credential {
+	return keys.FromHeader(h)
+}
+
 // Timeout implements Protocol.
 func (defaultProtocol) Timeout(h http.Header) (time.Duration, *refuse.Error) {
 	text := h.Get(TimeoutHeader)
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -126,7 +126,7 @@
 // resolve determines the customer, the route and the service of the request. It
 // refuses the request if the configuration is older than the route permits.
 func (q *request) resolve(cur *store.Config) (e *refuse.Error) {
-	if q.id, e = identify(cur, q.r.Header); e != nil {
+	if q.id, e = q.server.identify(cur, q.r); e != nil {
 		return q.withUnknownExecutionIfKeyed(e)
 	}
 	m, ok := cur.Table.Lookup(q.r, false)
@@ -355,20 +355,16 @@
 	panic(http.ErrAbortHandler)
 }
 
-// outbound returns the request to relay, without the API key.
+// outbound returns the request to relay, without the header that carries the API key.
 func (q *request) outbound(body *relay.Body) *relay.Request {
 	header := relay.EndToEndHeader(q.r.Header)
-	keys.Strip(header, q.id.apiKey)
-	uri := q.r.URL.EscapedPath()
-	if query := keys.StripQuery(q.r.URL.RawQuery, q.id.apiKey); query != "" {
-		uri += "?" + query
-	}
+	header.Del(q.id.credential.Header)
 	return &relay.Request{
 		Call:          q.call,
 		Service:       q.route.Route.Service,
 		Route:         q.route.Name,
 		Method:        q.r.Method,
-		URI:           uri,
+		URI:           relay.OriginForm(q.r),
 		Header:        header,
 		ContentLength: q.r.ContentLength,
 		Host:          q.r.Host,
@@ -379,11 +375,11 @@
 	}
 }
 
-// trailer returns the trailer of the request without the API key. It is valid
-// after the end of the body.
+// trailer returns the trailer of the request without fields that contain the API key. It is
+// valid after the end of the body.
 func (q *request) trailer() http.Header {
 	h := relay.EndToEndHeader(q.r.Trailer)
-	keys.Strip(h, q.id.apiKey)
+	keys.StripTrailer(h, q.id.credential.Key)
 	return h
 }
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -15,7 +15,6 @@
 
 	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/chain"
-	"dogwoodsill.org/core/keys"
 	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
@@ -234,12 +233,6 @@
 	return s.http.Shutdown(ctx)
 }
 
-// identity is the customer of a request with the identifier and the text of its
-// API key.
-type identity struct {
-	customer, keyID, apiKey string
-}
-
 func (s *Server) serve(c echo.Context) error {
 	w, r := c.Response(), c.Request()
 	started := time.Now()
@@ -260,24 +253,6 @@
 	return nil
 }
 
-// identify returns the customer of the API key that a request carries. A
-// request without a key has no customer; a request with an unknown or revoked
-// key is refused.
-func identify(cur *store.Config, h http.Header) (identity, *refuse.Error) {
-	key := keys.FromHeader(h)
-	if key == "" {
-		return identity{}, nil
-	}
-	id, ok := cur.View.Digests[keys.Digest(key)]
-	if !ok {
-		return identity{}, refuse.New(refuse.KeyInvalid, "the key is not known")
-	}
-	if !cur.View.ValidKey(id) {
-		return identity{}, refuse.New(refuse.KeyRevoked, "the key was revoked")
-	}
-	return identity{customer: cur.View.Keys[id].Customer, keyID: id, apiKey: key}, nil
-}
-
 // Repeatable reports whether a request may be sent again after it may have run
 // (RFC 9110, section 9.2.2).
 func Repeatable(method string, r model.Route) bool {
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -14,7 +14,6 @@
 	"github.com/labstack/echo/v4"
 
 	"dogwoodsill.org/core/chain"
-	"dogwoodsill.org/core/keys"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
@@ -195,15 +194,14 @@
 	if err != nil {
 		return refuse.New(refuse.BadRequest, "the body is incomplete")
 	}
-	header := relay.EndToEndHeader(r.Header)
-	keys.Strip(header, "")
 	resp, left, e := entry.Dispatch(ctx, s.caller, s.claimer, m.Route, &relay.Request{
 		Call:          call,
 		Service:       m.Route.Service,
 		Route:         m.Name,
 		Method:        r.Method,
-		URI:           r.URL.RequestURI(),
-		Header:        header,
+		URI:           relay.OriginForm(r),
+		Host:          r.Host,
+		Header:        relay.EndToEndHeader(r.Header),
 		ContentLength: r.ContentLength,
 		Body:          body,
 		Repeatable:    entry.Repeatable(r.Method, m.Route),
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -45,7 +45,7 @@
 	h.Call.Deadline = h.deadline(now)
 	return &Request{
 		Call: h.Call, Service: h.Service, Route: h.Route, Method: h.Method, URI: h.URI, Header: h.Header,
-		ContentLength: h.ContentLength, Body: body, Repeatable: h.Repeatable,
+		Host: h.Host, RequestID: h.RequestID, ContentLength: h.ContentLength, Body: body, Repeatable: h.Repeatable,
 	}, h.Key, nil
 }
 
--- a/node/relay/header.go
+++ b/node/relay/header.go
@@ -36,3 +36,23 @@
 	}
 	return out
 }
+
+// OriginForm returns the target of a request as its sender wrote it, without the scheme and the
+// authority that it may begin with (RFC 9112, section 3.2). The path that net/http parses is
+// no replacement, since another spelling of it is another request to some upstreams.
+func OriginForm(r *http.Request) string {
+	uri := r.RequestURI
+	if strings.HasPrefix(uri, "/") || r.URL.Host == "" {
+		return uri
+	}
+	_, uri, _ = strings.Cut(uri, "//")
+	i := strings.IndexAny(uri, "/?")
+	switch {
+	case i < 0:
+		return "/"
+	case uri[i] == '?':
+		return "/" + uri[i:]
+	default:
+		return uri[i:]
+	}
+}
