route, relay: the target of a request is passed on as it was written

Paths with empty or dot segments were answered 404, because http.ServeMux redirects them, and other spellings were changed on the way: a|b became a%7Cb, a#b became a%23b, a final ? was lost. Requests without User-Agent got that of Go.

Cause: the node matched and rebuilt the target from its parsed form.

Routes now match the segments as they were sent, and the upstream gets the target as it was read. A path whose segments .. lead to another route is refused with 400, as is a target that net/http can only send in another form (it begins with // and needs escapes).

Before: 13 cases of TestRequestTargetIsPassedOnUnchanged fail. After: they pass, with TestPathIsMatchedAsSent (core/route).

--- a/core/route/table.go
+++ b/core/route/table.go
@@ -4,7 +4,10 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"net/url"
+	"path"
 	"slices"
+	"strings"
 
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/model"
@@ -93,10 +96,10 @@
 	t.rules = append(t.rules, r)
 }
 
-// Lookup returns the route of a request. Routes for internal calls match only
-// if internal is set.
+// Lookup returns the route of a request. The path is matched as it was sent, with empty and dot
+// segments. Routes for internal calls match only if internal is set.
 func (t *Table) Lookup(r *http.Request, internal bool) (Match, bool) {
-	h, _ := t.mux.Handler(r)
+	h, _ := t.mux.Handler(withLiteralPath(r))
 	e, ok := h.(*routeHandler)
 	if !ok || e.match.Route.Internal && !internal {
 		return Match{}, false
@@ -104,6 +107,22 @@
 	return e.match, true
 }
 
+// LeavesRoute reports whether a target that resolves the segments ".." of a request's path
+// would take it for a request of another route than m, or of none.
+func (t *Table) LeavesRoute(r *http.Request, m Match) bool {
+	if !hasParentSegment(r.URL.Path) {
+		return false
+	}
+	resolved := path.Clean("/" + r.URL.Path)
+	if strings.HasSuffix(r.URL.Path, "/") && resolved != "/" {
+		resolved += "/"
+	}
+	c := *r
+	c.URL = &url.URL{Path: resolved}
+	got, ok := t.Lookup(&c, true)
+	return !ok || got.Name != m.Name
+}
+
 // Importance returns the importance of a customer's requests on a route, from 0
 // (most important) to model.MaxLevel. The customer is empty for a request
 // without a key; on a route with a priority, such a request counts as a call
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -134,6 +134,9 @@
 		return refuse.New(refuse.RouteUnknown, "no route for %s %s", q.r.Method, q.r.URL.Path)
 	}
 	q.route = m
+	if cur.Table.LeavesRoute(q.r, m) {
+		return refuse.New(refuse.BadRequest, "the path leads out of route %q by its segments \"..\"", m.Name)
+	}
 	if q.id.customer == "" && !m.Route.Open {
 		return refuse.New(refuse.KeyMissing, "route %q needs a key", m.Name)
 	}
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -166,6 +166,9 @@
 	if !ok {
 		return refuse.New(refuse.RouteUnknown, "no route for %s %s", r.Method, r.URL.Path)
 	}
+	if cur.Table.LeavesRoute(r, m) {
+		return refuse.New(refuse.BadRequest, "the path leads out of route %q by its segments \"..\"", m.Name)
+	}
 	if parent.Call.Depth >= model.MaxDepth {
 		return refuse.New(refuse.CallContextInvalid, "the call chain is longer than %d", model.MaxDepth)
 	}
--- a/node/relay/header.go
+++ b/node/relay/header.go
@@ -56,3 +56,12 @@
 		return uri[i:]
 	}
 }
+
+// setTarget sets the URL of a request so that net/http sends the given request target without
+// a change. It reports false for the few that net/http can't send so.
+func setTarget(r *http.Request, uri string) bool {
+	if !strings.HasPrefix(uri, "//") {
+		r.URL.Opaque, r.URL.Path, r.URL.RawPath, r.URL.RawQuery, r.URL.ForceQuery = uri, "", "", "", false
+	}
+	return r.URL.RequestURI() == uri
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -188,10 +188,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if !setTarget(req, h.URI) {
+		return nil, errTargetForm
+	}
 	c.body.req = req
 	req.Host = h.Host
 	req.ContentLength = h.ContentLength
 	req.Header = EndToEndHeader(h.Header)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // otherwise net/http adds its own
+	}
 	c.target.protocol.SetHeaders(req.Header, h, up, c.active.Token, time.Until(h.Call.Deadline))
 	if h.ContentLength < 0 {
 		req.Trailer = http.Header{}
@@ -199,6 +205,9 @@
 	return req, nil
 }
 
+// errTargetForm is the error of a request whose target net/http would send in another form.
+var errTargetForm = errors.New("its target begins with // and contains characters that must be escaped")
+
 // requestBody reads the body of a call and copies its trailer to the request.
 type requestBody struct {
 	stream    *frame.Stream
