entry, local: serve methods that echo doesn't list

Requests with methods such as PURGE or QUERY, and those of an absolute URI without a path, were refused by the router (405, 404).

Cause: echo registers a fixed list of methods for a route.

All paths but the node's own are now served before the router.

Before: TestMethodIsPassedOnUnchanged fails for three of six methods. After: it passes.

--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -158,6 +158,7 @@
 	}
 	st.OnChange(s.active.abortRevoked)
 	e := echo.New()
+	e.Pre(ServeAllBut(s.serve, KeysPath))
 	if p.Claimer != nil {
 		e.POST(KeysPath, s.handleIssueKeys)
 	}
@@ -178,6 +179,19 @@
 	return s
 }
 
+// ServeAllBut returns a middleware that calls h for the requests of all paths but one. The router
+// of echo would refuse methods that it doesn't know and the empty path of an absolute URI.
+func ServeAllBut(h echo.HandlerFunc, own string) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if c.Request().URL.Path == own {
+				return next(c)
+			}
+			return h(c)
+		}
+	}
+}
+
 // HTTP returns the underlying HTTP server.
 func (s *Server) HTTP() *http.Server {
 	return s.http
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -61,6 +61,7 @@
 		o(s)
 	}
 	e := echo.New()
+	e.Pre(entry.ServeAllBut(s.call, AnnouncePath))
 	e.POST(AnnouncePath, s.announce)
 	e.DELETE(AnnouncePath, s.withdraw)
 	e.Any("/*", s.call)
