relay: a statement holds for one process of an upstream

Cause: the restarted node knew its upstream from a health check, without its start. A start that isn't known equalled any other, so what gossip told about the earlier process stuck to the new one, and the node passed it on as such. A rate limit that came with a call stuck in the same way.

What others know is now kept by process. It holds while the start of the upstream isn't known, and afterwards only if it is about exactly that process. What the node heard itself before the start was known remains valid unless the process has started later.

TestStatementOfUpstream expected that a limit whose process has an unknown start holds for a process with a known one. That is the fault: the limit may be that of an earlier process. The case now expects that it doesn't hold, and four cases beside it show which limits stay.

Before: TestLeavingOfEarlierProcess and two cases of TestStatementOfUpstream fail. After: they pass, in all orders of arrival.

--- a/node/relay/crash.go
+++ b/node/relay/crash.go
@@ -203,7 +203,8 @@
 func (t *Target) leaves(p Process) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.statement.same(p) && t.statement.Leaving
+	s := t.statement.current()
+	return s.same(p) && s.Leaving
 }
 
 // refusesConnections reports whether no process listens at an address.
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -1,6 +1,9 @@
 package relay
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // statementRetention is how long a node keeps the statement of an upstream from which it
 // has no newer response. An upstream that leaves is gone by then.
@@ -13,7 +16,8 @@
 }
 
 // same reports whether p and other may be the same process. A start that is not known
-// equals any other.
+// equals any other, so it doesn't tell whether a statement about p holds for other; see
+// Statement.concerns.
 func (p Process) same(other Process) bool {
 	return p.ID == other.ID && (p.StartedMS == other.StartedMS || p.StartedMS == 0 || other.StartedMS == 0)
 }
@@ -33,27 +37,76 @@
 	return !s.Limited && !s.Leaving
 }
 
-// upstreamStatement is the statement of the local upstream.
+// concerns reports whether the statement holds for a process, as far as is known. One about a
+// process whose start isn't known holds for no process whose start is: that may be a later
+// one. While the start of the upstream isn't known, a statement about any process with its
+// identifier holds.
+func (s Statement) concerns(p Process) bool {
+	return s.ID == p.ID && (s.StartedMS == p.StartedMS || p.StartedMS == 0)
+}
+
+// maxHeard limits the statements about processes of the upstream that a node keeps.
+const maxHeard = 8
+
+// upstreamStatement is what a node knows of the statements of its local upstream.
 type upstreamStatement struct {
-	Statement
+	Statement           // of the process that is announced, as this node itself knows it
 	observed  bool      // this node has received a response of the process
 	limitedAt time.Time // when the limit was last confirmed by a response
+	foundAs   Process   // the process before its start was known; zero if it always was
+
+	// heard holds what other nodes and earlier processes of this one know, newest last. It may
+	// be about earlier processes of the upstream, and about one that isn't announced yet.
+	heard []Statement
 }
 
-// setProcess discards the statement if it is that of another process. A process without an
-// identifier that announces itself as ready again doesn't leave: it may be a new one.
-func (u *upstreamStatement) setProcess(p Process, draining bool) {
-	if !u.same(p) {
-		*u = upstreamStatement{}
+// current returns the statement that holds for the upstream. While its start isn't known, the
+// statement keeps the process about which it was made, so that nobody takes it for one about
+// a later process.
+func (u *upstreamStatement) current() Statement {
+	s := u.Statement
+	var h *Statement
+	for i := range u.heard {
+		if u.heard[i].concerns(u.Process) && (h == nil || u.heard[i].StartedMS >= h.StartedMS) {
+			h = &u.heard[i]
+		}
+	}
+	if h == nil {
+		return s
 	}
-	if p.ID == "" && !draining {
-		u.Leaving = false
+	if s.isEmpty() {
+		s.Process = h.Process
 	}
-	if u.StartedMS == 0 {
-		u.Process = p
+	s.Leaving = s.Leaving || h.Leaving
+	if h.Limited && !u.observed {
+		s.Limited, s.PerSec = true, h.PerSec
+	}
+	return s
+}
+
+// setProcess records which process the upstream is. What is known of another one remains known,
+// but no longer holds. A process without an identifier that announces itself as ready again
+// doesn't leave: it may be a new one.
+func (u *upstreamStatement) setProcess(p Process, isNew, draining bool) {
+	if p.ID == "" && (isNew || !draining) {
+		u.Leaving, u.heard = false, nil
+	}
+	switch {
+	case p == u.Process && !(isNew && p.ID == ""):
+	case !isNew && p.ID == u.ID && u.StartedMS == 0:
+		u.foundAs, u.Process = u.Process, p
+	default:
+		former := u.Statement
+		*u = upstreamStatement{Statement: Statement{Process: p}, heard: u.heard}
+		u.hear(former)
 	}
 }
 
+// is reports whether a response that was sent for the process p is one of the upstream.
+func (u *upstreamStatement) is(p Process) bool {
+	return p == u.Process || p.ID != "" && p == u.foundAs
+}
+
 // observe applies the statement of a response to a request that was sent at the given
 // time. A response can only end a limit if its request was sent after the last one that
 // confirmed the limit: an earlier one may have been written before the limit began.
@@ -68,53 +121,59 @@
 	}
 }
 
-// adopt applies a statement that another node received. It has no effect on the limit
-// once this node has a response of its own.
-func (u *upstreamStatement) adopt(s Statement) {
-	u.Leaving = u.Leaving || s.Leaving
-	if s.Limited && !u.observed {
-		u.Limited, u.PerSec = true, s.PerSec
+// hear keeps a statement that this node has not received from the upstream that is announced.
+// It has no effect on the limit once this node has a response of its own.
+func (u *upstreamStatement) hear(s Statement) {
+	if s.isEmpty() {
+		return
+	}
+	for i, old := range u.heard {
+		if old.Process == s.Process {
+			s.Leaving = s.Leaving || old.Leaving
+			u.heard = slices.Delete(u.heard, i, i+1)
+			break
+		}
+	}
+	if len(u.heard) == maxHeard {
+		u.heard = slices.Delete(u.heard, 0, 1)
 	}
+	u.heard = append(u.heard, s)
 }
 
 // recordStatement applies the statement of a response of the upstream up to a request that
 // was sent at the given time.
 func (t *Target) recordStatement(up Upstream, s Statement, sent, now time.Time) {
-	t.changeStatement(up.process(), now, func(u *upstreamStatement) { u.observe(s, sent, now) })
+	t.changeStatement(now, func(u *upstreamStatement) {
+		if u.is(up.process()) {
+			u.observe(s, sent, now)
+		}
+	})
 }
 
 // AdoptLeaving records that a process leaves, which an earlier process of this node knew. The
 // upstream need not have announced itself yet.
 func (t *Target) AdoptLeaving(p Process, now time.Time) {
-	t.mu.Lock()
-	if t.upstream == nil && t.statement.isEmpty() {
-		t.statement.Statement = Statement{Process: p, Leaving: true}
-	}
-	t.mu.Unlock()
 	t.adoptStatement(&Statement{Process: p, Leaving: true}, now)
 }
 
 // adoptStatement applies the statement that came with a call.
 func (t *Target) adoptStatement(s *Statement, now time.Time) {
 	if s != nil {
-		t.changeStatement(s.Process, now, func(u *upstreamStatement) { u.adopt(*s) })
+		t.changeStatement(now, func(u *upstreamStatement) { u.hear(*s) })
 	}
 }
 
-// changeStatement changes the statement of the local upstream if that is the given process.
-func (t *Target) changeStatement(p Process, now time.Time, change func(u *upstreamStatement)) {
+// changeStatement changes what is known of the local upstream and applies it.
+func (t *Target) changeStatement(now time.Time, change func(u *upstreamStatement)) {
 	t.mu.Lock()
-	leaves := false
-	if t.upstream != nil && t.statement.same(p) {
-		before := t.statement.Statement
-		change(&t.statement)
-		leaves = t.statement.Leaving && !before.Leaving
-		if t.statement.Statement != before {
-			t.gate.applyStatement(t.statement.Statement, now)
-		}
+	before := t.statement.current()
+	change(&t.statement)
+	after := t.statement.current()
+	if after != before {
+		t.gate.applyStatement(after, now)
 	}
 	t.mu.Unlock()
-	if leaves {
+	if after.Leaving != before.Leaving {
 		t.onState()
 	}
 }
@@ -123,7 +182,7 @@
 func (t *Target) statementToSend() *Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.statement.Statement; t.upstream != nil && !s.isEmpty() {
+	if s := t.statement.current(); t.upstream != nil && !s.isEmpty() {
 		return &s
 	}
 	return nil
@@ -137,7 +196,10 @@
 	if t.upstream == nil {
 		return Process{}, false
 	}
-	return t.statement.Process, t.statement.Leaving || t.upstream.State == Draining
+	if s := t.statement.current(); s.Leaving {
+		return s.Process, true
+	}
+	return t.upstream.process(), t.upstream.State == Draining
 }
 
 // heardStatement is a statement that a calling node received.
@@ -192,7 +254,7 @@
 	switch {
 	case c.State == Draining && c.Leaving.ID != "":
 		s := Statement{Process: c.Leaving, Leaving: true}
-		if known && old.same(c.Leaving) {
+		if known && old.Process == c.Leaving {
 			s.Limited, s.PerSec = old.Limited, old.PerSec
 		}
 		b.keepStatement(c.Instance, heardStatement{Statement: s, at: now, incarnation: c.Incarnation})
--- a/node/relay/statement_test.go
+++ b/node/relay/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,7 +47,40 @@
 			target.recordStatement(up, Statement{}, at(9), at(20))
 		}, 7},
 		{"passed on by a caller", func(target *Target) { target.adoptStatement(passed("i-1", 5, 7), at(0)) }, 7},
-		{"passed on, start unknown there", func(target *Target) { target.adoptStatement(passed("i-1", 0, 7), at(0)) }, 7},
+		{"passed on, start unknown there", func(target *Target) { target.adoptStatement(passed("i-1", 0, 7), at(0)) }, 0},
+		{"passed on, start unknown here", func(target *Target) {
+			found := up
+			found.StartedMS = 0
+			target.upstream = nil
+			target.Announce(found, at(0))
+			target.adoptStatement(passed("i-1", 5, 7), at(0))
+		}, 7},
+		{"stated before the start was known", func(target *Target) {
+			found := up
+			found.StartedMS = 0
+			target.upstream = nil
+			target.Announce(found, at(0))
+			target.recordStatement(found, limited(7), at(0), at(10))
+			target.Announce(up, at(20))
+		}, 7},
+		{"stated before the start was known, the response arrives after it", func(target *Target) {
+			found := up
+			found.StartedMS = 0
+			target.upstream = nil
+			target.Announce(found, at(0))
+			target.Announce(up, at(20))
+			target.recordStatement(found, limited(7), at(0), at(30))
+		}, 7},
+		{"stated by an earlier process whose start was not known", func(target *Target) {
+			found, next := up, up
+			found.StartedMS = 0
+			next.StartedMS = at(10).UnixMilli()
+			target.upstream = nil
+			target.Announce(found, at(0))
+			target.recordStatement(found, limited(7), at(0), at(5))
+			target.Announce(next, at(20))
+			target.recordStatement(found, limited(7), at(0), at(30))
+		}, 0},
 		{"passed on, of an earlier process", func(target *Target) { target.adoptStatement(passed("i-1", 4, 7), at(0)) }, 0},
 		{"passed on, of another upstream", func(target *Target) { target.adoptStatement(passed("i-0", 5, 7), at(0)) }, 0},
 		{"passed on after a response", func(target *Target) {
@@ -149,6 +183,73 @@
 	}
 }
 
+// Guards against an upstream that stays unused after it has started again under its identifier,
+// because the statement about its earlier process arrives before the new start is known.
+func TestLeavingOfEarlierProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := Process{ID: "i-1", StartedMS: now.Add(-time.Minute).UnixMilli()}
+	second := Process{ID: "i-1", StartedMS: now.Add(-time.Second).UnixMilli()}
+	announce := func(p Process) func(target *Target) {
+		return func(target *Target) {
+			target.Announce(Upstream{Service: "s", Addr: "127.0.0.1:1", ID: p.ID, StartedMS: p.StartedMS, State: Ready, TTLMS: 60_000}, now)
+		}
+	}
+	hear := func(p Process) func(target *Target) {
+		return func(target *Target) { target.adoptStatement(&Statement{Process: p, Leaving: true}, now) }
+	}
+	type step struct {
+		name string
+		do   func(target *Target)
+	}
+	found := step{"found by a health check", announce(Process{ID: "i-1"})}
+	heartbeat := step{"heartbeat", announce(second)}
+	gossip := step{"gossip about the earlier process", func(target *Target) { target.AdoptLeaving(first, now) }}
+	call := step{"call with a statement about the earlier process", hear(first)}
+	unknown := step{"call with a statement whose process has an unknown start", hear(Process{ID: "i-1"})}
+	own := step{"gossip about the process itself", func(target *Target) { target.AdoptLeaving(second, now) }}
+	for _, test := range []struct {
+		steps []step
+		want  State
+	}{
+		{[]step{found, gossip, heartbeat}, Ready},
+		{[]step{found, call, unknown, heartbeat}, Ready},
+		{[]step{found, gossip, call, unknown, heartbeat}, Ready},
+		{[]step{found, gossip, own, heartbeat}, Draining},
+		{[]step{gossip, own, call, heartbeat}, Draining},
+	} {
+		for _, order := range permute(test.steps) {
+			var names []string
+			target := newTestTarget(t)
+			for _, s := range order {
+				names = append(names, s.name)
+				s.do(target)
+				if p, leaving := target.LeavingProcess(); leaving {
+					assert.Assert(t, p != second || test.want == Draining, "told other nodes that the new process leaves: %v", names)
+				}
+			}
+			target.Announce(Upstream{Service: "s", Addr: "127.0.0.1:1", ID: second.ID, StartedMS: second.StartedMS, State: Ready, TTLMS: 60_000}, now)
+			got, ok := target.Upstream(now)
+			assert.Assert(t, ok)
+			assert.Equal(t, got.State, test.want, "%v", names)
+		}
+	}
+}
+
+// permute returns all orders of a list.
+func permute[T any](list []T) [][]T {
+	if len(list) < 2 {
+		return [][]T{list}
+	}
+	var out [][]T
+	for i := range list {
+		rest := slices.Delete(slices.Clone(list), i, i+1)
+		for _, p := range permute(rest) {
+			out = append(out, append([]T{list[i]}, p...))
+		}
+	}
+	return out
+}
+
 // Guards against a calling node that forgets a leaving upstream with the restart of the node
 // beside it, or takes a planned stop of that node for the leaving of the upstream.
 func TestCallersLearnLeaving(t *testing.T) {
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -70,6 +70,7 @@
 
 	mu        sync.Mutex
 	upstream  *Upstream
+	announced time.Time // when upstream was announced last
 	expires   time.Time
 	statement upstreamStatement // of the upstream, or of the one that was withdrawn last
 }
@@ -118,17 +119,16 @@
 // live. An upstream that becomes cold again is treated like a new process.
 func (t *Target) Announce(u Upstream, now time.Time) {
 	t.mu.Lock()
-	newProcess := t.upstream == nil || t.upstream.precedes(u)
-	if former := t.upstream; former != nil && newProcess && former.State != Draining && !t.statement.Leaving {
+	newProcess := t.isNewProcess(u)
+	left := t.statement.current().Leaving
+	if former := t.upstream; former != nil && newProcess && former.State != Draining && !left {
 		defer t.recordEnd(former.process(), now)
 	}
-	if newProcess && u.ID == "" {
-		t.statement = upstreamStatement{}
-	}
-	t.statement.setProcess(u.process(), u.State == Draining)
-	t.gate.applyStatement(t.statement.Statement, now)
-	changed := t.upstream == nil || t.upstream.State != u.State || t.upstream.Service != u.Service
-	t.upstream = &u
+	t.statement.setProcess(u.process(), newProcess, u.State == Draining)
+	statement := t.statement.current()
+	t.gate.applyStatement(statement, now)
+	changed := t.upstream == nil || t.upstream.State != u.State || t.upstream.Service != u.Service || statement.Leaving != left
+	t.upstream, t.announced = &u, now
 	t.expires = now.Add(time.Duration(u.TTLMS) * time.Millisecond)
 	t.mu.Unlock()
 	t.gate.applyHints(u, newProcess, now)
@@ -137,6 +137,14 @@
 	}
 }
 
+// isNewProcess reports whether an announcement describes another process than the one that is
+// announced. One that was announced without its start has started before that. The caller
+// holds mu.
+func (t *Target) isNewProcess(next Upstream) bool {
+	up := t.upstream
+	return up == nil || up.precedes(next) || up.StartedMS == 0 && next.StartedMS > t.announced.UnixMilli()
+}
+
 // Withdraw ends the use of the local upstream. One with an identifier remains known as
 // leaving until its announcement expires, so that other nodes hear which process it is.
 func (t *Target) Withdraw() {
@@ -160,7 +168,7 @@
 		return Upstream{}, false
 	}
 	u := *t.upstream
-	if t.drainer.Draining() || t.statement.Leaving {
+	if t.drainer.Draining() || t.statement.current().Leaving {
 		u.State = Draining
 	}
 	return u, true
