platform: a late deregistration doesn't take out the next process

A deregistration names the identifier of an upstream and no start. One that arrived after the upstream had started again under its identifier took the new process out for good, and so did one that arrived before its first heartbeat (found by reading in the review, not played).

--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -274,6 +274,11 @@
 	a.target.Withdraw()
 }
 
+// Restore sets the local upstream after a withdrawal that was about an earlier process.
+func (a *Agent) Restore(u relay.Upstream, now time.Time) {
+	a.target.Restore(u, now)
+}
+
 // Serving reports whether the node has a configuration and is not shutting down.
 func (a *Agent) Serving() bool {
 	return a.store.Current() != nil && !a.stopping.Load()
--- a/node/relay/statement_test.go
+++ b/node/relay/statement_test.go
@@ -140,6 +140,11 @@
 			target.Withdraw()
 			target.Announce(up, now)
 		}, Draining},
+		{"withdrawn, then restored", func(target *Target) {
+			target.Withdraw()
+			target.Restore(up, now)
+			target.Announce(up, now)
+		}, Ready},
 		{"a caller knows it", func(target *Target) {
 			target.adoptStatement(&Statement{Process: up.process(), Leaving: true}, now)
 			target.Announce(up, now)
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -158,6 +158,18 @@
 	t.onState()
 }
 
+// Restore announces an upstream again that was withdrawn by mistake, or that was taken for an
+// earlier process of its kind.
+func (t *Target) Restore(u Upstream, now time.Time) {
+	t.mu.Lock()
+	if t.statement.ID == u.ID {
+		t.statement.Leaving = false
+	}
+	t.mu.Unlock()
+	t.Announce(u, now)
+	t.onState()
+}
+
 // Upstream returns the announced upstream, or false if there is none or its time
 // to live has passed. While the target is draining or the upstream says that it leaves,
 // the returned state is Draining.
