node: a shutdown takes what it can finish, and answers the rest

Cause: admission during a shutdown went by the clock; nothing asked whether the work could end before the process, and nothing answered what could not.

Both listeners and the target now measure the longest duration of each route (core/finish). They take work that has its deadline before the end of the shutdown or fits into the time that is left, and refuse the rest unsent; other targets serve what a target refuses. Callers are served until the upstream has drained, instead of only while the node lingers. 200 ms before the end, what still runs is answered with a refusal that tells whether it may have run.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -345,6 +345,7 @@
 func (a *Agent) Shutdown(ctx context.Context) error {
 	a.stopping.Store(true)
 	a.news.signal() // ends the requests of followers
+	defer a.endRequestsBefore(ctx, time.Now())()
 	a.tokens.Release(ctx)
 	a.linger(ctx)
 	err := errs.Combine(
@@ -361,6 +362,34 @@
 	return err
 }
 
+const (
+	// answerTime is the time before the end of a shutdown at which the requests that are still
+	// running are ended, so that their callers get an answer.
+	answerTime = 200 * time.Millisecond
+	// answerTimeDivisor limits answerTime to a small part of the shutdown.
+	answerTimeDivisor = 20
+)
+
+// endRequestsBefore makes the node refuse the requests that can't end before ctx does, and ends
+// those that are still running shortly before that. The returned function cancels the latter.
+func (a *Agent) endRequestsBefore(ctx context.Context, now time.Time) (cancel func()) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return func() {}
+	}
+	end := deadline.Add(-min(answerTime, deadline.Sub(now)/answerTimeDivisor))
+	a.target.EndBy(now, end)
+	a.entry.EndBy(now, end)
+	a.local.EndBy(now, end)
+	timer := time.AfterFunc(end.Sub(now), func() {
+		a.log.Warn("the requests that are still running are ended", "timeout", deadline.Sub(now))
+		a.entry.EndRequests()
+		a.local.EndCalls()
+		a.target.EndCalls()
+	})
+	return func() { timer.Stop() }
+}
+
 // Kill stops the node at once, as a crash would.
 func (a *Agent) Kill() {
 	a.stopping.Store(true)
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -200,7 +200,6 @@
 	super.Pause(ctx, min(times.Linger.D(), times.Timeout.D()/lingerDivisor)-refuseLead)
 	a.target.RefuseNewCalls()
 	super.Pause(ctx, refuseLead)
-	a.entry.RefuseRequests()
 }
 
 // retryLimits returns the limits of this node's retries for one service: its
--- a/node/entry/active.go
+++ b/node/entry/active.go
@@ -9,7 +9,10 @@
 	"dogwoodsill.org/node/store"
 )
 
-var errRevoked = errors.New("the key was revoked")
+var (
+	errRevoked = errors.New("the key was revoked")
+	errStopped = errors.New("the node stops")
+)
 
 // activeRequests holds the requests that are in progress, by identifier of the
 // API key, so that a revocation can abort requests whose body is still
@@ -17,8 +20,9 @@
 type activeRequests struct {
 	revokeGrace time.Duration
 
-	mu    sync.Mutex
-	byKey map[string]map[*activeRequest]struct{}
+	mu      sync.Mutex
+	byKey   map[string]map[*activeRequest]struct{}
+	stopped bool // stop was called
 }
 
 // activeRequest is one request in progress.
@@ -36,7 +40,7 @@
 type activeRequestKey struct{}
 
 // begin registers a request until done is called. The returned context ends
-// with errRevoked if the request is aborted.
+// with errRevoked if the request is aborted, or with errStopped.
 func (a *activeRequests) begin(parent context.Context, keyID string) (ctx context.Context, done func()) {
 	ctx, cancel := context.WithCancelCause(parent)
 	req := &activeRequest{cancel: cancel}
@@ -47,6 +51,9 @@
 		a.byKey[keyID] = map[*activeRequest]struct{}{}
 	}
 	a.byKey[keyID][req] = struct{}{}
+	if a.stopped {
+		cancel(errStopped)
+	}
 	return ctx, func() {
 		cancel(nil)
 		a.mu.Lock()
@@ -58,6 +65,18 @@
 	}
 }
 
+// stop ends all requests, also those that begin later.
+func (a *activeRequests) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopped = true
+	for _, requests := range a.byKey {
+		for req := range requests {
+			req.cancel(errStopped)
+		}
+	}
+}
+
 // abortRevoked aborts, after the grace period, the requests with invalid API keys
 // whose body has not arrived completely by then.
 func (a *activeRequests) abortRevoked(cur *store.Config) {
--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -367,7 +367,7 @@
 	var sent passedOn
 	s := newServer(t, sent.send, WithParents(parents), WithProtocol(parentProtocol{}))
 	addr := serve(t, s)
-	s.RefuseRequests()
+	s.conns.refuse()
 	for _, test := range []struct {
 		name, header string
 		want         int
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -72,17 +72,38 @@
 	if e := q.newCall(cur, parent); e != nil {
 		return q.withUnknownExecutionIfKeyed(e)
 	}
-	release, e := q.admit()
+	if !q.server.finish.Fits(q.route.Name, q.call.Deadline, q.now) {
+		return q.withUnknownExecutionIfKeyed(refuse.New(refuse.NotReady, "the node shuts down before the request can end").WithRetryAfter(q.server.restartDelay(q.now)))
+	}
+	ctx, done := q.server.active.begin(q.r.Context(), q.id.keyID)
+	defer done()
+	release, e := q.admit(ctx)
 	if e != nil {
-		return q.withUnknownExecutionIfKeyed(e)
+		return q.withUnknownExecutionIfKeyed(q.refineRefusal(ctx, e))
 	}
-	e = q.send()
-	if e != nil && e.Executed == refuse.NotExecuted {
-		release(time.Now())
+	e = q.send(ctx)
+	if e == nil || e.Executed != refuse.NotExecuted {
+		now := time.Now()
+		q.server.finish.Record(q.route.Name, now.Sub(q.now), now)
+		return e
 	}
+	release(time.Now())
 	return e
 }
 
+// refineRefusal returns the refusal of a request whose context may have ended for a reason that
+// only the entry knows.
+func (q *request) refineRefusal(ctx context.Context, e *refuse.Error) *refuse.Error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errRevoked):
+		return refuse.New(refuse.KeyRevoked, "the key was revoked while the request was running").WithExecuted(e.Executed)
+	case errors.Is(cause, errStopped):
+		return refuse.New(refuse.NotReady, "the node stopped before the answer").WithExecuted(e.Executed).WithRetryAfter(minRestartDelay)
+	default:
+		return e
+	}
+}
+
 // handleGuarded is handle that refuses a request whose handling panics. If the response was
 // started, it aborts the connection.
 func (q *request) handleGuarded(started func() bool) (e *refuse.Error) {
@@ -243,7 +264,7 @@
 
 // admit ranks the request and charges it to its customer or to the account of
 // the open route. The returned function releases the charge.
-func (q *request) admit() (release func(time.Time), e *refuse.Error) {
+func (q *request) admit(ctx context.Context) (release func(time.Time), e *refuse.Error) {
 	s, service := q.server, q.route.Route.Service
 	if q.parent != nil {
 		// The root request was admitted, and refusing one of its calls would waste the
@@ -270,7 +291,7 @@
 	}
 	// The time of arrival can't be used: the process may have been paused since, and
 	// a loan of tokens must still be valid when it is used.
-	if release, e = s.limiter.Take(q.r.Context(), account, q.tokenPatience(), time.Now()); e != nil {
+	if release, e = s.limiter.Take(ctx, account, q.tokenPatience(), time.Now()); e != nil {
 		return nil, e
 	}
 	s.metrics.Add(metric.Admitted, 1)
@@ -322,10 +343,8 @@
 }
 
 // send dispatches the admitted request and writes the response.
-func (q *request) send() *refuse.Error {
+func (q *request) send(ctx context.Context) *refuse.Error {
 	s := q.server
-	ctx, done := s.active.begin(q.r.Context(), q.id.keyID)
-	defer done()
 	q.body = s.newBody(ctx, q.w, q.r)
 	stop := context.AfterFunc(ctx, q.body.interrupt)
 	body, err := relay.NewBody(q.body, q.r.ContentLength, q.trailer)
@@ -335,10 +354,7 @@
 	}
 	resp, _, e := Dispatch(ctx, s.sender, s.claimer, q.route.Route, q.outbound(body))
 	if e != nil {
-		if errors.Is(context.Cause(ctx), errRevoked) {
-			return refuse.New(refuse.KeyRevoked, "the key was revoked while the request was running").WithExecuted(e.Executed)
-		}
-		return e
+		return q.refineRefusal(ctx, e)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	q.announceClose()
@@ -393,6 +409,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errRevoked):
 		return refuse.New(refuse.KeyRevoked, "the key was revoked while the body arrived")
+	case errors.Is(context.Cause(ctx), errStopped):
+		return refuse.New(refuse.NotReady, "the node stopped while the body arrived").WithRetryAfter(minRestartDelay)
 	case errors.As(err, &tooLarge):
 		return refuse.New(refuse.TooLarge, "the body is larger than %d bytes", tooLarge.Limit)
 	default:
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -15,6 +15,7 @@
 
 	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/finish"
 	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
@@ -35,6 +36,10 @@
 // overflow a time.Duration.
 const maxTimeout = 24 * time.Hour
 
+// minRestartDelay is the least time after which a caller that a stopping node has refused may
+// find its next process.
+const minRestartDelay = time.Second
+
 // TimeoutHeader is the header with which a caller shortens the timeout of the
 // route, in seconds.
 const TimeoutHeader = "Request-Timeout"
@@ -93,6 +98,7 @@
 	metrics *metric.Set
 	limits  setup.Limits
 	active  *activeRequests
+	finish  finish.Gate
 	conns   *callerConns
 	http    *http.Server
 
@@ -203,11 +209,22 @@
 	s.conns.linger()
 }
 
-// RefuseRequests makes the server refuse new requests of callers, since they may not end
-// before the shutdown. Calls that the local upstream makes for running requests are served
-// until Shutdown.
-func (s *Server) RefuseRequests() {
+// EndBy tells the server that the process shuts down. Requests that can't end by the given time
+// are refused.
+func (s *Server) EndBy(now, end time.Time) {
+	s.finish.Begin(now, end)
+}
+
+// EndRequests ends all requests whose response was not started with a refusal, since the
+// process is about to end.
+func (s *Server) EndRequests() {
 	s.conns.refuse()
+	s.active.stop()
+}
+
+// restartDelay returns the time after which the next process may serve a refused request.
+func (s *Server) restartDelay(now time.Time) time.Duration {
+	return s.finish.Left(now) + minRestartDelay
 }
 
 // Serve accepts connections until Shutdown is called or the HTTP server is closed.
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,6 +15,7 @@
 	"github.com/labstack/echo/v4"
 
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/finish"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
@@ -44,8 +46,13 @@
 	metrics *metric.Set
 	http    *http.Server
 	log     hclog.Logger
+	finish  finish.Gate
+	ctx     context.Context // ends with errStopped
+	stop    context.CancelCauseFunc
 }
 
+var errStopped = errors.New("the node stops")
+
 // Option configures a Server.
 type Option func(*Server)
 
@@ -56,7 +63,8 @@
 
 // New returns a server that is not listening yet.
 func New(st *store.Store, calls *chain.Table, target *relay.Target, caller *relay.Caller, claimer entry.Claimer, m *metric.Set, headerBytes int, opts ...Option) *Server {
-	s := &Server{store: st, calls: calls, target: target, caller: caller, claimer: claimer, metrics: m, log: hclog.NewNullLogger()}
+	ctx, stop := context.WithCancelCause(context.Background())
+	s := &Server{ctx: ctx, stop: stop, store: st, calls: calls, target: target, caller: caller, claimer: claimer, metrics: m, log: hclog.NewNullLogger()}
 	for _, o := range opts {
 		o(s)
 	}
@@ -74,6 +82,18 @@
 	return s.http
 }
 
+// EndBy tells the server that the process shuts down. Calls that can't end by the given time are
+// refused.
+func (s *Server) EndBy(now, end time.Time) {
+	s.finish.Begin(now, end)
+}
+
+// EndCalls ends all calls whose response was not started with a refusal, since the process is
+// about to end.
+func (s *Server) EndCalls() {
+	s.stop(errStopped)
+}
+
 func (s *Server) announce(c echo.Context) error {
 	dec := json.NewDecoder(io.LimitReader(c.Request().Body, maxAnnouncementBytes))
 	dec.DisallowUnknownFields()
@@ -179,8 +199,13 @@
 func (s *Server) send(w http.ResponseWriter, r *http.Request, m route.Match, parent *chain.ActiveCall, now time.Time) *refuse.Error {
 	ctx, cancel := entry.MergeContexts(r.Context(), parent.Context())
 	defer cancel()
+	ctx, cancelStop := entry.MergeContexts(ctx, s.ctx)
+	defer cancelStop()
 	call := parent.Call
 	call.Deadline = deadline(parent.Call.Deadline, m.Route, r.Header, now)
+	if !s.finish.Fits(m.Name, call.Deadline, now) {
+		return refuse.New(refuse.NotReady, "the node shuts down before the call can end")
+	}
 	attempts, first := parent.StartChild(m.Route.Service, now)
 	unused := attempts
 	defer func() { parent.EndChild(unused, time.Now()) }()
@@ -211,6 +236,13 @@
 		Repeatable:    entry.Repeatable(r.Method, m.Route),
 	})
 	unused = left
+	if e == nil || e.Executed != refuse.NotExecuted {
+		ended := time.Now()
+		s.finish.Record(m.Name, ended.Sub(now), ended)
+	}
+	if e != nil && errors.Is(context.Cause(ctx), errStopped) {
+		return refuse.New(refuse.NotReady, "the node stopped before the answer").WithExecuted(e.Executed)
+	}
 	if e != nil {
 		return e
 	}
--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// cancelAll cancels the running attempts.
+func (t *attemptTable) cancelAll(cause error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, a := range t.byID {
+		a.cancel(cause)
+	}
+}
+
 // evictOldest drops the oldest retained reply. The caller holds mu.
 func (t *attemptTable) evictOldest() {
 	id := t.ended[t.firstRetained].id
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/finish"
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/refuse"
@@ -67,6 +69,7 @@
 	incarnation uint64
 
 	drainer super.Drainer
+	finish  finish.Gate
 
 	mu        sync.Mutex
 	upstream  *Upstream
@@ -192,6 +195,21 @@
 	t.onState()
 }
 
+// EndBy tells the target that the process shuts down. Calls that can't end by the given time are
+// refused, so that other targets serve them.
+func (t *Target) EndBy(now, end time.Time) {
+	t.finish.Begin(now, end)
+}
+
+// EndCalls ends all calls with a refusal, since the process is about to end.
+func (t *Target) EndCalls() {
+	t.drainer.Close()
+	t.attempts.cancelAll(errStopped)
+}
+
+// errStopped is the cause of the end of a call that the shutdown of the node breaks off.
+var errStopped = errors.New("the node of the target stops")
+
 // Drain refuses new calls and waits for the running ones.
 func (t *Target) Drain(ctx context.Context) error {
 	t.drainer.Close()
@@ -274,10 +292,17 @@
 	if refusal == nil {
 		refusal = t.gate.enter(a.ctx, h, now)
 	}
+	if refusal != nil && errors.Is(context.Cause(a.ctx), errStopped) {
+		refusal = refuse.New(refuse.NoUpstream, "the node of the target stops")
+	}
 	if refusal != nil {
 		t.refuseCall(a, h, refusal, h.Call.Attempts)
 		return
 	}
+	defer func() {
+		ended := time.Now()
+		t.finish.Record(h.Route, ended.Sub(now), ended)
+	}()
 	c := &upstreamCall{target: t, attempt: a, stream: s, head: h, active: t.calls.Begin(a.ctx, h.Route, h.RequestID, h.Call), began: time.Now(), process: up.process()}
 	defer t.calls.End(c.active)
 	c.dispatch(up)
@@ -292,6 +317,9 @@
 	if !now.Before(h.Call.Deadline) {
 		return Upstream{}, refuse.New(refuse.DeadlineExceeded, "the deadline passed before the dispatch")
 	}
+	if !t.finish.Fits(h.Route, h.Call.Deadline, now) {
+		return Upstream{}, refuse.New(refuse.NoUpstream, "the node of the target stops before the call can end")
+	}
 	cur := t.store.Current()
 	if cur == nil {
 		return Upstream{}, refuse.New(refuse.NotReady, "the target has no configuration yet")
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -67,6 +67,9 @@
 	resp, err := c.target.client.send(req, c.head.Repeatable)
 	if err != nil {
 		refusal := c.target.failureRefusal(err, c.conn.Load() != nil)
+		if errors.Is(context.Cause(ctx), errStopped) {
+			refusal.Reason = refuse.UpstreamFailed // so that the request is retried elsewhere if it may be
+		}
 		if isMalformedResponse(err) {
 			return c.repeat(up, req, nil, refusal)
 		}
