local: a shutdown answers the calls that it has read

Cause: only the callers' listener decided under one lock whether a connection is closed or its next request is handled.

That part is now package node/conns, and both listeners are its servers.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -239,7 +239,7 @@
 	ls := a.tree.NewSubtree("listeners")
 	ls.Start("callers", serveHTTP(a.entry, a.callersListener()))
 	ls.Start("idle callers", a.entry.CloseIdle)
-	ls.Start("local", serveHTTP(a.local.HTTP(), a.listeners.local))
+	ls.Start("local", serveHTTP(a.local, a.listeners.local))
 	ls.Start("operations", serveHTTP(a.ops, a.listeners.ops))
 	ls.Start("peers", a.peers.serve(a.listeners.peers))
 	ls.Start("links", a.links.closeIdle)
@@ -351,7 +351,7 @@
 	err := errs.Combine(
 		a.target.Drain(ctx),
 		a.entry.Shutdown(ctx),
-		a.local.HTTP().Shutdown(ctx),
+		a.local.Shutdown(ctx),
 		a.claims.Drain(ctx),
 	)
 	a.fleet.leave(ctx)
--- /dev/null
+++ b/node/conns/server.go
@@ -0,0 +1,77 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"dogwoodsill.org/core/metric"
+)
+
+// Server is an HTTP server that answers each request that it has read before it ends. It is safe
+// for concurrent use.
+type Server struct {
+	*Tracker
+	http *http.Server
+	log  hclog.Logger
+
+	mu         sync.Mutex    // guards the fields below
+	listener   net.Listener  // nil before Serve
+	serveEnded chan struct{} // closed when Serve returns
+}
+
+// NewServer returns a server that handles requests as h does. It takes over the handler and the
+// callbacks of h.
+func NewServer(h *http.Server, m *metric.Set, log hclog.Logger) *Server {
+	s := &Server{Tracker: newTracker(m), http: h, log: log}
+	h.Handler = s.handle(h.Handler)
+	h.ConnContext, h.ConnState = s.withConn, s.track
+	return s
+}
+
+// HTTP returns the underlying HTTP server.
+func (s *Server) HTTP() *http.Server {
+	return s.http
+}
+
+// Serve accepts connections until Shutdown is called or the HTTP server is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	ended := make(chan struct{})
+	defer close(ended)
+	s.mu.Lock()
+	s.listener, s.serveEnded = ln, ended
+	s.mu.Unlock()
+	return s.http.Serve(ln)
+}
+
+// closeListener closes the listener and waits until all connections that it accepted are
+// tracked.
+func (s *Server) closeListener() {
+	s.mu.Lock()
+	ln, ended := s.listener, s.serveEnded
+	s.mu.Unlock()
+	if ln == nil {
+		return
+	}
+	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		s.log.Warn("closing a listener failed", "address", ln.Addr(), "error", err)
+	}
+	<-ended
+}
+
+// Shutdown stops the server gracefully. Requests that still arrive are handled, and IsRefusing
+// reports true for them. net/http drops requests whose head it reads after its own shutdown
+// began, so that comes last.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Refuse()
+	s.closeListener()
+	s.awaitRequests(ctx, idleCloseDelay)
+	s.stop()
+	s.awaitRequests(ctx, firstRequestTimeout)
+	s.closeUnused()
+	return s.http.Shutdown(ctx)
+}
--- a/node/entry/conns.go
+++ b/node/conns/tracker.go
@@ -1,4 +1,4 @@
-package entry
+package conns
 
 import (
 	"context"
@@ -22,23 +22,27 @@
 	pendingCheckInterval = 5 * time.Millisecond
 )
 
-// callerConns holds the connections of callers. It decides whether a connection is
+// AbortedByClose is the cause under which metrics count requests that arrived while their idle
+// connection was being closed. They were not passed on.
+const AbortedByClose = "connClosed"
+
+// Tracker holds the connections of a Server. It decides whether a connection is
 // closed or its next request is handled, so that no request is passed on whose
 // connection is closed without an answer. The state that net/http keeps can't decide
 // it, since a connection counts as idle there until the head of a request was read
 // completely. It is safe for concurrent use.
-type callerConns struct {
+type Tracker struct {
 	metrics *metric.Set
 
 	mu        sync.Mutex
-	byConn    map[net.Conn]*callerConn
+	byConn    map[net.Conn]*connState
 	lingering bool // responses announce that their connection is closed
 	refusing  bool // requests are refused
 	stopping  bool // each connection is closed when it becomes idle
 }
 
-// callerConn is the state of one connection.
-type callerConn struct {
+// connState is the state of one connection.
+type connState struct {
 	idleSince time.Time // zero unless the connection waits for a request
 	requests  int       // number of requests that are handled
 	used      bool      // a request was handled
@@ -46,30 +50,30 @@
 	http2     bool // net/http reports it as idle before the last response is sent, and ends it by a GOAWAY frame
 }
 
-func newCallerConns(m *metric.Set) *callerConns {
-	return &callerConns{metrics: m, byConn: map[net.Conn]*callerConn{}}
+func newTracker(m *metric.Set) *Tracker {
+	return &Tracker{metrics: m, byConn: map[net.Conn]*connState{}}
 }
 
-// callerConnKey is the context key of the connection of a request.
-type callerConnKey struct{}
+// connKey is the context key of the connection of a request.
+type connKey struct{}
 
 // withConn is the ConnContext callback of http.Server.
-func (c *callerConns) withConn(ctx context.Context, conn net.Conn) context.Context {
+func (c *Tracker) withConn(ctx context.Context, conn net.Conn) context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.byConn[conn] = &callerConn{}
-	return context.WithValue(ctx, callerConnKey{}, conn)
+	c.byConn[conn] = &connState{}
+	return context.WithValue(ctx, connKey{}, conn)
 }
 
 // track is the ConnState callback of http.Server.
-func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+func (c *Tracker) track(conn net.Conn, state http.ConnState) {
 	if c.update(conn, state, time.Now()) {
 		_ = conn.Close()
 	}
 }
 
 // update records the state of a connection and reports whether to close it.
-func (c *callerConns) update(conn net.Conn, state http.ConnState, now time.Time) (shut bool) {
+func (c *Tracker) update(conn net.Conn, state http.ConnState, now time.Time) (shut bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc := c.byConn[conn]
@@ -91,8 +95,8 @@
 }
 
 // closeIfIdle marks the connection as closed if it waits for a request, and reports whether
-// it did. The caller holds callerConns.mu.
-func (cc *callerConn) closeIfIdle() bool {
+// it did. The caller holds Tracker.mu.
+func (cc *connState) closeIfIdle() bool {
 	if cc.idleSince.IsZero() || cc.requests > 0 || cc.closed {
 		return false
 	}
@@ -101,43 +105,51 @@
 }
 
 // handle returns a handler that calls h unless the connection of the request is closed.
-func (c *callerConns) handle(h http.Handler) http.Handler {
+func (c *Tracker) handle(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, _ := r.Context().Value(callerConnKey{}).(net.Conn)
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
 		if !c.begin(conn, r.ProtoMajor > 1) {
-			c.metrics.Add(metric.Aborted+abortedByClose, 1)
+			c.metrics.Add(metric.Aborted+AbortedByClose, 1)
 			panic(http.ErrAbortHandler)
 		}
 		defer c.end(conn)
-		c.announceClose(w.Header())
+		c.AnnounceClose(w.Header())
 		h.ServeHTTP(w, r)
 	})
 }
 
-// linger makes all responses announce that their connection is closed. Idle connections
+// Linger makes all responses announce that their connection is closed. Idle connections
 // stay open, since their callers may be sending the next request.
-func (c *callerConns) linger() {
+func (c *Tracker) Linger() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lingering = true
 }
 
-// refuse makes all new requests be refused, and implies linger.
-func (c *callerConns) refuse() {
+// Refuse makes all new requests be refused, and implies linger.
+func (c *Tracker) Refuse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lingering, c.refusing = true, true
 }
 
-func (c *callerConns) isRefusing() bool {
+// IsRefusing reports whether Refuse was called.
+func (c *Tracker) IsRefusing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.refusing
 }
 
-// announceClose adds the announcement to the header of a response if linger was called. For
+// IsStopping reports whether a shutdown closes the connections that become idle.
+func (c *Tracker) IsStopping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping
+}
+
+// AnnounceClose adds the announcement to the header of a response if linger was called. For
 // HTTP/2, net/http sends a GOAWAY frame instead.
-func (c *callerConns) announceClose(h http.Header) {
+func (c *Tracker) AnnounceClose(h http.Header) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.lingering {
@@ -147,7 +159,7 @@
 
 // begin records that a request is handled. It returns false if the connection was
 // closed.
-func (c *callerConns) begin(conn net.Conn, http2 bool) bool {
+func (c *Tracker) begin(conn net.Conn, http2 bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc := c.byConn[conn]
@@ -162,7 +174,7 @@
 	return true
 }
 
-func (c *callerConns) end(conn net.Conn) {
+func (c *Tracker) end(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if cc := c.byConn[conn]; cc != nil {
@@ -170,23 +182,23 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for longer than limit.
-func (c *callerConns) closeIdle(limit time.Duration, now time.Time) {
-	c.closeWhere(func(cc *callerConn) bool { return now.Sub(cc.idleSince) > limit })
+// CloseIdleConns closes the connections that have been idle for longer than limit.
+func (c *Tracker) CloseIdleConns(limit time.Duration, now time.Time) {
+	c.closeWhere(func(cc *connState) bool { return now.Sub(cc.idleSince) > limit })
 }
 
 // stop closes the idle connections, and later each one that becomes idle. Those without
 // a request so far stay open until closeUnused.
-func (c *callerConns) stop() {
+func (c *Tracker) stop() {
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
-	c.closeWhere(func(cc *callerConn) bool { return cc.used && !cc.http2 })
+	c.closeWhere(func(cc *connState) bool { return cc.used && !cc.http2 })
 }
 
 // awaitRequests waits, for at most limit, until no request can arrive on a connection that
 // is still open.
-func (c *callerConns) awaitRequests(ctx context.Context, limit time.Duration) {
+func (c *Tracker) awaitRequests(ctx context.Context, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for c.hasPending() && super.Pause(ctx, pendingCheckInterval) {
@@ -195,11 +207,11 @@
 
 // isPending reports whether the next request may arrive on the connection or is being read,
 // or the last response is being written.
-func (cc *callerConn) isPending() bool {
+func (cc *connState) isPending() bool {
 	return cc.requests == 0 && !cc.closed && !cc.http2
 }
 
-func (c *callerConns) hasPending() bool {
+func (c *Tracker) hasPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, cc := range c.byConn {
@@ -211,13 +223,13 @@
 }
 
 // closeUnused closes the connections that are still without a request.
-func (c *callerConns) closeUnused() {
-	c.closeIf((*callerConn).closeIfUnused)
+func (c *Tracker) closeUnused() {
+	c.closeIf((*connState).closeIfUnused)
 }
 
 // closeIfUnused marks the connection as closed if it had no request, and reports whether it
-// did. The caller holds callerConns.mu.
-func (cc *callerConn) closeIfUnused() bool {
+// did. The caller holds Tracker.mu.
+func (cc *connState) closeIfUnused() bool {
 	if cc.used || cc.closed {
 		return false
 	}
@@ -226,12 +238,12 @@
 }
 
 // closeWhere closes the idle connections for which f returns true.
-func (c *callerConns) closeWhere(f func(cc *callerConn) bool) {
-	c.closeIf(func(cc *callerConn) bool { return f(cc) && cc.closeIfIdle() })
+func (c *Tracker) closeWhere(f func(cc *connState) bool) {
+	c.closeIf(func(cc *connState) bool { return f(cc) && cc.closeIfIdle() })
 }
 
 // closeIf closes the connections that mark, called with mu held, has marked as closed.
-func (c *callerConns) closeIf(mark func(cc *callerConn) bool) {
+func (c *Tracker) closeIf(mark func(cc *connState) bool) {
 	c.mu.Lock()
 	var closing []net.Conn
 	for conn, cc := range c.byConn {
--- a/node/entry/body.go
+++ b/node/entry/body.go
@@ -123,7 +123,7 @@
 // announceClose announces that the connection is closed after the response if the server
 // is about to stop or the body of the request was not read to its end.
 func (q *request) announceClose() {
-	q.server.conns.announceClose(q.w.Header())
+	q.server.AnnounceClose(q.w.Header())
 	if q.r.ProtoMajor > 1 {
 		return // the streams of a connection end independently
 	}
--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -163,7 +163,7 @@
 	go func() {
 		defer close(stop)
 		for began := time.Now(); time.Since(began) < 2*time.Second; {
-			s.conns.closeIdle(0, time.Now())
+			s.CloseIdleConns(0, time.Now())
 		}
 	}()
 	assert.Equal(t, sent.count(sendOnKeptConns(addr, 16, stop)), 0, "requests passed on without an answer")
@@ -367,7 +367,7 @@
 	var sent passedOn
 	s := newServer(t, sent.send, WithParents(parents), WithProtocol(parentProtocol{}))
 	addr := serve(t, s)
-	s.conns.refuse()
+	s.Refuse()
 	for _, test := range []struct {
 		name, header string
 		want         int
--- a/node/entry/http2_test.go
+++ b/node/entry/http2_test.go
@@ -90,7 +90,7 @@
 		}()
 		go func() {
 			defer close(proceed)
-			for !s.conns.isStopping() && super.Pause(t.Context(), time.Millisecond) {
+			for !s.IsStopping() && super.Pause(t.Context(), time.Millisecond) {
 			}
 		}()
 		c := http2Client(t)
@@ -102,9 +102,3 @@
 		assert.NilError(t, <-shut)
 	}
 }
-
-func (c *callerConns) isStopping() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stopping
-}
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -102,7 +102,7 @@
 	return super.Every(ctx, idleCheckInterval, func(now time.Time) {
 		limit := enforced.update(time.Duration(s.callerLimits().IdleTimeoutMS)*time.Millisecond, now)
 		if limit > 0 {
-			s.conns.closeIdle(limit, now)
+			s.CloseIdleConns(limit, now)
 		}
 	})
 }
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -66,7 +66,7 @@
 		return e
 	}
 	parent := q.findParent()
-	if parent == nil && q.server.conns.isRefusing() {
+	if parent == nil && q.server.IsRefusing() {
 		return q.withUnknownExecutionIfKeyed(refuse.New(refuse.NotReady, "the node shuts down").WithRetryAfter(time.Second))
 	}
 	if e := q.newCall(cur, parent); e != nil {
@@ -328,7 +328,6 @@
 // Causes of the end of a request without a complete answer.
 const (
 	abortedByCaller  = "callerLeft"     // the connection ended, or the caller cancelled the request
-	abortedByClose   = "connClosed"     // the request arrived while its idle connection was being closed; it was not passed on
 	abortedByFailure = "responseFailed" // the response could not be read or written to its end
 )
 
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,6 +20,7 @@
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/route"
 	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/node/conns"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 )
@@ -89,6 +88,7 @@
 
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
+	*conns.Server
 	store   *store.Store
 	sender  Sender
 	claimer Claimer
@@ -99,8 +99,6 @@
 	limits  setup.Limits
 	active  *activeRequests
 	finish  finish.Gate
-	conns   *callerConns
-	http    *http.Server
 
 	callerRetries *callerRetryDetector
 	protocol      Protocol
@@ -110,10 +108,8 @@
 	refusalLines  *lines.Limiter // limits log lines about refused requests
 	abortLines    *lines.Limiter // limits log lines about requests without a complete answer
 
-	mu         sync.Mutex // guards the fields below
-	split      *route.Splitter
-	listener   net.Listener  // nil before Serve
-	serveEnded chan struct{} // closed when Serve returns
+	mu    sync.Mutex // guards split
+	split *route.Splitter
 }
 
 // Option configures a Server.
@@ -157,7 +153,7 @@
 func New(st *store.Store, p Dependencies, m *metric.Set, limits setup.Limits, opts ...Option) *Server {
 	s := &Server{
 		store: st, sender: p.Sender, claimer: p.Claimer, ranker: p.Ranker, limiter: p.Limiter, counter: p.Counter, metrics: m,
-		limits: limits, active: newActiveRequests(limits.RevokeGrace.D()), conns: newCallerConns(m), protocol: defaultProtocol{}, callerRetries: newCallerRetryDetector(), split: route.NewSplitter(), log: hclog.NewNullLogger(), refusalLines: lines.NewLimiter(0), abortLines: lines.NewLimiter(0),
+		limits: limits, active: newActiveRequests(limits.RevokeGrace.D()), protocol: defaultProtocol{}, callerRetries: newCallerRetryDetector(), split: route.NewSplitter(), log: hclog.NewNullLogger(), refusalLines: lines.NewLimiter(0), abortLines: lines.NewLimiter(0),
 	}
 	for _, o := range opts {
 		o(s)
@@ -173,15 +169,13 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	s.http = &http.Server{
-		Handler:           s.conns.handle(e),
+	s.Server = conns.NewServer(&http.Server{
+		Handler:           e,
 		Protocols:         protocols,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout.D(),
 		IdleTimeout:       limits.IdleTimeout.D(),
-		ConnContext:       s.conns.withConn,
-		ConnState:         s.conns.track,
-	}
+	}, m, s.log)
 	return s
 }
 
@@ -198,15 +192,10 @@
 	}
 }
 
-// HTTP returns the underlying HTTP server.
-func (s *Server) HTTP() *http.Server {
-	return s.http
-}
-
 // StopKeepAlives makes the server close each connection after its next response, which
 // announces the close. Idle connections stay open until Shutdown.
 func (s *Server) StopKeepAlives() {
-	s.conns.linger()
+	s.Linger()
 }
 
 // EndBy tells the server that the process shuts down. Requests that can't end by the given time
@@ -218,7 +207,7 @@
 // EndRequests ends all requests whose response was not started with a refusal, since the
 // process is about to end.
 func (s *Server) EndRequests() {
-	s.conns.refuse()
+	s.Refuse()
 	s.active.stop()
 }
 
@@ -227,43 +216,6 @@
 	return s.finish.Left(now) + minRestartDelay
 }
 
-// Serve accepts connections until Shutdown is called or the HTTP server is closed.
-func (s *Server) Serve(ln net.Listener) error {
-	ended := make(chan struct{})
-	defer close(ended)
-	s.mu.Lock()
-	s.listener, s.serveEnded = ln, ended
-	s.mu.Unlock()
-	return s.http.Serve(ln)
-}
-
-// closeListener closes the listener and waits until all connections that it accepted are
-// known to conns.
-func (s *Server) closeListener() {
-	s.mu.Lock()
-	ln, ended := s.listener, s.serveEnded
-	s.mu.Unlock()
-	if ln == nil {
-		return
-	}
-	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		s.log.Warn("closing the listener for callers failed", "error", err)
-	}
-	<-ended
-}
-
-// Shutdown stops the server gracefully. Requests that still arrive are refused. net/http
-// drops requests whose head it reads after its own shutdown began, so that comes last.
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.conns.refuse()
-	s.closeListener()
-	s.conns.awaitRequests(ctx, idleCloseDelay)
-	s.conns.stop()
-	s.conns.awaitRequests(ctx, firstRequestTimeout)
-	s.conns.closeUnused()
-	return s.http.Shutdown(ctx)
-}
-
 func (s *Server) serve(c echo.Context) error {
 	w, r := c.Response(), c.Request()
 	started := time.Now()
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -20,6 +20,7 @@
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/route"
+	"dogwoodsill.org/node/conns"
 	"dogwoodsill.org/node/entry"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
@@ -38,13 +39,13 @@
 
 // Server serves the local upstream. It is safe for concurrent use.
 type Server struct {
+	*conns.Server
 	store   *store.Store
 	calls   *chain.Table
 	target  *relay.Target
 	caller  *relay.Caller
 	claimer entry.Claimer
 	metrics *metric.Set
-	http    *http.Server
 	log     hclog.Logger
 	finish  finish.Gate
 	ctx     context.Context // ends with errStopped
@@ -73,15 +74,10 @@
 	e.POST(AnnouncePath, s.announce)
 	e.DELETE(AnnouncePath, s.withdraw)
 	e.Any("/*", s.call)
-	s.http = &http.Server{Handler: e, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: 5 * time.Second}
+	s.Server = conns.NewServer(&http.Server{Handler: e, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: 5 * time.Second}, m, s.log)
 	return s
 }
 
-// HTTP returns the underlying HTTP server.
-func (s *Server) HTTP() *http.Server {
-	return s.http
-}
-
 // EndBy tells the server that the process shuts down. Calls that can't end by the given time are
 // refused.
 func (s *Server) EndBy(now, end time.Time) {
