start: a second SIGTERM doesn't cut a shutdown short

Callers lost the requests that a shutdown was still answering when SIGTERM came twice: the handler was gone after the first one, so the second ended the process at once.

A further SIGTERM has no effect now; a further SIGINT still ends the process.

Before: TestRepeatedSignal fails (signal: terminated). After: it passes, 3 of 3.

--- a/node/start/start.go
+++ b/node/start/start.go
@@ -70,13 +70,24 @@
 	return cmd
 }
 
+// notifyStop returns a context that ends with the first SIGTERM or SIGINT. After ignoreMore, a
+// further SIGTERM has no effect, so that it doesn't cut the requests that a shutdown answers; a
+// further SIGINT ends the process at once.
+func notifyStop(ctx context.Context) (stopped context.Context, ignoreMore func()) {
+	stopped, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	return stopped, func() {
+		signal.Ignore(syscall.SIGTERM)
+		stop()
+	}
+}
+
 // run runs the node until SIGTERM or SIGINT and then shuts it down gracefully.
 func (p Program) run(ctx context.Context, cfg setup.Node, changes *FileSource) error {
 	out := lines.NewWriter(p.Output)
 	defer flush(out)
 	log := newLogger(cfg.Logging, out)
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	ctx, ignoreMore := notifyStop(ctx)
+	defer ignoreMore()
 	opts := []agent.Option{agent.WithLogger(log), agent.WithSettings(changes), agent.WithDroppedLogLines(out.Dropped)}
 	if p.Options != nil {
 		opts = append(opts, p.Options(cfg)...)
@@ -93,7 +104,7 @@
 		defer closeAll()
 	}
 	<-ctx.Done()
-	stop()
+	ignoreMore()
 	timeout := a.ShutdownTimes().Timeout.D() - p.KillMargin
 	log.Info("shutting down", "timeout", timeout)
 	end, cancel := context.WithTimeout(context.Background(), timeout)
