relay: a header that is too large between nodes is refused as such

A request whose header fits the limit for callers, but not the 64 KB that a link carries in one piece, was refused as if its targets were unreachable, after an attempt at each.

It is now refused with 431 and the two sizes, without an attempt.

Before: TestHeaderBetweenNodesIsBounded fails (upstream-failed). After: it passes.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -347,14 +347,17 @@
 
 // open opens a stream for a call or a claim and sends its head.
 func (c *Caller) open(ctx context.Context, addr string, kind uint8, h CallHead) (*frame.Stream, *attemptError) {
-	session, err := c.links.Session(ctx, addr)
-	if err != nil {
-		return nil, notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
-	}
 	data, err := pack(h)
 	if err != nil {
 		return nil, rejectedError(refuse.New(refuse.BadRequest, "request head: %v", err), h.Call.Attempts)
 	}
+	if len(data) > frame.MaxHeadBytes {
+		return nil, rejectedError(refuse.New(refuse.HeaderTooLarge, "the header takes %d bytes between nodes; at most %d are possible", len(data), frame.MaxHeadBytes), h.Call.Attempts)
+	}
+	session, err := c.links.Session(ctx, addr)
+	if err != nil {
+		return nil, notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
+	}
 	s, err := session.Open(ctx, kind, data)
 	if err != nil {
 		return nil, notSentError(ctx, h.Call.Attempts, "the link to the node failed")
--- a/node/relay/caller_test.go
+++ b/node/relay/caller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,15 @@
 		})
 	}
 }
+
+// TestHeaderBetweenNodesIsBounded guards against a request whose header fits the limit for
+// callers and not that between nodes, and that is refused as if nodes were unreachable.
+func TestHeaderBetweenNodesIsBounded(t *testing.T) {
+	nodes := fakeNodes{"127.0.0.1:1": newSession(t, replyWith(t, ReplyHead{Status: http.StatusOK}, ""))}
+	c := NewCaller(NewBalancer(nodes, "z", 1), nodes, metric.New())
+	req := &Request{Header: http.Header{"X-Long": {strings.Repeat("x", frame.MaxHeadBytes)}}, Call: model.Call{Deadline: time.Now().Add(time.Second)}}
+	_, fail := c.open(t.Context(), "127.0.0.1:1", KindCall, newCallHead(req, Candidate{}, 1))
+	assert.Assert(t, fail != nil)
+	assert.Equal(t, fail.refusal.Reason, refuse.HeaderTooLarge)
+	assert.Equal(t, fail.refusal.Executed, refuse.NotExecuted)
+}
