relay: a refusal isn't held back for the body that it announces

A refusal of an upstream (Not-Executed) whose body never came reached the caller only at the deadline, as 504, so that nothing was retried: the node read the body first, to keep the connection.

It now waits 50 ms for that body and then closes the connection.

Found while looking for the operators' report of endless answers. That report can't be shown here: the header of a response is bounded at 32 KB, interim responses, chunk sizes, extensions and trailers by net/http, bodies by the windows of the link.

--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -85,6 +85,8 @@
 	// so that its connection can be reused. If more is left, the connection is
 	// closed.
 	maxDiscardBytes = 4 << 10
+	// maxDiscardTime limits how long the end of that body is awaited.
+	maxDiscardTime = 50 * time.Millisecond
 	// staleRetryAfter is the time after which a node with a stale configuration
 	// may have received a newer one from a peer.
 	staleRetryAfter = time.Second
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -81,13 +81,21 @@
 		return c.afterMismatch(up, req, resp)
 	}
 	if refusal := c.refusalFor(class); refusal != nil {
-		_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes) // so that the connection can be reused
-		_ = resp.Body.Close()
+		discardBody(resp)
 		return resp, refusal
 	}
 	return resp, nil
 }
 
+// discardBody reads a short body to its end, so that its connection can be reused, and closes
+// it. It waits for the body no longer than maxDiscardTime.
+func discardBody(resp *http.Response) {
+	timer := time.AfterFunc(maxDiscardTime, func() { _ = resp.Body.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
+	_ = resp.Body.Close()
+}
+
 // afterMismatch handles a response that doesn't or may not belong to the request, such as a
 // second copy of an earlier response that arrived when the connection was in use again.
 func (c *upstreamCall) afterMismatch(up Upstream, req *http.Request, resp *http.Response) (*http.Response, *refuse.Error) {
