finish: a rare slow request doesn't close a route for the whole shutdown

Early in a shutdown the usual duration of a route decides (mean and two mean deviations), in the second half the longest of the last 30 to 60 s, as before. With the longest alone, one request of 5.5 s made a node refuse all requests of its route for as long as it lingers.

The local listener also ends calls whose body never arrives. An upstream that was restored after a late deregistration stays in use though callers say that it leaves. The check for misplaced keys computes fewer digests and strings.

--- a/core/finish/gate_test.go
+++ b/core/finish/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 func TestFits(t *testing.T) {
 	began := time.Unix(1000, 0)
 	at := func(s float64) time.Time { return began.Add(time.Duration(s * float64(time.Second))) }
+	rare := append(slices.Repeat([]float64{0.1}, 100), 5.5, 0.1, 0.1)
 	for _, test := range []struct {
 		name     string
 		took     []float64 // durations of earlier work in seconds
@@ -28,7 +30,12 @@
 		{"fast, at the very end", []float64{0.02}, 10, 5.99, false},
 		{"slow, early", []float64{2.5}, 10, 3, true},
 		{"slow, late", []float64{2.5}, 10, 3.3, false},
-		{"slow at times", []float64{0.1, 2.5, 0.1}, 10, 3.3, false},
+		{"slow at times, late", []float64{0.1, 2.5, 0.1}, 10, 3.3, false},
+		{"slow once in a while, early", rare, 10, 1, true},
+		{"slow once in a while, late", rare, 10, 3.3, false},
+		{"slow half of the time, early", []float64{5.5, 0.1, 5.5, 0.1, 5.5, 0.1, 5.5, 0.1}, 10, 1, false},
+		{"slow always, early", []float64{4.3, 4.3, 4.3}, 10, 2, false},
+		{"slow always, at once", []float64{4.3, 4.3, 4.3}, 10, 0.5, true},
 		{"after the end", []float64{0.01}, 10, 7, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -56,7 +63,7 @@
 	for i := range 2 * maxKinds {
 		g.Record(fmt.Sprint(i), time.Millisecond, now)
 	}
-	assert.Assert(t, len(g.longest) <= maxKinds)
+	assert.Assert(t, len(g.byKind) <= maxKinds)
 	g.Begin(now, now.Add(time.Second))
 	assert.Assert(t, g.Fits("r", now.Add(time.Minute), now))
 }
--- a/core/keys/keys.go
+++ b/core/keys/keys.go
@@ -64,7 +64,7 @@
 // that carries it, or the empty string.
 func FindCopy(h http.Header, c Credential) string {
 	for name, values := range h {
-		if name != c.Header && (containsLiteral(strings.ToLower(name), strings.ToLower(c.Key)) || containsAny(values, c.Key)) {
+		if name != c.Header && (nameContains(name, c.Key) || containsAny(values, c.Key)) {
 			return name
 		}
 	}
@@ -76,7 +76,7 @@
 func StripTrailer(h http.Header, key string) {
 	h.Del(HeaderAuthorization)
 	for name, values := range h {
-		if containsLiteral(strings.ToLower(name), strings.ToLower(key)) || containsAny(values, key) {
+		if nameContains(name, key) || containsAny(values, key) {
 			delete(h, name)
 		}
 	}
@@ -91,6 +91,12 @@
 	return err == nil && containsLiteral(decoded, key)
 }
 
+// nameContains reports whether the name of a field contains the key. The case of names is not
+// preserved.
+func nameContains(name, key string) bool {
+	return len(name) >= len(key) && containsLiteral(strings.ToLower(name), strings.ToLower(key))
+}
+
 func containsAny(values []string, key string) bool {
 	for _, v := range values {
 		if Contains(v, key) {
--- a/node/entry/identity.go
+++ b/node/entry/identity.go
@@ -49,7 +49,10 @@
 		return refuse.New(refuse.BadRequest, "another header than %s contains the API key", c.Header)
 	}
 	other := keys.FromBearer(r.Header)
-	if _, known := cur.View.Digests[keys.Digest(other.Key)]; known && other.Header != c.Header {
+	if other.Key == "" || other.Header == c.Header {
+		return nil
+	}
+	if _, known := cur.View.Digests[keys.Digest(other.Key)]; known {
 		return refuse.New(refuse.BadRequest, "headers %s and %s both carry an API key", c.Header, other.Header)
 	}
 	return nil
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -215,7 +215,13 @@
 	if _, ok := s.caller.Admit(m.Route.Service, call.Customer, call.Rank, now); !ok {
 		return refuse.New(refuse.Overloaded, "service %q admits only more important requests", m.Route.Service).WithRetryAfter(time.Second)
 	}
+	rc := http.NewResponseController(w)
+	stopBody := context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := relay.NewBody(r.Body, r.ContentLength, func() http.Header { return relay.EndToEndHeader(r.Trailer) })
+	stopBody()
+	if err != nil && errors.Is(context.Cause(ctx), errStopped) {
+		return refuse.New(refuse.NotReady, "the node stopped while the body arrived")
+	}
 	if err != nil {
 		return refuse.New(refuse.BadRequest, "the body is incomplete")
 	}
--- a/node/local/shutdown_test.go
+++ b/node/local/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -12,9 +13,16 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
+	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/model"
+	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/node/relay"
+	"dogwoodsill.org/node/store"
 )
 
 // countingListener counts the requests that are read on its connections and the responses that
@@ -93,3 +101,52 @@
 		_ = conn.Close()
 	}
 }
+
+// noTargets is a relay.Directory without targets.
+type noTargets struct{}
+
+func (noTargets) Candidates(string) ([]relay.Candidate, uint64) { return nil, 0 }
+
+// TestShutdownEndsCalls guards against calls of the upstream that can't end before the process
+// and are passed on, or whose body never arrives and that get no answer.
+func TestShutdownEndsCalls(t *testing.T) {
+	body, err := json.Marshal(model.Route{Pattern: "/", Service: "orders", Open: true})
+	assert.NilError(t, err)
+	st := store.New()
+	at := boot.Now()
+	st.ApplySnapshot(&config.Snapshot{Offset: 1, Objects: []config.Object{{Kind: model.KindRoute, Name: "r", Revision: 1, Body: body}}}, at, at)
+	calls, balancer, m := chain.NewTable(), relay.NewBalancer(noTargets{}, "z", 1), metric.New()
+	target := relay.NewTarget(1, st, calls, balancer, m, func() {})
+	s := New(st, calls, target, relay.NewCaller(balancer, nil, m), nil, m, 32<<10)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.HTTP().Close() })
+	parent := calls.Begin(t.Context(), "r", "id", model.Call{Attempts: 9, Deadline: time.Now().Add(time.Minute)})
+	call := func(length string) string {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		assert.Check(t, err)
+		defer func() { _ = conn.Close() }()
+		assert.Check(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\n"+chain.CallHeader+": "+parent.Token+"\r\nContent-Length: "+length+"\r\n\r\n")
+		assert.Check(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if !assert.Check(t, err) {
+			return ""
+		}
+		data, err := io.ReadAll(resp.Body)
+		assert.Check(t, err)
+		return string(data)
+	}
+	assert.Assert(t, cmp.Contains(call("0"), string(refuse.NoUpstream))) // as no target is known
+	now := time.Now()
+	s.EndBy(now, now.Add(time.Minute))
+	assert.Assert(t, cmp.Contains(call("0"), string(refuse.NoUpstream)))
+	stalled := make(chan string, 1)
+	go func() { stalled <- call("5") }()
+	time.Sleep(50 * time.Millisecond) // the call has begun
+	s.EndBy(now, now)
+	assert.Assert(t, cmp.Contains(call("0"), string(refuse.NotReady)))
+	s.EndCalls()
+	assert.Assert(t, cmp.Contains(<-stalled, string(refuse.NotReady)))
+}
--- a/node/relay/statement.go
+++ b/node/relay/statement.go
@@ -54,6 +54,7 @@
 	observed  bool      // this node has received a response of the process
 	limitedAt time.Time // when the limit was last confirmed by a response
 	foundAs   Process   // the process before its start was known; zero if it always was
+	restored  bool      // it doesn't leave, though others may have heard so; see Target.Restore
 
 	// heard holds what other nodes and earlier processes of this one know, newest last. It may
 	// be about earlier processes of the upstream, and about one that isn't announced yet.
@@ -77,7 +78,7 @@
 	if s.isEmpty() {
 		s.Process = h.Process
 	}
-	s.Leaving = s.Leaving || h.Leaving
+	s.Leaving = s.Leaving || h.Leaving && !u.restored
 	if h.Limited && !u.observed {
 		s.Limited, s.PerSec = true, h.PerSec
 	}
--- a/node/relay/statement_test.go
+++ b/node/relay/statement_test.go
@@ -143,8 +143,15 @@
 		{"withdrawn, then restored", func(target *Target) {
 			target.Withdraw()
 			target.Restore(up, now)
+			target.adoptStatement(&Statement{Process: up.process(), Leaving: true}, now)
 			target.Announce(up, now)
 		}, Ready},
+		{"restored, then withdrawn again", func(target *Target) {
+			target.Withdraw()
+			target.Restore(up, now)
+			target.Withdraw()
+			target.Announce(up, now)
+		}, Draining},
 		{"a caller knows it", func(target *Target) {
 			target.adoptStatement(&Statement{Process: up.process(), Leaving: true}, now)
 			target.Announce(up, now)
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -163,15 +163,15 @@
 	t.onState()
 }
 
-// Restore announces an upstream again that was withdrawn by mistake, or that was taken for an
-// earlier process of its kind.
+// Restore announces an upstream again that was taken for an earlier process and withdrawn. Other
+// nodes may have heard that it leaves and say so in their calls, which has no effect from now on.
 func (t *Target) Restore(u Upstream, now time.Time) {
+	t.Announce(u, now)
 	t.mu.Lock()
-	if t.statement.ID == u.ID {
-		t.statement.Leaving = false
+	if t.statement.Process == u.process() {
+		t.statement.Leaving, t.statement.restored = false, true
 	}
 	t.mu.Unlock()
-	t.Announce(u, now)
 	t.onState()
 }
 
