fakes: announcements don't use kept connections

Cause: the stand-in announced itself with a client that keeps connections for calls. Request.Close only closes the connection afterwards; a kept one of the node's earlier process was used, and a POST isn't repeated.

--- a/bench/fakes/upstr.go
+++ b/bench/fakes/upstr.go
@@ -128,6 +128,10 @@
 	return u, nil
 }
 
+// announcer sends announcements. It keeps no connections: the node may have restarted, and a kept
+// one, also of a call, would be that of the earlier process.
+var announcer = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 const (
 	announceInterval = time.Second
 	announceTTL      = 5 * time.Second
@@ -170,8 +174,7 @@
 	if err != nil {
 		return err
 	}
-	req.Close = true // the node may have restarted, and a kept connection would be that of the earlier process
-	resp, err := u.client.Do(req)
+	resp, err := announcer.Do(req)
 	if err != nil {
 		return err
 	}
