relay: a response is handed out with the first bytes of its body

Cause: such a response was handed out with its head. That ended all retries, while net/http had not sent anything yet.

The first bytes of the body are now awaited, as the whole body is of short responses. Until then a failed attempt is retried or refused.

Before: two cases of TestSettle and two of TestEndlessAnswers fail. After: they pass.

--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -40,19 +40,41 @@
 // if the response is truncated.
 const maxBufferedResponse = 256 << 10
 
+// firstBytes is the size of the start of a body that is awaited before the response is returned.
+const firstBytes = 4 << 10
+
 // bufferBody reads the body to its end if its length is known and at most
-// maxBufferedResponse.
+// maxBufferedResponse. Of any other body it awaits the start: until a byte of the response is
+// passed on, a call that fails can still be retried or refused.
 func (r *Response) bufferBody(ctx context.Context, deadline time.Time) *attemptError {
-	if r.ContentLength < 0 || r.ContentLength > maxBufferedResponse {
-		return nil
-	}
+	var data []byte
+	var err error
 	body := r.Body
-	data, err := io.ReadAll(io.LimitReader(body, r.ContentLength+1)) // one more byte, to see the end of the body
-	_ = body.Close()
-	if err == nil {
+	whole := r.ContentLength >= 0 && r.ContentLength <= maxBufferedResponse
+	if whole {
+		data, err = io.ReadAll(io.LimitReader(body, r.ContentLength+1)) // one more byte, to see the end of the body
+	} else {
+		data = make([]byte, firstBytes)
+		var n int
+		n, err = io.ReadAtLeast(body, data, 1)
+		data = data[:n]
+		whole = errors.Is(err, io.EOF)
+	}
+	switch {
+	case whole && (err == nil || errors.Is(err, io.EOF)):
+		_ = body.Close()
 		r.Body = &bufferedBody{Reader: bytes.NewReader(data), source: body}
 		return nil
+	case !whole && err == nil:
+		r.Body = &startedBody{Reader: io.MultiReader(bytes.NewReader(data), body), source: body}
+		return nil
 	}
+	_ = body.Close()
+	return bodyFailure(ctx, err, deadline)
+}
+
+// bodyFailure returns the failure of an attempt whose response ended too early.
+func bodyFailure(ctx context.Context, err error, deadline time.Time) *attemptError {
 	if ctx.Err() != nil {
 		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.ExecutionUnknown), outcome: retry.Rejected, result: contextResult(ctx), reached: true}
 	}
@@ -67,6 +89,17 @@
 	}
 }
 
+// startedBody is the body of a response whose start was read.
+type startedBody struct {
+	io.Reader
+	source io.ReadCloser
+}
+
+// Close implements io.Closer.
+func (b *startedBody) Close() error {
+	return b.source.Close()
+}
+
 // bufferedBody is the body of a response that was read to its end.
 type bufferedBody struct {
 	*bytes.Reader
--- a/node/relay/response_test.go
+++ b/node/relay/response_test.go
@@ -53,6 +53,10 @@
 		{"cut off", 9, "body", truncated, now.Add(time.Minute), refuse.UpstreamFailed, retry.Failed},
 		{"cut off at the deadline", 9, "body", truncated, now, refuse.DeadlineExceeded, retry.Rejected},
 		{"unknown length", -1, "body", truncated, now.Add(time.Minute), "", 0},
+		{"unknown length, complete", -1, "body", io.EOF, now.Add(time.Minute), "", 0},
+		{"unknown length, empty", -1, "", io.EOF, now.Add(time.Minute), "", 0},
+		{"unknown length, cut off before its start", -1, "", truncated, now.Add(time.Minute), refuse.UpstreamFailed, retry.Failed},
+		{"too long, cut off before its start", maxBufferedResponse + 1, "", truncated, now.Add(time.Minute), refuse.UpstreamFailed, retry.Failed},
 		{"too long", maxBufferedResponse + 1, "body", truncated, now.Add(time.Minute), "", 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
