--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,7 +27,6 @@
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
-	"dogwoodsill.org/node/tally"
 )
 
 // stubSender answers each request with f.
@@ -220,6 +220,52 @@
 	assert.Assert(t, resp.Close, "the close must be announced")
 }
 
+// tallies counts what a server reads and writes on its connections.
+type tallies struct {
+	conns            atomic.Int64 // connections accepted
+	heads, responses atomic.Int64 // complete heads of requests read, responses written
+}
+
+func (n *tallies) listen(ln net.Listener) net.Listener {
+	return &countingListener{Listener: ln, n: n}
+}
+
+type countingListener struct {
+	net.Listener
+	n *tallies
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.n.conns.Add(1)
+	return &countingConn{Conn: conn, n: l.n}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	n *tallies
+}
+
+// Read implements net.Conn. Each request of these tests arrives in one piece.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.heads.Add(int64(bytes.Count(p[:n], []byte("\r\n\r\n"))))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		c.n.responses.Add(int64(bytes.Count(p, []byte("HTTP/1.1 "))))
+	}
+	return n, err
+}
+
 // TestShutdownAnswersRequests guards against requests that a server which shuts down has
 // read and doesn't answer.
 func TestShutdownAnswersRequests(t *testing.T) {
@@ -231,11 +277,11 @@
 		{"callers never stop", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			var n tally.Counts
+			var n tallies
 			var sent passedOn
 			var unanswered, dropped int
 			for range 50 {
-				s, addr := newTestServer(t, sent.send, n.Listen)
+				s, addr := newTestServer(t, sent.send, n.listen)
 				stop, shut := make(chan struct{}), make(chan struct{})
 				time.AfterFunc(5*time.Millisecond, s.StopKeepAlives)
 				time.AfterFunc(10*time.Millisecond, func() {
@@ -255,9 +301,9 @@
 				unanswered += len(paths)
 				dropped += sent.count(paths)
 			}
-			t.Logf("%d requests read, %d answered; %d sent without an answer, %d of them passed on", n.Heads.Load(), n.Responses.Load(), unanswered, dropped)
+			t.Logf("%d requests read, %d answered; %d sent without an answer, %d of them passed on", n.heads.Load(), n.responses.Load(), unanswered, dropped)
 			assert.Equal(t, dropped, 0, "requests passed on without an answer")
-			assert.Equal(t, n.Heads.Load(), n.Responses.Load(), "requests read and responses written")
+			assert.Equal(t, n.heads.Load(), n.responses.Load(), "requests read and responses written")
 			if test.stopped {
 				assert.Equal(t, unanswered, 0, "requests without an answer")
 			}
@@ -269,18 +315,18 @@
 // that was accepted before the shutdown.
 func TestShutdownAnswersNewConn(t *testing.T) {
 	began, release := make(chan struct{}), make(chan struct{})
-	var n tally.Counts
+	var n tallies
 	s, addr := newTestServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
 		close(began)
 		<-release
 		return okResponse(), 0, nil
-	}, n.Listen)
+	}, n.listen)
 	running, waiting := dial(t, addr), dial(t, addr)
 	_, err := io.WriteString(running, "GET / HTTP/1.1\r\nHost: press.example\r\n\r\n")
 	assert.NilError(t, err)
 	<-began
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if n.Conns.Load() < 2 {
+		if n.conns.Load() < 2 {
 			return poll.Continue("not accepted yet")
 		}
 		return poll.Success()
@@ -348,8 +394,8 @@
 // server lingers.
 func TestLingerOverHTTP2(t *testing.T) {
 	var sent passedOn
-	var n tally.Counts
-	s, addr := newTestServer(t, sent.send, n.Listen)
+	var n tallies
+	s, addr := newTestServer(t, sent.send, n.listen)
 	client := http2Client(t)
 	post := func() {
 		r, err := http.NewRequest(http.MethodPost, "http://"+addr, http.NoBody)
@@ -365,7 +411,7 @@
 	post()
 	s.StopKeepAlives()
 	post()
-	assert.Equal(t, n.Conns.Load(), int64(1))
+	assert.Equal(t, n.conns.Load(), int64(1))
 	for range 3 {
 		post()
 	}
