relay: a repeated request states the time that is left

A request that the node sends once more to its upstream, after a malformed response or one to another request, carried the remaining time of its first sending, so that the upstream got more time than the caller had left by as long as the first response took. The headers of the protocol were set when the request was built and the same *http.Request was sent twice.

They are now set for each sending, on a copy of the request, since net/http may still read the one that was sent before.

TestRepeatStatesRemainingTime, whose first response takes 2 s, failed before for both kinds of response: assertion failed: end.Sub(deadline) is greater than maxExcess: request 2 states 2s too much It passes now, as does go test -race of node/relay.

--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
-	resp, err := c.target.client.send(req, c.head.Repeatable)
+	resp, err := c.send(c.target.client.transport(c.head.Repeatable), req, up)
 	if err != nil {
 		refusal := c.target.failureRefusal(err, c.conn.Load() != nil)
 		if errors.Is(context.Cause(ctx), errStopped) {
@@ -87,6 +87,17 @@
 	return resp, nil
 }
 
+// send sends a request with the headers of the protocol, which state the time that is left.
+func (c *upstreamCall) send(via *http.Transport, req *http.Request, up Upstream) (*http.Response, error) {
+	req = req.WithContext(req.Context()) // a copy, since net/http may still read the one that was sent before
+	req.Header = EndToEndHeader(c.head.Header)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // otherwise net/http adds its own
+	}
+	c.target.protocol.SetHeaders(req.Header, c.head, up, c.active.Token, time.Until(c.head.Call.Deadline))
+	return via.RoundTrip(req)
+}
+
 // discardBody reads a short body to its end, so that its connection can be reused, and closes
 // it. It waits for the body no longer than maxDiscardTime.
 func discardBody(resp *http.Response) {
@@ -110,7 +121,7 @@
 	if !c.mayRepeat(time.Now()) {
 		return resp, refusal
 	}
-	again, err := c.target.client.fresh.RoundTrip(req)
+	again, err := c.send(c.target.client.fresh, req, up)
 	if err != nil {
 		c.noteIfBroken(req.Context(), up)
 		return resp, refusal
@@ -184,7 +195,7 @@
 	return time.Since(c.began)
 }
 
-// request builds the request to the upstream. io.NopCloser hides the type of the
+// request builds the request to the upstream, without its header. io.NopCloser hides the type of the
 // body, so that net/http never resends the request on another connection.
 func (c *upstreamCall) request(ctx context.Context, up Upstream) (*http.Request, error) {
 	h := c.head
@@ -205,11 +216,6 @@
 	c.body.req = req
 	req.Host = h.Host
 	req.ContentLength = h.ContentLength
-	req.Header = EndToEndHeader(h.Header)
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = nil // otherwise net/http adds its own
-	}
-	c.target.protocol.SetHeaders(req.Header, h, up, c.active.Token, time.Until(h.Call.Deadline))
 	if h.ContentLength < 0 {
 		req.Trailer = http.Header{}
 	}
--- a/node/relay/upstream_client.go
+++ b/node/relay/upstream_client.go
@@ -78,12 +78,12 @@
 	return true
 }
 
-// send sends a request and returns the response.
-func (c *upstreamClient) send(req *http.Request, repeatable bool) (*http.Response, error) {
+// transport returns the transport of a request.
+func (c *upstreamClient) transport(repeatable bool) *http.Transport {
 	if !repeatable {
-		return c.fresh.RoundTrip(req)
+		return c.fresh
 	}
-	return c.kept.RoundTrip(req)
+	return c.kept
 }
 
 // isMalformedResponse reports whether what came in place of a response is none, such as bytes
