relay: a request states the time that is left once its connection is there

The header with the remaining time was set before the transport obtained a connection, which may take up to dialTimeout (1 s), so that the upstream got that much more time than the caller had left.

The headers of the protocol are set again in the hook GotConn of httptrace. RoundTrip calls it in its own goroutine after the connection is there, whoever dialed it, and before it passes the request to the goroutine that writes it. Before, they are still set once, so that net/http validates them.

TestSlowDialUsesRemainingTime failed before for both transports, and TestConnectionOfAnotherDial for two of its eight requests: assertion failed: end.Sub(deadline) is greater than maxExcess: request 1 states 1s too much assertion failed: end.Sub(deadline) is greater than maxExcess: request 8 states 700ms too much They pass now, 20 times in a row with -race, as does go test -race of node/relay.

--- a/node/relay/protocol.go
+++ b/node/relay/protocol.go
@@ -24,7 +24,8 @@
 // Protocol defines the headers that a node and its upstream exchange about a
 // call. Implementations must be safe for concurrent use.
 type Protocol interface {
-	// SetHeaders sets the headers of a request to an upstream.
+	// SetHeaders sets the headers of a request to an upstream. It is called more than once
+	// for a request, as the time that is left changes.
 	SetHeaders(h http.Header, call *CallHead, up Upstream, token string, left time.Duration)
 	// ClassifyResponse classifies the response to a call by its status and header.
 	ClassifyResponse(call *CallHead, resp *http.Response) ResponseClass
--- a/node/relay/remaining_test.go
+++ b/node/relay/remaining_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/store"
 )
 
@@ -86,7 +88,9 @@
 	target := NewTarget(1, st, chain.NewTable(), NewBalancer(noTargets{}, "a", 1), metric.New(), func() {}, WithProtocol(statingProtocol{}))
 	t.Cleanup(target.Close)
 	dial := func(context.Context, string, string) (net.Conn, error) {
-		time.Sleep(dialTime())
+		if !super.Pause(t.Context(), dialTime()) {
+			return nil, t.Context().Err()
+		}
 		near, far := net.Pipe()
 		go u.serve(far)
 		return &upstreamConn{Conn: near}, nil
@@ -158,3 +162,59 @@
 		})
 	}
 }
+
+// TestSlowDialUsesRemainingTime guards against a request that states the time which was left
+// before its connection was made.
+func TestSlowDialUsesRemainingTime(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+	}{
+		{"kept connection", true},
+		{"connection of its own", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				deadline := time.Now().Add(5 * time.Second)
+				u := &timedUpstream{respond: respondOwn}
+				target := timedTarget(t, u, func() time.Duration { return dialTimeout })
+				dir := fakeNodes{"one": newSession(t, target.Serve)}
+				c := NewCaller(NewBalancer(dir, "a", 1), dir, metric.New())
+				resp, _, e := c.Do(t.Context(), timedRequest(t, "one", test.repeatable, deadline))
+				assertRan(t, resp, e)
+				u.assertEnds(t, 1, deadline)
+			})
+		})
+	}
+}
+
+// TestConnectionOfAnotherDial guards against a request that states the time which was left
+// before it got the connection that was made for another one.
+func TestConnectionOfAnotherDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 8
+		deadline := time.Now().Add(5 * time.Second)
+		u := &timedUpstream{respond: func(n int, req *http.Request) string {
+			time.Sleep(100 * time.Millisecond)
+			return respondOwn(n, req)
+		}}
+		var dials atomic.Int64
+		target := timedTarget(t, u, func() time.Duration {
+			if dials.Add(1) == 1 {
+				return 0
+			}
+			return dialTimeout
+		})
+		dir := fakeNodes{"one": newSession(t, target.Serve)}
+		c := NewCaller(NewBalancer(dir, "a", 1), dir, metric.New())
+		var wg sync.WaitGroup
+		for i := range requests {
+			wg.Go(func() {
+				resp, _, e := c.Do(t.Context(), timedRequest(t, strconv.Itoa(i), true, deadline))
+				assertRan(t, resp, e)
+			})
+		}
+		wg.Wait()
+		u.assertEnds(t, requests, deadline)
+	})
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -87,14 +87,24 @@
 	return resp, nil
 }
 
-// send sends a request with the headers of the protocol, which state the time that is left.
+// send sends a request with the headers of the protocol, which state the time that is left when
+// the request is written. They are set before too, so that net/http validates them.
 func (c *upstreamCall) send(via *http.Transport, req *http.Request, up Upstream) (*http.Response, error) {
-	req = req.WithContext(req.Context()) // a copy, since net/http may still read the one that was sent before
-	req.Header = EndToEndHeader(c.head.Header)
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = nil // otherwise net/http adds its own
+	header := EndToEndHeader(c.head.Header)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // otherwise net/http adds its own
 	}
-	c.target.protocol.SetHeaders(req.Header, c.head, up, c.active.Token, time.Until(c.head.Call.Deadline))
+	setHeaders := func() {
+		c.target.protocol.SetHeaders(header, c.head, up, c.active.Token, time.Until(c.head.Call.Deadline))
+	}
+	setHeaders()
+	// RoundTrip calls GotConn in its own goroutine before it passes the request to the one
+	// that writes it, so no one else reads the header at that time.
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c.conn.Store(info.Conn.(*upstreamConn))
+		setHeaders()
+	}}))
+	req.Header = header // of its own, since net/http may still read that of an earlier sending
 	return via.RoundTrip(req)
 }
 
@@ -199,9 +209,6 @@
 // body, so that net/http never resends the request on another connection.
 func (c *upstreamCall) request(ctx context.Context, up Upstream) (*http.Request, error) {
 	h := c.head
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { c.conn.Store(info.Conn.(*upstreamConn)) },
-	})
 	c.body = &requestBody{stream: c.stream}
 	if h.ContentLength == 0 {
 		c.body.sum.End()
