--- a/node/relay/remaining_test.go
+++ b/node/relay/remaining_test.go
@@ -218,3 +218,29 @@
 		u.assertEnds(t, requests, deadline)
 	})
 }
+
+// TestNoRepeatAfterDeadline guards against a request that is sent once more when its caller
+// no longer waits.
+func TestNoRepeatAfterDeadline(t *testing.T) {
+	now := time.Now()
+	target := NewTarget(1, store.New(), chain.NewTable(), NewBalancer(noTargets{}, "a", 1), metric.New(), func() {})
+	for _, test := range []struct {
+		name string
+		left time.Duration
+		want bool
+	}{
+		{"time is left", time.Millisecond, true},
+		{"at the deadline", 0, false},
+		{"after the deadline", -time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := &upstreamCall{target: target, head: &CallHead{Repeatable: true, Call: model.Call{Deadline: now.Add(test.left)}}}
+			assert.Equal(t, c.mayRepeat(now), test.want)
+			if test.want {
+				return
+			}
+			_, e := c.repeat(Upstream{}, nil, nil, c.refusalFor(ResponseMismatched))
+			assert.Equal(t, e.Executed, refuse.ExecutionUnknown)
+		})
+	}
+}
