relay: a call states the time that is left once there is a link

The head of a call, a resumed call or a claim was packed before the link to the other node was obtained. If that had to be dialed (up to 3 s), the other node, which counts from the arrival of the head, gave the call that much more time than its caller had left.

The head is now packed with what is left after the session was obtained. A head that is too large is therefore refused only once there is a session.

TestWaitForLinkUsesRemainingTime failed before for all three: assertion failed: tooMuch is greater than maxExcess: 3s too much It passes now, as does go test -race of node/relay. The time that a head waits in the queue of a session or on its way is still not subtracted.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -297,7 +297,7 @@
 	s, reply, fail := c.exchange(ctx, req, to.Addr, KindCall, h)
 	if fail != nil && fail.linkLost && req.Body.buffered && ctx.Err() == nil {
 		c.metrics.Add(metric.Resumed, 1)
-		h.Resume, h.Remaining = true, time.Until(req.Call.Deadline).Microseconds()
+		h.Resume = true
 		s, reply, fail = c.exchange(ctx, req, to.Addr, KindCall, h)
 		if fail != nil {
 			fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
@@ -345,8 +345,14 @@
 	return s, reply, nil
 }
 
-// open opens a stream for a call or a claim and sends its head.
+// open opens a stream for a call or a claim and sends its head. The head states the time that
+// is left once there is a session, which may have to be dialed.
 func (c *Caller) open(ctx context.Context, addr string, kind uint8, h CallHead) (*frame.Stream, *attemptError) {
+	session, err := c.links.Session(ctx, addr)
+	if err != nil {
+		return nil, notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
+	}
+	h.Remaining = time.Until(h.Call.Deadline).Microseconds()
 	data, err := pack(h)
 	if err != nil {
 		return nil, rejectedError(refuse.New(refuse.BadRequest, "request head: %v", err), h.Call.Attempts)
@@ -354,10 +360,6 @@
 	if len(data) > frame.MaxHeadBytes {
 		return nil, rejectedError(refuse.New(refuse.HeaderTooLarge, "the header takes %d bytes between nodes; at most %d are possible", len(data), frame.MaxHeadBytes), h.Call.Attempts)
 	}
-	session, err := c.links.Session(ctx, addr)
-	if err != nil {
-		return nil, notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
-	}
 	s, err := session.Open(ctx, kind, data)
 	if err != nil {
 		return nil, notSentError(ctx, h.Call.Attempts, "the link to the node failed")
@@ -373,7 +375,6 @@
 		Attempt:       newAttemptID(),
 		Incarnation:   to.Incarnation,
 		Call:          call,
-		Remaining:     time.Until(call.Deadline).Microseconds(),
 		Service:       req.Service,
 		Route:         req.Route,
 		Method:        req.Method,
--- a/node/relay/remaining_test.go
+++ b/node/relay/remaining_test.go
@@ -18,6 +18,7 @@
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
@@ -244,3 +245,64 @@
 		})
 	}
 }
+
+// slowLinks is a Links whose sessions are available only after a time. Each is returned once.
+type slowLinks struct {
+	wait     time.Duration
+	sessions chan *frame.Session
+}
+
+// Session implements Links.
+func (l slowLinks) Session(context.Context, string) (*frame.Session, error) {
+	time.Sleep(l.wait)
+	return <-l.sessions, nil
+}
+
+// TestWaitForLinkUsesRemainingTime guards against a call that states the time which was left
+// before there was a link to the node that it is sent to.
+func TestWaitForLinkUsesRemainingTime(t *testing.T) {
+	do := func(ctx context.Context, c *Caller, req *Request) (*Response, *refuse.Error) {
+		resp, _, e := c.Do(ctx, req)
+		return resp, e
+	}
+	forward := func(ctx context.Context, c *Caller, req *Request) (*Response, *refuse.Error) {
+		resp, _, _, e := c.Forward(ctx, req, "key", "one")
+		return resp, e
+	}
+	for _, test := range []struct {
+		name string
+		lost bool // the first link is lost after the call was sent on it
+		send func(ctx context.Context, c *Caller, req *Request) (*Response, *refuse.Error)
+	}{
+		{"call", false, do},
+		{"resumed call", true, do},
+		{"claim", false, forward},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				deadline := time.Now().Add(10 * time.Second)
+				links := slowLinks{frame.DefaultDialTimeout, make(chan *frame.Session, 2)}
+				if test.lost {
+					var lost *frame.Session
+					lost = newSession(t, func(*frame.Stream) { assert.Check(t, lost.Close()) })
+					links.sessions <- lost
+				}
+				excess := make(chan time.Duration, 1)
+				reply := replyWith(t, ReplyHead{Status: http.StatusOK, ContentLength: 3}, "ran")
+				session := newSession(t, func(s *frame.Stream) {
+					h, err := unpack[CallHead](s.Head())
+					assert.Check(t, err)
+					assert.Check(t, h.Resume == test.lost)
+					excess <- h.deadline(time.Now()).Sub(deadline)
+					reply(s)
+				})
+				links.sessions <- session
+				c := NewCaller(NewBalancer(fakeNodes{"one": session}, "a", 1), links, metric.New())
+				resp, e := test.send(t.Context(), c, timedRequest(t, "one", true, deadline))
+				assertRan(t, resp, e)
+				tooMuch := <-excess
+				assert.Assert(t, tooMuch <= maxExcess, "%v too much", tooMuch)
+			})
+		})
+	}
+}
