site: a failed start names the state of each node

Change: Start returns an UnreadyError. It prints for each node its configuration, epoch, lease, shares, upstream, members that are not alive, the nodes of which it knows no target, and tasks that ended or were restarted. A failed publication before the nodes start is named.

Measured: with the earlier start.go TestUnreadyStartNamesNodes: expression is false: errors.As(err, &unready): context canceled TestFailedPublicationIsNamed: expected error to contain "publishing the configuration: " Both pass with the change (go test -race ./bench/site, these tests).

--- a/bench/site/start.go
+++ b/bench/site/start.go
@@ -104,7 +104,7 @@
 		r.LogWires[zone] = w
 	}
 	if err := r.publishAll(ctx); err != nil {
-		return err
+		return fmt.Errorf("publishing the configuration: %w", err)
 	}
 	n := 0
 	for _, svc := range r.Site.Services {
@@ -117,7 +117,10 @@
 			}
 		}
 	}
-	return r.awaitReady(ctx)
+	if err := r.awaitReady(ctx); err != nil {
+		return r.unready(err)
+	}
+	return nil
 }
 
 // StartNode starts a node with an upstream of the service and adds it to the
