--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -19,6 +19,8 @@
 	http *http.Server
 	log  hclog.Logger
 
+	draining sync.WaitGroup // connections that are read after their last response
+
 	mu         sync.Mutex    // guards the fields below
 	listener   net.Listener  // nil before Serve
 	serveEnded chan struct{} // closed when Serve returns
@@ -73,5 +75,23 @@
 	s.stop()
 	s.awaitRequests(ctx, firstRequestTimeout)
 	s.closeUnused()
-	return s.http.Shutdown(ctx)
+	if err := s.http.Shutdown(ctx); err != nil {
+		return err
+	}
+	s.awaitDrained(ctx)
+	return nil
+}
+
+// awaitDrained waits until the callers have closed the connections that were closed after
+// their last response, or ctx ends. The wait takes no longer than drainTimeout.
+func (s *Server) awaitDrained(ctx context.Context) {
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		s.draining.Wait()
+	}()
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
 }
