--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -205,8 +205,8 @@
 	return time.Since(c.began)
 }
 
-// request builds the request to the upstream, without its header. io.NopCloser hides the type of the
-// body, so that net/http never resends the request on another connection.
+// request builds the request to the upstream, without its header. io.NopCloser hides the
+// type of the body, so that net/http never resends the request on another connection.
 func (c *upstreamCall) request(ctx context.Context, up Upstream) (*http.Request, error) {
 	h := c.head
 	c.body = &requestBody{stream: c.stream}
