member: a reply after its timeout continues the synchronisation

What callers saw: where replies to gossip took longer than ProbeTimeout (250 ms), as on a busy machine, nodes that started together did not learn of each other, however long they ran.

Cause: the machine forgot a packet at its timeout. It merged a later reply, but did not go on with the synchronisation that the packet had begun, and did not end the probe of the peer that had just replied. Each try began anew with the digests and ended in the same way. The changes themselves are sent only a few times, so entries stayed unknown.

Change: a packet is retained for lateReplyTime (1 s) after its timeout. The timeout is handled as before; a late reply ends the probe and continues the synchronisation.

--- a/core/member/config.go
+++ b/core/member/config.go
@@ -11,6 +11,9 @@
 	GossipInterval = 500 * time.Millisecond
 	// ProbeTimeout covers a round trip between regions and some queueing.
 	ProbeTimeout = 250 * time.Millisecond
+	// lateReplyTime is how long after its timeout a packet is retained for a late
+	// reply.
+	lateReplyTime = time.Second
 	// IndirectProbes is the number of peers asked to probe a target that did not
 	// reply.
 	IndirectProbes = 3
--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// Guards against nodes whose replies take longer than ProbeTimeout, as on a busy machine, and that
+// therefore never learn of each other.
+func TestFleetFormsWithSlowReplies(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
+		w := newNetwork(1)
+		w.delay = delay
+		nodes := w.startFleet(3, 5)
+		elapsed, ok := w.runUntil(60*time.Second, func() bool {
+			return complete(nodes, 15) && all(nodes, func(x *simNode) bool { return x.Joined() })
+		})
+		assert.Check(t, ok, "%v", delay)
+		t.Logf("replies after %v: complete after %v", 2*delay, elapsed)
+	}
+}
+
 // Guards invariant I10: the announcement that a target is draining reaches
 // every node of all zones within 3 s, even when messages are lost.
 func TestDrainingReachesAll(t *testing.T) {
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -35,6 +35,7 @@
 	hasDigests bool         // the packet starts a synchronisation
 	steps      int          // steps of the synchronisation so far
 	truncated  bool         // kindSync: the list of bucket references is incomplete
+	late       bool         // no reply came by the first deadline; one is still used by the second
 }
 
 // activeProbe is the state of a probe of a peer that has not been decided.
@@ -149,7 +150,8 @@
 	}
 }
 
-// expirePending handles messages that got no reply in time.
+// expirePending handles messages that got no reply in time. A late reply is still used: where
+// replies take longer than the timeout, no synchronisation would ever end otherwise.
 func (m *Machine) expirePending() {
 	var expired []uint64
 	for id, pm := range m.pending {
@@ -160,7 +162,11 @@
 	slices.Sort(expired)
 	for _, id := range expired {
 		pm := m.pending[id]
-		delete(m.pending, id)
+		if pm.late {
+			delete(m.pending, id)
+			continue
+		}
+		pm.late, pm.deadline = true, m.clock+lateReplyTime
 		m.handleTimeout(pm)
 	}
 }
--- a/core/member/sim_test.go
+++ b/core/member/sim_test.go
@@ -16,6 +16,7 @@
 	events   eventQueue
 	seq      int
 	loss     float64                   // probability that a message is lost, in each direction
+	delay    time.Duration             // further delay of each message, in each direction
 	blocked  func(from, to Entry) bool // nil: all links work
 	sent     map[string]int            // bytes sent by each node, including replies
 	received map[string]int
@@ -116,7 +117,7 @@
 	if w.rng.Float64() < w.loss {
 		return
 	}
-	delay := 500*time.Microsecond + time.Duration(w.rng.Int64N(int64(2*time.Millisecond)))
+	delay := w.delay + 500*time.Microsecond + time.Duration(w.rng.Int64N(int64(2*time.Millisecond)))
 	w.schedule(delay, func() {
 		to, ok := w.nodes[addr]
 		if !ok || to.down || to.paused || from.down {
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -112,7 +112,7 @@
 // syncing reports whether a synchronisation is in progress.
 func (m *Machine) syncing() bool {
 	for _, pm := range m.pending {
-		if pm.kind == kindSync {
+		if pm.kind == kindSync && !pm.late {
 			return true
 		}
 	}
