conns: a request that was read is answered, also while its connection is closed as idle

On a loaded machine a request that the node had read got neither an answer nor a refusal when its connection was closed as idle, at the idle limit or 100 ms into a shutdown. It was not passed on; its caller saw the connection end.

Cause: a connection counts as idle until net/http has parsed the head of the next request and its goroutine has come to the handler. Closing it before that drops what was read.

Connections are not closed any more while their goroutine may be reading. The reading ends instead: if the read had already returned data, it continues and the request is answered, otherwise net/http closes the connection. HTTP/2 connections are closed as before.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -298,7 +298,7 @@
 // callersListener returns the listener for callers with its connection limit, and
 // with TLS if a certificate is configured.
 func (a *Agent) callersListener() net.Listener {
-	ln := a.entry.DrainAfterClose(limitConns(a.listeners.callers, a.cfg.Limits.ConnectionsPerCaller))
+	ln := a.entry.Wrap(limitConns(a.listeners.callers, a.cfg.Limits.ConnectionsPerCaller))
 	if a.callersTLS == nil {
 		return ln
 	}
--- /dev/null
+++ b/node/conns/conn.go
@@ -0,0 +1,165 @@
+package conns
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Limits of what is read from a connection after its last response.
+const (
+	drainTimeout  = time.Second
+	maxDrainBytes = 256 << 10
+)
+
+// listener accepts connections whose reading can be ended without losing a request, and that can
+// be closed without a reset.
+type listener struct {
+	net.Listener
+	draining *sync.WaitGroup
+}
+
+// Wrap returns a listener that the server needs to end its connections in order. Serve wraps
+// listeners itself; if a listener adds TLS, the one below it must be wrapped.
+func (s *Server) Wrap(ln net.Listener) net.Listener {
+	return &listener{Listener: ln, draining: &s.draining}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if unwrap(c) != nil {
+		return c, nil
+	}
+	if _, ok := c.(*tls.Conn); ok {
+		return c, nil // net/http needs its type
+	}
+	return &conn{Conn: c, draining: l.draining}, nil
+}
+
+// conn is a connection of a listener.
+type conn struct {
+	net.Conn
+	draining *sync.WaitGroup
+	once     sync.Once
+
+	mu       sync.Mutex
+	received bool      // data was received since the connection became idle
+	ended    bool      // endReading was called, and no data was received since
+	deadline time.Time // for reads
+	last     bool      // the response that is being sent is the last one
+}
+
+// unwrap returns the connection of a listener below c, or nil if there is none.
+func unwrap(c net.Conn) *conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	w, _ := c.(*conn)
+	return w
+}
+
+// Read implements net.Conn. Data that was received although the reading was to end is returned,
+// and the reading continues.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case n > 0:
+		c.received = true
+		if c.ended {
+			c.ended = false
+			err = c.Conn.SetReadDeadline(c.deadline)
+		}
+	case c.ended:
+		err = io.EOF
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// becomeIdle records that the next data belongs to another request.
+func (c *conn) becomeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = false
+}
+
+// endReading ends the reading of an idle connection, unless data was received since it became
+// idle. net/http then closes it.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.received {
+		c.ended = true
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// isEnded reports whether the reading has ended.
+func (c *conn) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// markLast records that the response that is being sent is the last one.
+func (c *conn) markLast() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = true
+}
+
+// isLast reports whether markLast was called.
+func (c *conn) isLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// CloseWrite ends the sending direction.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. Closing a connection on which the caller has sent further requests
+// would reset it, and the caller could lose the end of the last response (RFC 9112, section 9.6).
+// After the last response, Close therefore ends the sending direction only, and the connection is
+// closed once the caller has closed it or drainTimeout has passed.
+func (c *conn) Close() error {
+	if !c.isLast() || c.CloseWrite() != nil {
+		return c.Conn.Close()
+	}
+	c.once.Do(func() {
+		c.draining.Add(1)
+		go c.drain()
+	})
+	return nil
+}
+
+func (c *conn) drain() {
+	defer c.draining.Done()
+	defer func() { _ = c.Conn.Close() }()
+	if c.Conn.SetReadDeadline(time.Now().Add(drainTimeout)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes)
+	}
+}
--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -47,7 +47,7 @@
 	s.mu.Lock()
 	s.listener, s.serveEnded = ln, ended
 	s.mu.Unlock()
-	return s.http.Serve(ln)
+	return s.http.Serve(s.Wrap(ln))
 }
 
 // closeListener closes the listener and waits until all connections that it accepted are
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -43,6 +43,7 @@
 
 // connState is the state of one connection.
 type connState struct {
+	conn      *conn     // nil for a connection of another listener
 	idleSince time.Time // zero unless the connection waits for a request
 	requests  int       // number of requests that are handled
 	used      bool      // a request was handled
@@ -61,7 +62,7 @@
 func (c *Tracker) withConn(ctx context.Context, conn net.Conn) context.Context {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.byConn[conn] = &connState{}
+	c.byConn[conn] = &connState{conn: unwrap(conn)}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
@@ -84,6 +85,9 @@
 	switch state {
 	case http.StateIdle:
 		cc.idleSince = now
+		if cc.conn != nil {
+			cc.conn.becomeIdle()
+		}
 		if c.stopping && cc.used && !cc.http2 {
 			return cc.closeIfIdle()
 		}
@@ -116,7 +120,9 @@
 		c.AnnounceClose(w.Header())
 		h.ServeHTTP(w, r)
 		if r.ProtoMajor == 1 && w.Header().Get("Connection") == "close" {
-			markLast(conn)
+			if c := unwrap(conn); c != nil {
+				c.markLast()
+			}
 		}
 	})
 }
@@ -169,7 +175,7 @@
 	if cc == nil {
 		return true // not a connection of this server's listener
 	}
-	if cc.closed {
+	if cc.closed || cc.conn != nil && cc.conn.isEnded() {
 		return false
 	}
 	cc.requests++
@@ -242,7 +248,19 @@
 
 // closeWhere closes the idle connections for which f returns true.
 func (c *Tracker) closeWhere(f func(cc *connState) bool) {
-	c.closeIf(func(cc *connState) bool { return f(cc) && cc.closeIfIdle() })
+	c.closeIf(func(cc *connState) bool { return f(cc) && !cc.endIfIdle() && cc.closeIfIdle() })
+}
+
+// endIfIdle ends the reading of an idle connection, so that net/http closes it if no request is
+// being read. It returns false if the connection can only be closed. The caller holds Tracker.mu.
+func (cc *connState) endIfIdle() bool {
+	if cc.conn == nil || !cc.used || cc.http2 {
+		return false
+	}
+	if !cc.idleSince.IsZero() && cc.requests == 0 {
+		cc.conn.endReading()
+	}
+	return true
 }
 
 // closeIf closes the connections that mark, called with mu held, has marked as closed.
--- a/node/entry/last_response_test.go
+++ b/node/entry/last_response_test.go
@@ -29,7 +29,7 @@
 		resp.ContentLength, resp.Body = int64(len(body)), io.NopCloser(bytes.NewReader(body))
 		return resp, 0, nil
 	})
-	addr := serve(t, s, s.DrainAfterClose)
+	addr := serve(t, s)
 	conn := dial(t, addr)
 	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
