entry: the time of a request counts from its arrival, also behind an earlier one

Callers that send further requests before the first one is answered saw these passed on with the whole time that they had stated, although a part of it was over: the request waited for the response to the earlier one (rule BUDGET of the platform).

Cause: net/http reads the next request of a connection only after the response, and the time counted from there.

Connections now note when the start of a request that was sent ahead arrived. The time that its caller states counts from then; a request whose time is over is refused unsent. The timeout of the route counts from the start of its handling as before, and so does the time behind a request with a body unless both arrived together.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -53,6 +53,7 @@
 	ended    bool      // endReading was called, and no data was received since
 	deadline time.Time // for reads
 	last     bool      // the response that is being sent is the last one
+	arrivals arrivals
 }
 
 // unwrap returns the connection of a listener below c, or nil if there is none.
@@ -73,6 +74,7 @@
 	switch {
 	case n > 0:
 		c.received = true
+		c.arrivals.read(time.Now())
 		if c.ended {
 			c.ended = false
 			err = c.Conn.SetReadDeadline(c.deadline)
@@ -99,6 +101,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received = false
+	c.arrivals.becomeIdle()
+}
+
+// beginRequest records that a request is handled.
+func (c *conn) beginRequest(hasBody bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivals.begin(hasBody)
 }
 
 // endReading ends the reading of an idle connection, unless data was received since it became
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -112,7 +112,7 @@
 func (c *Tracker) handle(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connKey{}).(net.Conn)
-		if !c.begin(conn, r.ProtoMajor > 1) {
+		if !c.begin(conn, r.ProtoMajor > 1, r.ContentLength != 0) {
 			c.metrics.Add(metric.Aborted+AbortedByClose, 1)
 			panic(http.ErrAbortHandler)
 		}
@@ -168,7 +168,7 @@
 
 // begin records that a request is handled. It returns false if the connection was
 // closed.
-func (c *Tracker) begin(conn net.Conn, http2 bool) bool {
+func (c *Tracker) begin(conn net.Conn, http2, hasBody bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc := c.byConn[conn]
@@ -180,6 +180,9 @@
 	}
 	cc.requests++
 	cc.used, cc.http2 = true, http2
+	if cc.conn != nil && !http2 {
+		cc.conn.beginRequest(hasBody)
+	}
 	return true
 }
 
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -19,6 +19,7 @@
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/route"
 	"dogwoodsill.org/core/super"
+	"dogwoodsill.org/node/conns"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 	"dogwoodsill.org/node/tokens"
@@ -259,7 +260,11 @@
 		return timeout, e
 	}
 	q.callerRetry = q.server.callerRetries.isRetry(q.route.Name, asked, q.now)
-	return min(asked, timeout), nil
+	left := asked - q.now.Sub(conns.Arrival(q.r.Context(), q.now))
+	if left <= 0 {
+		return 0, refuse.New(refuse.DeadlineExceeded, "the deadline passed while the request waited for an earlier one on its connection")
+	}
+	return min(left, timeout), nil
 }
 
 // admit ranks the request and charges it to its customer or to the account of
