quota, tokens: the grace period admits only what no holder lends

Cause: the grace period of a node that started asked only whether this node has a zone lease. The holders of the customer's shares were alive and went on lending the whole rate, while each restarted node admitted its fraction of the rate once more.

Change: the fraction is one of the rate of those shares that have no holder (Pool.RateWithoutHolder). Requests try to borrow first, as before; the replies tell it. A share has no holder if its owner says that it doesn't hold it or has no lease, if the owner can't be reached, after three requests in a row without a reply, or if its zone has no epoch. Shares that were not asked yet and shares whose capacity another bucket collects count as held. So the fractions of all zones that lost their holders are admitted, also while holders of other zones reply. Until a node has read the epochs, an unknown owner counts as a request without a reply; its first read of the stream therefore doesn't wait for a record. Messages between nodes are the same as before.

--- a/core/epoch/state.go
+++ b/core/epoch/state.go
@@ -43,7 +43,8 @@
 	gap   uint64 // records before this offset were not read; 0 for none
 	zones map[string]*zone
 
-	rereading bool // the end of the log was not reached since StartEra
+	rereading  bool // the end of the log was not reached since StartEra
+	reachedEnd bool // the end of the log was reached once
 }
 
 type zone struct {
@@ -86,7 +87,7 @@
 // new, since the snapshot of an existing zone is repeated well within the
 // retention time.
 func (s *State) ReachedEnd() {
-	s.gap, s.rereading = 0, false
+	s.gap, s.rereading, s.reachedEnd = 0, false, true
 	for _, z := range s.zones {
 		if z.gap > 0 && len(z.epochs) == 0 {
 			z.closeGap()
@@ -94,6 +95,12 @@
 	}
 }
 
+// HasReachedEnd reports whether the reader ever reached the end of the stream. Before that,
+// a zone without an epoch may have one that is not known yet.
+func (s *State) HasReachedEnd() bool {
+	return s.reachedEnd
+}
+
 // Apply applies the record at an offset and returns the zone whose current
 // epoch changed, or "". Offsets before Next are ignored. An offset after Next
 // causes a gap, as SkipTo does. A record that can't be decoded or is not valid
--- a/core/quota/pool.go
+++ b/core/quota/pool.go
@@ -141,6 +141,8 @@
 	spare           Amount    // Spare of the last reply
 	fillRatio       float64   // FillRatio of the last reply
 	notHolder       bool      // the node that was asked last does not hold the share
+	answered        bool      // the last reply came from a holder
+	unreachable     bool      // the last request could not be sent, or its connection failed
 	alone           bool      // Alone of the last reply
 	pendingSeq      uint64    // number of the pending request; 0 for none
 	reportNow       bool      // the report must not be delayed
@@ -411,6 +413,7 @@
 	}
 	s.failures, s.spare, s.fillRatio, s.retryAt = 0, reply.Spare, reply.FillRatio, now.Add(reply.RetryAfter)
 	s.notHolder, s.alone = !reply.IsHolder, reply.Alone
+	s.answered, s.unreachable = reply.IsHolder, false
 	if s.notHolder {
 		s.retryAt = now.Add(failureRetry)
 		return
@@ -465,9 +468,18 @@
 	})
 }
 
-// HandleFailure records that a request could not be sent or that its connection
-// failed.
+// HandleFailure records that a request could not be sent, as its share has no owner, or that
+// its connection failed.
 func (p *Pool) HandleFailure(seq uint64, now time.Time) {
+	if r, ok := p.pending[seq]; ok {
+		s := p.shareState(r.share)
+		s.unreachable = s.unreachable || s.pendingSeq == seq
+		p.HandleNoReply(seq, now)
+	}
+}
+
+// HandleNoReply records that a request got no reply, which says nothing about the holder.
+func (p *Pool) HandleNoReply(seq uint64, now time.Time) {
 	if r, ok := p.pending[seq]; ok {
 		delete(p.pending, seq)
 		p.markFailed(r.share, seq, now)
--- a/core/quota/sim_step_test.go
+++ b/core/quota/sim_step_test.go
@@ -104,12 +104,25 @@
 	}
 }
 
-// refuse marks a request as done and counts its refusal.
+// takeGrace reports whether the grace period admits a request.
+func (p *proc) takeGrace() bool {
+	now := p.clock()
+	if p.grace == nil || p.lease.Valid(now) {
+		return false
+	}
+	return p.grace.Take(now, simCustomer, p.pool.RateWithoutHolder(p.groups(), now).Float(), len(p.f.names))
+}
+
+// refuse marks a request as done and counts its refusal, unless the grace period admits it.
 func (p *proc) refuse(a *request) {
 	if a.done {
 		return
 	}
 	a.done = true
+	if p.takeGrace() {
+		p.f.countAdmission()
+		return
+	}
 	p.f.refused++
 	if a.withinRate {
 		p.f.wronglyRefused++
@@ -183,8 +196,16 @@
 		p.f.at(d, func() { p.do(func() { p.pool.Release(&ch, p.clock()) }) })
 		return
 	}
-	p.f.admitted++
-	if detail := p.f.bound.admit(p.f.now); detail != "" {
-		p.f.violations = append(p.f.violations, detail)
+	p.f.countAdmission()
+}
+
+// countAdmission counts an admission and checks the bound.
+func (f *fleet) countAdmission() {
+	f.admitted++
+	if f.onAdmit != nil {
+		f.onAdmit()
+	}
+	if detail := f.bound.admit(f.now); detail != "" {
+		f.violations = append(f.violations, detail)
 	}
 }
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -40,6 +40,8 @@
 	lastIncarnation uint64
 	releaseFraction float64 // fraction of the tokens that are released
 	clockSkew       float64 // maximum relative error of the clock speeds
+	withGrace       bool    // processes that start from now on have a grace period
+	onAdmit         func()  // called for each admission, may be nil
 }
 
 const simCustomer = "press"
@@ -86,6 +88,7 @@
 	lease        *epoch.Lease
 	holder       *Holder
 	pool         *Pool
+	grace        *GraceLimiter // nil without a grace period
 	waiting      []*request
 	seen         map[string]epoch.Presence
 	lastHeard    map[string]time.Time
@@ -166,6 +169,9 @@
 	p.holder = NewHolder(p.self, p.state, p.tracker)
 	p.pool = NewPool(PoolOptions{Customer: simCustomer, Node: name, Incarnation: p.self.Incarnation, Zone: p.self.Zone})
 	p.revision = len(f.revisions) - 1
+	if f.withGrace {
+		p.grace = NewGraceLimiter(p.started)
+	}
 	f.procs[name] = p
 	p.every(500*time.Millisecond, p.gossip)
 	p.every(epoch.ConfirmInterval, p.confirm)
--- a/node/tokens/tokens.go
+++ b/node/tokens/tokens.go
@@ -7,6 +7,7 @@
 
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/quota"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/super"
@@ -85,10 +86,11 @@
 // Option configures a Limiter.
 type Option func(*Limiter)
 
-// WithGracePeriod makes the limiter admit an equal fraction of each customer's rate
-// without borrowed tokens for quota.GracePeriod after the start of the node, while
-// it has no valid zone lease. Open routes have no grace period. nodes returns the
-// number of nodes in the fleet, or 0 if it is unknown.
+// WithGracePeriod makes the limiter admit requests without borrowed tokens for
+// quota.GracePeriod after the start of the node, while it has no valid zone lease: an
+// equal fraction of the rate of those of the customer's shares that have no holder. Open
+// routes have no grace period. nodes returns the number of nodes in the fleet, or 0 if it
+// is unknown.
 func WithGracePeriod(started time.Time, nodes func() int) Option {
 	return func(l *Limiter) { l.grace, l.nodeCount = quota.NewGraceLimiter(started), nodes }
 }
@@ -100,20 +102,22 @@
 
 // takeGrace reports whether the grace period admits a request for which no token could
 // be borrowed.
-func (l *Limiter) takeGrace(account string, now time.Time) bool {
-	if l.nodeCount == nil {
+func (l *Limiter) takeGrace(p *pool, now time.Time) bool {
+	if l.nodeCount == nil || objectOf(p.account).Kind != model.KindCustomer {
 		return false
 	}
 	leased := false
 	l.zones.WithView(func(v zones.View) { leased = v.Lease.Valid(now) })
-	cur := l.store.Current()
-	if leased || cur == nil {
+	if leased {
 		return false
 	}
+	p.mu.Lock()
+	rate := p.quota.RateWithoutHolder(l.currentGroups(p), now)
+	p.mu.Unlock()
 	n := l.nodeCount()
 	l.graceMu.Lock()
 	defer l.graceMu.Unlock()
-	return l.grace.Take(now, account, cur.View.Customers[account].Rate, n)
+	return l.grace.Take(now, p.account, rate.Float(), n)
 }
 
 // SyncShares is the background task that records reads of the configuration stream and
@@ -146,7 +150,7 @@
 	if !ok {
 		charge, ok = l.awaitToken(ctx, p, patience, now)
 	}
-	if !ok && l.takeGrace(account, time.Now()) {
+	if !ok && l.takeGrace(p, time.Now()) {
 		return func(time.Time) {}, nil
 	}
 	if !ok {
@@ -271,8 +275,10 @@
 		if !ok {
 			return
 		}
-		m, ok := l.owner(req.ShareID)
+		m, ok, known := l.owner(req.ShareID)
 		switch {
+		case !known:
+			p.quota.HandleNoReply(req.Seq, now)
 		case !ok:
 			p.quota.HandleFailure(req.Seq, now)
 		case m.Same(l.zones.Self()):
@@ -283,16 +289,17 @@
 	}
 }
 
-// owner returns the owner of a share in the current epoch of its zone.
-func (l *Limiter) owner(id quota.ShareID) (epoch.Member, bool) {
-	var m epoch.Member
-	found := false
+// owner returns the owner of a share in the current epoch of its zone. It reports known as
+// false while the node hasn't read the epochs yet, and ok as false if there is no owner.
+func (l *Limiter) owner(id quota.ShareID) (m epoch.Member, ok, known bool) {
 	l.zones.WithView(func(v zones.View) {
-		if e, ok := v.State.Current(id.Zone); ok {
-			m, found = quota.OwnerOf(id)(e), true
+		var e epoch.Epoch
+		if e, ok = v.State.Current(id.Zone); ok {
+			m = quota.OwnerOf(id)(e)
 		}
+		known = ok || v.State.HasReachedEnd()
 	})
-	return m, found
+	return m, ok, known
 }
 
 // exchange sends a borrow request to a peer and processes the reply.
@@ -346,7 +353,7 @@
 
 // collect sends a capacity request to the owner of its share.
 func (l *Limiter) collect(ctx context.Context, req quota.CapacityRequest) {
-	m, ok := l.owner(req.ShareID)
+	m, ok, _ := l.owner(req.ShareID)
 	switch {
 	case !ok:
 	case m.Same(l.zones.Self()):
--- a/node/zones/tasks.go
+++ b/node/zones/tasks.go
@@ -39,9 +39,12 @@
 // readOnce reads one batch from the log and applies it.
 func (z *Zones) readOnce(ctx context.Context) error {
 	z.mu.Lock()
-	next := z.state.Next
+	next, wait := z.state.Next, LongPollTimeout
+	if !z.hasRead {
+		wait = 0 // a node that starts must know whether there are epochs
+	}
 	z.mu.Unlock()
-	b, err := z.log.Read(ctx, logsvc.StreamEpochs, next, readBatchSize, LongPollTimeout)
+	b, err := z.log.Read(ctx, logsvc.StreamEpochs, next, readBatchSize, wait)
 	var expired *logsvc.ExpiredError
 	switch {
 	case err == nil:
@@ -72,6 +75,7 @@
 func (z *Zones) Fold(b logsvc.Batch, now time.Time) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
+	z.hasRead = true
 	z.startEra(b.Era, now)
 	if b.Era < z.state.Era || b.First > z.state.Next {
 		return // read in an earlier era, or at an offset of one
--- a/node/zones/zones.go
+++ b/node/zones/zones.go
@@ -41,6 +41,7 @@
 	tracker    *epoch.Tracker
 	snapshots  *epoch.SnapshotScheduler
 	adopted    time.Time
+	hasRead    bool      // the log was read once
 	eraSince   time.Time // when this node learned of the era of the log
 	lastAppend time.Time // last append of this node
 	presences  map[string]epoch.Presence
--- a/node/zones/zones_test.go
+++ b/node/zones/zones_test.go
@@ -161,3 +161,27 @@
 	assert.Equal(t, reply.Member.Name, self.Name)
 	assert.Equal(t, reply.Member.Incarnation, self.Incarnation)
 }
+
+// waitingLog records how long the reads may wait.
+type waitingLog struct {
+	fakeLog
+	waits []time.Duration
+}
+
+func (l *waitingLog) Read(ctx context.Context, stream string, from uint64, n int, wait time.Duration) (logsvc.Batch, error) {
+	l.waits = append(l.waits, wait)
+	return l.fakeLog.Read(ctx, stream, from, n, wait)
+}
+
+// Guards against a node that learns only at the end of a long poll that there are no epochs.
+func TestFirstReadDoesNotWait(t *testing.T) {
+	self := epoch.Member{Name: "a", Incarnation: 1, Address: "127.0.0.1:1", Zone: "z"}
+	log := &waitingLog{}
+	z := New(self, log, &fakePeers{}, time.Hour, func(err error) { t.Error(err) })
+	z.WithView(func(v View) { assert.Assert(t, !v.State.HasReachedEnd()) })
+	for range 3 {
+		assert.NilError(t, z.readOnce(t.Context()))
+		z.WithView(func(v View) { assert.Assert(t, v.State.HasReachedEnd()) })
+	}
+	assert.DeepEqual(t, log.waits, []time.Duration{0, LongPollTimeout, LongPollTimeout})
+}
