local: a call whose body stalls gets its refusal

A call of the upstream that was refused before its body was needed got no answer while its upstream didn't send the rest of a body of known length, for as long as the connection stayed open.

Cause: net/http reads the rest of a short body before it sends the response. The callers' listener bounds that time, the listener for the upstream didn't.

--- a/node/entry/body.go
+++ b/node/entry/body.go
@@ -137,14 +137,19 @@
 }
 
 // boundDiscard bounds the time in which net/http reads and discards the body of a request
-// that was refused before its body was needed. net/http lifts the deadline before the next
-// request.
+// that was refused before its body was needed.
 func (q *request) boundDiscard(now time.Time) {
-	if err := http.NewResponseController(q.w).SetReadDeadline(now.Add(lingerTimeout)); err != nil {
+	if err := BoundDiscard(q.w, now); err != nil {
 		q.server.log.Debug("the time to read the rest of a body is not limited", "error", err)
 	}
 }
 
+// BoundDiscard bounds the time in which net/http reads and discards a body of which nothing
+// was read before the response. net/http lifts the deadline before the next request.
+func BoundDiscard(w http.ResponseWriter, now time.Time) error {
+	return http.NewResponseController(w).SetReadDeadline(now.Add(lingerTimeout))
+}
+
 // endBody ends the use of the body after the response. If the body was not read to its end,
 // the response is sent before net/http discards the rest.
 func (q *request) endBody() {
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -136,8 +136,14 @@
 
 func (s *Server) call(c echo.Context) error {
 	w, r := c.Response(), c.Request()
-	if e := s.handleGuarded(w, r, time.Now()); e != nil {
+	bodyRead := r.ContentLength == 0
+	if e := s.handleGuarded(w, r, &bodyRead, time.Now()); e != nil {
 		s.metrics.Add(metric.Refused+string(e.Reason), 1)
+		if !bodyRead {
+			if err := entry.BoundDiscard(w, time.Now()); err != nil {
+				s.log.Debug("the time to read the rest of a body is not limited", "error", err)
+			}
+		}
 		if r.ContentLength < 0 {
 			w.Header().Set("Connection", "close") // net/http then sends the refusal without reading the rest of the body first
 		}
@@ -148,7 +154,7 @@
 
 // handleGuarded is handle that refuses a call whose handling panics. If the response was
 // started, it aborts the connection.
-func (s *Server) handleGuarded(w *echo.Response, r *http.Request, now time.Time) (e *refuse.Error) {
+func (s *Server) handleGuarded(w *echo.Response, r *http.Request, bodyRead *bool, now time.Time) (e *refuse.Error) {
 	defer func() {
 		v := recover()
 		if v == nil {
@@ -164,10 +170,11 @@
 		}
 		e = refusal
 	}()
-	return s.handle(w, r, now)
+	return s.handle(w, r, bodyRead, now)
 }
 
-func (s *Server) handle(w http.ResponseWriter, r *http.Request, now time.Time) *refuse.Error {
+// handle handles a call. It sets bodyRead when it begins to read the body.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request, bodyRead *bool, now time.Time) *refuse.Error {
 	parent, ok := s.calls.Lookup(r.Header.Get(chain.CallHeader), now)
 	if !ok {
 		return refuse.New(refuse.CallContextInvalid, "header %s holds no token of a running request", chain.CallHeader)
@@ -189,10 +196,10 @@
 	if parent.Call.Depth >= model.MaxDepth {
 		return refuse.New(refuse.CallContextInvalid, "the call chain is longer than %d", model.MaxDepth)
 	}
-	return s.send(w, r, m, parent, now)
+	return s.send(w, r, bodyRead, m, parent, now)
 }
 
-func (s *Server) send(w http.ResponseWriter, r *http.Request, m route.Match, parent *chain.ActiveCall, now time.Time) *refuse.Error {
+func (s *Server) send(w http.ResponseWriter, r *http.Request, bodyRead *bool, m route.Match, parent *chain.ActiveCall, now time.Time) *refuse.Error {
 	ctx, cancel := entry.MergeContexts(r.Context(), parent.Context())
 	defer cancel()
 	ctx, cancelStop := entry.MergeContexts(ctx, s.ctx)
@@ -215,6 +222,7 @@
 	if _, ok := s.caller.Admit(m.Route.Service, call.Customer, call.Rank, now); !ok {
 		return refuse.New(refuse.Overloaded, "service %q admits only more important requests", m.Route.Service).WithRetryAfter(time.Second)
 	}
+	*bodyRead = true
 	rc := http.NewResponseController(w)
 	stopBody := context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := relay.NewBody(r.Body, r.ContentLength, func() http.Header { return relay.EndToEndHeader(r.Trailer) })
