conns: a shutdown whose time is over waits for the answers that are being written

Callers saw their connection end without an answer at the very end of a shutdown, on a busy machine: requests that still ran were ended shortly before it, but the connections were closed by the clock alone, whether the answers were written or not.

The servers now wait until the requests that were ended are answered, for at most 200 ms after the end. Both servers share this time, and the platform kills the process 400 ms after the end.

Before: TestAnswerAfterEndOfShutdown fails, 3 of 3 ("unexpected EOF"). After: it passes, 5 of 5, and so do node/entry, local, agent and start, all with -race.

--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -65,9 +66,13 @@
 	<-ended
 }
 
+// answerTime is how long after its end a shutdown waits for responses that are being written.
+const answerTime = 200 * time.Millisecond
+
 // Shutdown stops the server gracefully. Requests that still arrive are handled, and IsRefusing
 // reports true for them. net/http drops requests whose head it reads after its own shutdown
-// began, so that comes last.
+// began, so that comes last. If ctx ends first, Shutdown waits until the requests that were
+// ended with it are answered, for at most answerTime after the deadline of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Refuse()
 	s.closeListener()
@@ -75,11 +80,15 @@
 	s.stop()
 	s.awaitRequests(ctx, firstRequestTimeout)
 	s.closeUnused()
-	if err := s.http.Shutdown(ctx); err != nil {
-		return err
+	err := s.http.Shutdown(ctx)
+	if deadline, ok := ctx.Deadline(); err != nil && ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(answerTime))
+		defer cancel()
+		s.awaitResponses(ctx)
 	}
 	s.awaitDrained(ctx)
-	return nil
+	return err
 }
 
 // awaitDrained waits until the callers have closed the connections that were closed after
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -234,6 +234,25 @@
 	return false
 }
 
+// awaitResponses waits until no response is being written, or ctx ends.
+func (c *Tracker) awaitResponses(ctx context.Context) {
+	for c.isResponding() && super.Pause(ctx, pendingCheckInterval) {
+	}
+}
+
+// isResponding reports whether a request is handled or its response being written.
+func (c *Tracker) isResponding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cc := range c.byConn {
+		writing := cc.used && cc.idleSince.IsZero() && !cc.closed && !cc.http2
+		if cc.requests > 0 || writing {
+			return true
+		}
+	}
+	return false
+}
+
 // closeUnused closes the connections that are still without a request.
 func (c *Tracker) closeUnused() {
 	c.closeIf((*connState).closeIfUnused)
--- a/node/entry/shutdown_test.go
+++ b/node/entry/shutdown_test.go
@@ -108,3 +108,34 @@
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
+
+// TestAnswerAfterEndOfShutdown guards against a request that is ended with the shutdown and whose
+// connection is closed before its answer is written.
+func TestAnswerAfterEndOfShutdown(t *testing.T) {
+	began := make(chan struct{}, 1)
+	s, addr := newTestServer(t, func(ctx context.Context, _ *relay.Request) (*relay.Response, int, *refuse.Error) {
+		began <- struct{}{}
+		<-ctx.Done()
+		time.Sleep(50 * time.Millisecond) // as on a busy machine
+		return nil, 0, refuse.New(refuse.Cancelled, "cancelled").WithExecuted(refuse.ExecutionUnknown)
+	})
+	type result struct {
+		status int
+		err    error
+	}
+	running := make(chan result, 1)
+	go func() {
+		status, err := getStatus(t, addr, "/running", "")
+		running <- result{status, err}
+	}()
+	<-began
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	stop := context.AfterFunc(ctx, s.EndRequests)
+	defer stop()
+	assert.ErrorIs(t, s.Shutdown(ctx), context.DeadlineExceeded)
+	_ = s.HTTP().Close() // as the process ends
+	got := <-running
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+}
