conns: a response that began before a shutdown arrives whole before further requests

Callers that send further requests before the first one is answered lost the end of a large response that ended during a shutdown of the node, if its head was sent before the shutdown began.

Cause: such a response can't announce the close. Its connection was closed when it became idle, without draining, and the unread requests made the kernel reset it.

Its reading now ends instead, so that net/http closes it, and it is drained as after a response that announces the close. A shutdown may wait up to drainTimeout for its caller.

--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -89,7 +89,7 @@
 			cc.conn.becomeIdle()
 		}
 		if c.stopping && cc.used && !cc.http2 {
-			return cc.closeIfIdle()
+			return cc.closeAfterResponse()
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(c.byConn, conn)
@@ -108,6 +108,18 @@
 	return true
 }
 
+// closeAfterResponse ends the reading of a connection whose last response was sent without
+// announcing it, so that net/http closes it, without a reset if further requests were sent. It
+// reports whether the connection has to be closed instead. The caller holds Tracker.mu.
+func (cc *connState) closeAfterResponse() bool {
+	if cc.conn == nil {
+		return cc.closeIfIdle()
+	}
+	cc.conn.markLast()
+	cc.conn.endReading()
+	return false
+}
+
 // handle returns a handler that calls h unless the connection of the request is closed.
 func (c *Tracker) handle(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
