conns: the idle limit also covers connections with the start of a request

A caller that sent the first byte of a request kept its connection beyond the idle limit of the configuration, until the fixed idle limit of the node (2 min).

Cause: since a request that was read is answered also while its connection is closed as idle, a connection on which anything was received was never closed.

It is left open only while something was received within the limit. After that its reading ends. A request whose head was read completely is answered nevertheless.

After: it passes, and so do TestIdleCloseAnswersWhatItReads, TestBegunResponseBeforeFurtherRequests, TestLastResponseBeforeFurtherRequests, TestWaitBehindEarlierRequestCounts and TestShutdownAnswersRequests, without the race detector.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -109,26 +109,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.arrivals.begin(hasBody)
+	if c.ended { // the request was read before that
+		c.ended = false
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
 }
 
 // endReading ends the reading of an idle connection, unless data was received since it became
-// idle. net/http then closes it.
-func (c *conn) endReading() {
+// idle and not before quietSince. net/http then closes it if it has not read a complete head.
+func (c *conn) endReading(quietSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.received {
+	if !c.received || c.arrivals.last.Before(quietSince) {
 		c.ended = true
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-// isEnded reports whether the reading has ended.
-func (c *conn) isEnded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ended
-}
-
 // markLast records that the response that is being sent is the last one.
 func (c *conn) markLast() {
 	c.mu.Lock()
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -116,7 +116,7 @@
 		return cc.closeIfIdle()
 	}
 	cc.conn.markLast()
-	cc.conn.endReading()
+	cc.conn.endReading(time.Time{})
 	return false
 }
 
@@ -187,7 +187,7 @@
 	if cc == nil {
 		return true // not a connection of this server's listener
 	}
-	if cc.closed || cc.conn != nil && cc.conn.isEnded() {
+	if cc.closed {
 		return false
 	}
 	cc.requests++
@@ -208,7 +208,7 @@
 
 // CloseIdleConns closes the connections that have been idle for longer than limit.
 func (c *Tracker) CloseIdleConns(limit time.Duration, now time.Time) {
-	c.closeWhere(func(cc *connState) bool { return now.Sub(cc.idleSince) > limit })
+	c.closeWhere(now.Add(-limit), func(cc *connState) bool { return now.Sub(cc.idleSince) > limit })
 }
 
 // stop closes the idle connections, and later each one that becomes idle. Those without
@@ -217,7 +217,7 @@
 	c.mu.Lock()
 	c.stopping = true
 	c.mu.Unlock()
-	c.closeWhere(func(cc *connState) bool { return cc.used && !cc.http2 })
+	c.closeWhere(time.Time{}, func(cc *connState) bool { return cc.used && !cc.http2 })
 }
 
 // awaitRequests waits, for at most limit, until no request can arrive on a connection that
@@ -280,19 +280,20 @@
 	return true
 }
 
-// closeWhere closes the idle connections for which f returns true.
-func (c *Tracker) closeWhere(f func(cc *connState) bool) {
-	c.closeIf(func(cc *connState) bool { return f(cc) && !cc.endIfIdle() && cc.closeIfIdle() })
+// closeWhere closes the idle connections for which f returns true. One on which a part of a
+// request was received stays open unless that was before quietSince.
+func (c *Tracker) closeWhere(quietSince time.Time, f func(cc *connState) bool) {
+	c.closeIf(func(cc *connState) bool { return f(cc) && !cc.endIfIdle(quietSince) && cc.closeIfIdle() })
 }
 
 // endIfIdle ends the reading of an idle connection, so that net/http closes it if no request is
 // being read. It returns false if the connection can only be closed. The caller holds Tracker.mu.
-func (cc *connState) endIfIdle() bool {
+func (cc *connState) endIfIdle(quietSince time.Time) bool {
 	if cc.conn == nil || !cc.used || cc.http2 {
 		return false
 	}
 	if !cc.idleSince.IsZero() && cc.requests == 0 {
-		cc.conn.endReading()
+		cc.conn.endReading(quietSince)
 	}
 	return true
 }
