conns: connections in drain are counted without a data race

A shutdown waited for a sync.WaitGroup to which connections could be added at the same time, when net/http closes one as its own shutdown returns.

The number is an atomic counter now, which the shutdown polls like the other conditions that it waits for.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,7 +19,7 @@
 // be closed without a reset.
 type listener struct {
 	net.Listener
-	draining *sync.WaitGroup
+	draining *atomic.Int64
 }
 
 // Wrap returns a listener that the server needs to end its connections in order. Serve wraps
@@ -45,7 +46,7 @@
 // conn is a connection of a listener.
 type conn struct {
 	net.Conn
-	draining *sync.WaitGroup
+	draining *atomic.Int64
 	once     sync.Once
 
 	mu       sync.Mutex
@@ -164,7 +165,7 @@
 }
 
 func (c *conn) drain() {
-	defer c.draining.Done()
+	defer c.draining.Add(-1)
 	defer func() { _ = c.Conn.Close() }()
 	if c.Conn.SetReadDeadline(time.Now().Add(drainTimeout)) == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes)
--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"dogwoodsill.org/core/metric"
+	"dogwoodsill.org/core/super"
 )
 
 // Server is an HTTP server that answers each request that it has read before it ends. It is safe
@@ -20,7 +22,7 @@
 	http *http.Server
 	log  hclog.Logger
 
-	draining sync.WaitGroup // connections that are read after their last response
+	draining atomic.Int64 // number of connections that are read after their last response
 
 	mu         sync.Mutex    // guards the fields below
 	listener   net.Listener  // nil before Serve
@@ -94,13 +96,6 @@
 // awaitDrained waits until the callers have closed the connections that were closed after
 // their last response, or ctx ends. The wait takes no longer than drainTimeout.
 func (s *Server) awaitDrained(ctx context.Context) {
-	drained := make(chan struct{})
-	go func() {
-		defer close(drained)
-		s.draining.Wait()
-	}()
-	select {
-	case <-drained:
-	case <-ctx.Done():
+	for s.draining.Load() > 0 && super.Pause(ctx, pendingCheckInterval) {
 	}
 }
