conns: read what has arrived when the reading of an idle connection ends

The reading of an idle connection is ended by a read deadline in the past. A read after its deadline returns nothing, also of data that the kernel had received before: a request that had arrived, but had not been read, was dropped and its connection closed without an answer.

Such a read now takes what has arrived, and the reading goes on if there was anything. A failure to set the deadline, which was ignored, is logged.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -2,11 +2,15 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hashicorp/go-hclog"
 )
 
 // Limits of what is read from a connection after its last response.
@@ -15,17 +19,21 @@
 	maxDrainBytes = 256 << 10
 )
 
+// arrivedTimeout is how long a read takes for data that has already arrived.
+const arrivedTimeout = time.Millisecond
+
 // listener accepts connections whose reading can be ended without losing a request, and that can
 // be closed without a reset.
 type listener struct {
 	net.Listener
 	draining *atomic.Int64
+	log      hclog.Logger
 }
 
 // Wrap returns a listener that the server needs to end its connections in order. Serve wraps
 // listeners itself; if a listener adds TLS, the one below it must be wrapped.
 func (s *Server) Wrap(ln net.Listener) net.Listener {
-	return &listener{Listener: ln, draining: &s.draining}
+	return &listener{Listener: ln, draining: &s.draining, log: s.log}
 }
 
 // Accept implements net.Listener.
@@ -40,13 +48,14 @@
 	if _, ok := c.(*tls.Conn); ok {
 		return c, nil // net/http needs its type
 	}
-	return &conn{Conn: c, draining: l.draining}, nil
+	return &conn{Conn: c, draining: l.draining, log: l.log}, nil
 }
 
 // conn is a connection of a listener.
 type conn struct {
 	net.Conn
 	draining *atomic.Int64
+	log      hclog.Logger
 	once     sync.Once
 
 	mu       sync.Mutex
@@ -70,22 +79,53 @@
 // and the reading continues.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isEnded() {
+		n, err = c.readArrived(p)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case n > 0:
 		c.received = true
 		c.arrivals.read(time.Now())
-		if c.ended {
-			c.ended = false
-			err = c.Conn.SetReadDeadline(c.deadline)
-		}
+		c.resumeReading()
 	case c.ended:
 		err = io.EOF
 	}
 	return n, err
 }
 
+// readArrived reads data that arrived before the reading was ended. A read after its deadline
+// returns none of it.
+func (c *conn) readArrived(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(arrivedTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *conn) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// resumeReading undoes endReading. The caller holds mu.
+func (c *conn) resumeReading() {
+	if !c.ended {
+		return
+	}
+	c.ended = false
+	c.limitReading(c.deadline)
+}
+
+// limitReading sets the deadline of reads. It fails only if the connection is closed.
+func (c *conn) limitReading(deadline time.Time) {
+	if err := c.Conn.SetReadDeadline(deadline); err != nil {
+		c.log.Debug("setting the read deadline of a connection failed", "remote", c.RemoteAddr(), "error", err)
+	}
+}
+
 // SetReadDeadline implements net.Conn.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
@@ -110,10 +150,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.arrivals.begin(hasBody)
-	if c.ended { // the request was read before that
-		c.ended = false
-		_ = c.Conn.SetReadDeadline(c.deadline)
-	}
+	c.resumeReading() // the request was read before the end
 }
 
 // endReading ends the reading of an idle connection, unless data was received since it became
@@ -123,7 +160,7 @@
 	defer c.mu.Unlock()
 	if !c.received || c.arrivals.last.Before(quietSince) {
 		c.ended = true
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		c.limitReading(time.Unix(1, 0))
 	}
 }
 
