conns: answer the requests behind a response that couldn't announce the close

A shutdown ended the reading of a connection, and began the shutdown of net/http, while its last response was still being sent. If the head of this response had been sent before the shutdown, its caller didn't know that it was the last one.

A shutdown now closes an HTTP/1 connection when it has waited for a request for some time since its last response, and net/http's own shutdown, during which it reads no further request, begins when only HTTP/2 connections are left. At the end of the time, HTTP/2 callers get their GOAWAY frame after the responses.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -164,6 +164,13 @@
 	}
 }
 
+// isReceiving reports whether data was received since the connection became idle.
+func (c *conn) isReceiving() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
 // markLast records that the response that is being sent is the last one.
 func (c *conn) markLast() {
 	c.mu.Lock()
--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -72,22 +72,25 @@
 const answerTime = 200 * time.Millisecond
 
 // Shutdown stops the server gracefully. Requests that still arrive are handled, and IsRefusing
-// reports true for them. net/http drops requests whose head it reads after its own shutdown
-// began, so that comes last. If ctx ends first, Shutdown waits until the requests that were
-// ended with it are answered, for at most answerTime after the deadline of ctx.
+// reports true for them. If ctx ends first, Shutdown waits until the requests that were ended
+// with it are answered, for at most answerTime after the deadline of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Refuse()
 	s.closeListener()
-	s.awaitRequests(ctx, idleCloseDelay)
-	s.stop()
-	s.awaitRequests(ctx, firstRequestTimeout)
-	s.closeUnused()
-	err := s.http.Shutdown(ctx)
+	err := s.closeConns(ctx)
+	if err == nil {
+		// During its own shutdown net/http reads no further request from an HTTP/1 connection.
+		err = s.http.Shutdown(ctx)
+	}
 	if deadline, ok := ctx.Deadline(); err != nil && ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(answerTime))
 		defer cancel()
 		s.awaitResponses(ctx)
+		// The callers of HTTP/2 connections learn which of their requests were not read.
+		if goAwayErr := s.http.Shutdown(ctx); goAwayErr != nil {
+			s.log.Debug("connections are left at the end of a shutdown", "error", goAwayErr)
+		}
 	}
 	s.awaitDrained(ctx)
 	return err
@@ -96,6 +99,6 @@
 // awaitDrained waits until the callers have closed the connections that were closed after
 // their last response, or ctx ends. The wait takes no longer than drainTimeout.
 func (s *Server) awaitDrained(ctx context.Context) {
-	for s.draining.Load() > 0 && super.Pause(ctx, pendingCheckInterval) {
+	for s.draining.Load() > 0 && super.Pause(ctx, closeInterval) {
 	}
 }
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -12,14 +12,15 @@
 )
 
 const (
-	// idleCloseDelay is how long a shutdown answers requests on idle connections before it
-	// closes them.
+	// idleCloseDelay is how long a shutdown answers requests on connections that were idle before
+	// it, until it closes them.
 	idleCloseDelay = 100 * time.Millisecond
-	// firstRequestTimeout is how long a shutdown waits for the first request of connections
-	// that were accepted before.
-	firstRequestTimeout = time.Second
-	// pendingCheckInterval is the time between two checks for such connections.
-	pendingCheckInterval = 5 * time.Millisecond
+	// nextRequestTimeout is how long a shutdown waits for the first request of a connection that
+	// was accepted before, for the next one after a response that couldn't announce the close,
+	// and for the rest of a request of which no more arrives.
+	nextRequestTimeout = time.Second
+	// closeInterval is the time between two checks of a shutdown.
+	closeInterval = 5 * time.Millisecond
 )
 
 // AbortedByClose is the cause under which metrics count requests that arrived while their idle
@@ -38,7 +39,7 @@
 	byConn    map[net.Conn]*connState
 	lingering bool // responses announce that their connection is closed
 	refusing  bool // requests are refused
-	stopping  bool // each connection is closed when it becomes idle
+	stopping  bool // a shutdown closes the connections
 }
 
 // connState is the state of one connection.
@@ -68,18 +69,16 @@
 
 // track is the ConnState callback of http.Server.
 func (c *Tracker) track(conn net.Conn, state http.ConnState) {
-	if c.update(conn, state, time.Now()) {
-		_ = conn.Close()
-	}
+	c.update(conn, state, time.Now())
 }
 
-// update records the state of a connection and reports whether to close it.
-func (c *Tracker) update(conn net.Conn, state http.ConnState, now time.Time) (shut bool) {
+// update records the state of a connection.
+func (c *Tracker) update(conn net.Conn, state http.ConnState, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc := c.byConn[conn]
 	if cc == nil {
-		return false
+		return
 	}
 	cc.idleSince = time.Time{}
 	switch state {
@@ -88,14 +87,10 @@
 		if cc.conn != nil {
 			cc.conn.becomeIdle()
 		}
-		if c.stopping && cc.used && !cc.http2 {
-			return cc.closeAfterResponse()
-		}
 	case http.StateClosed, http.StateHijacked:
 		delete(c.byConn, conn)
 	default:
 	}
-	return false
 }
 
 // closeIfIdle marks the connection as closed if it waits for a request, and reports whether
@@ -108,18 +103,6 @@
 	return true
 }
 
-// closeAfterResponse ends the reading of a connection whose last response was sent without
-// announcing it, so that net/http closes it, without a reset if further requests were sent. It
-// reports whether the connection has to be closed instead. The caller holds Tracker.mu.
-func (cc *connState) closeAfterResponse() bool {
-	if cc.conn == nil {
-		return cc.closeIfIdle()
-	}
-	cc.conn.markLast()
-	cc.conn.endReading(time.Time{})
-	return false
-}
-
 // handle returns a handler that calls h unless the connection of the request is closed.
 func (c *Tracker) handle(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -161,7 +144,7 @@
 	return c.refusing
 }
 
-// IsStopping reports whether a shutdown closes the connections that become idle.
+// IsStopping reports whether a shutdown closes the connections on which no request arrives.
 func (c *Tracker) IsStopping() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -211,75 +194,92 @@
 	c.closeWhere(now.Add(-limit), func(cc *connState) bool { return now.Sub(cc.idleSince) > limit })
 }
 
-// stop closes the idle connections, and later each one that becomes idle. Those without
-// a request so far stay open until closeUnused.
-func (c *Tracker) stop() {
-	c.mu.Lock()
-	c.stopping = true
-	c.mu.Unlock()
-	c.closeWhere(time.Time{}, func(cc *connState) bool { return cc.used && !cc.http2 })
+// closeConns closes the HTTP/1 connections, each once the requests that were sent on it are
+// answered. It returns when only HTTP/2 connections are left, or the error of ctx.
+func (c *Tracker) closeConns(ctx context.Context) error {
+	began := time.Now()
+	for c.closeUnusedAndIdle(began, time.Now()) {
+		if !super.Pause(ctx, closeInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
-// awaitRequests waits, for at most limit, until no request can arrive on a connection that
-// is still open.
-func (c *Tracker) awaitRequests(ctx context.Context, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	for c.hasPending() && super.Pause(ctx, pendingCheckInterval) {
-	}
+// closeUnusedAndIdle closes the HTTP/1 connections that have waited for a request for long enough
+// in a shutdown that began at the given time. It reports whether any HTTP/1 connection is left.
+func (c *Tracker) closeUnusedAndIdle(began, now time.Time) (left bool) {
+	c.closeIf(func(cc *connState) bool {
+		if cc.closed || cc.http2 {
+			return false
+		}
+		left = true
+		return cc.isWaiting() && cc.closeInShutdown(began, now)
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	return left
 }
 
-// isPending reports whether the next request may arrive on the connection or is being read,
-// or the last response is being written.
-func (cc *connState) isPending() bool {
-	return cc.requests == 0 && !cc.closed && !cc.http2
+// isWaiting reports whether no request is handled and no response being written.
+func (cc *connState) isWaiting() bool {
+	return cc.requests == 0 && (!cc.used || !cc.idleSince.IsZero())
 }
 
-func (c *Tracker) hasPending() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cc := range c.byConn {
-		if cc.isPending() {
-			return true
-		}
+// closeInShutdown ends the reading of a waiting connection if no request arrived in time. It
+// reports whether the connection has to be closed instead, which it then marks. The caller holds
+// Tracker.mu.
+func (cc *connState) closeInShutdown(began, now time.Time) bool {
+	since, limit := began, idleCloseDelay
+	answered := cc.idleSince.After(began) // by a response that didn't announce the close
+	if answered {
+		since = cc.idleSince
+	}
+	if answered || !cc.used {
+		limit = nextRequestTimeout
 	}
+	switch {
+	case now.Sub(since) < limit:
+		return false
+	case cc.conn == nil:
+		cc.closed = true
+		return true
+	}
+	if answered {
+		cc.conn.markLast() // the caller may not have read the response yet
+	}
+	cc.conn.endReading(now.Add(-nextRequestTimeout))
 	return false
 }
 
-// awaitResponses waits until no response is being written, or ctx ends.
+// awaitResponses waits until no request is left to be answered, or ctx ends.
 func (c *Tracker) awaitResponses(ctx context.Context) {
-	for c.isResponding() && super.Pause(ctx, pendingCheckInterval) {
+	for c.isResponding() && super.Pause(ctx, closeInterval) {
+	}
+}
+
+// isBusy reports whether a request is being read or a response being written. It doesn't know
+// for HTTP/2.
+func (cc *connState) isBusy() bool {
+	if cc.closed || cc.http2 {
+		return false
 	}
+	return !cc.isWaiting() || cc.conn != nil && cc.conn.isReceiving()
 }
 
-// isResponding reports whether a request is handled or its response being written.
+// isResponding reports whether a request is being read or handled, or a response being written.
 func (c *Tracker) isResponding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, cc := range c.byConn {
-		writing := cc.used && cc.idleSince.IsZero() && !cc.closed && !cc.http2
-		if cc.requests > 0 || writing {
+		if cc.requests > 0 || cc.isBusy() {
 			return true
 		}
 	}
 	return false
 }
 
-// closeUnused closes the connections that are still without a request.
-func (c *Tracker) closeUnused() {
-	c.closeIf((*connState).closeIfUnused)
-}
-
-// closeIfUnused marks the connection as closed if it had no request, and reports whether it
-// did. The caller holds Tracker.mu.
-func (cc *connState) closeIfUnused() bool {
-	if cc.used || cc.closed {
-		return false
-	}
-	cc.closed = true
-	return true
-}
-
 // closeWhere closes the idle connections for which f returns true. One on which a part of a
 // request was received stays open unless that was before quietSince.
 func (c *Tracker) closeWhere(quietSince time.Time, f func(cc *connState) bool) {
