conns: check the connections of a shutdown less often

The checks of a shutdown took the lock of the connections every 5 ms, for the whole of its time since it waits for running requests. They now grow rarer, up to 50 ms, as net/http's do.

--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -19,8 +19,10 @@
 	// was accepted before, for the next one after a response that couldn't announce the close,
 	// and for the rest of a request of which no more arrives.
 	nextRequestTimeout = time.Second
-	// closeInterval is the time between two checks of a shutdown.
-	closeInterval = 5 * time.Millisecond
+	// closeInterval is the time between two checks of a shutdown. It grows to maxCloseInterval
+	// while connections are closed.
+	closeInterval    = 5 * time.Millisecond
+	maxCloseInterval = 50 * time.Millisecond
 )
 
 // AbortedByClose is the cause under which metrics count requests that arrived while their idle
@@ -198,8 +200,8 @@
 // answered. It returns when only HTTP/2 connections are left, or the error of ctx.
 func (c *Tracker) closeConns(ctx context.Context) error {
 	began := time.Now()
-	for c.closeUnusedAndIdle(began, time.Now()) {
-		if !super.Pause(ctx, closeInterval) {
+	for interval := closeInterval; c.closeUnusedAndIdle(began, time.Now()); interval = min(2*interval, maxCloseInterval) {
+		if !super.Pause(ctx, interval) {
 			return ctx.Err()
 		}
 	}
