conns: recover a panic while a connection is drained

The goroutine that reads a connection after its last response was a bare one, whose panic would have ended the process. It runs as the others do now, and a panic is logged. No such panic was seen.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"dogwoodsill.org/core/super"
 )
 
 // Limits of what is read from a connection after its last response.
@@ -203,7 +205,9 @@
 	}
 	c.once.Do(func() {
 		c.draining.Add(1)
-		go c.drain()
+		super.Go("drain of a connection", func(err error) {
+			c.log.Error("draining a connection panicked", "error", err)
+		}, c.drain)
 	})
 	return nil
 }
