relay: an attempt is resumed again if its new link fails too

Cause: an attempt whose link was lost was resumed once. If the pool got no session for that (a failed dial, a handshake over its 2 s, a running backoff), the call ended as 502 "the node to call is unreachable", unknown, though the target's node keeps the attempt for 5 s and its reply for longer. A new link that was lost as well gave "the target's node gave no answer", and the target's node then cancelled the attempt at once.

The failure was also taken for an attempt that reached no upstream: its token was returned, a retry of a repeatable request was not counted, and the check for requests that end upstream processes was skipped.

Change: a request that must not run twice is resumed again every 50 ms until 5 s after the loss of the last link, at most 30 s after that of the first (an identifier is retained for a minute), and not if the dial was refused, since no process listens then. A repeatable one is resumed once, as before, and retried at another target. The loss of the link of a resumed stream gives the attempt its 5 s of grace again. If the deadline passes between two tries, the refusal says so.

--- a/node/relay/attempt.go
+++ b/node/relay/attempt.go
@@ -13,8 +13,13 @@
 const (
 	// resumeGrace is how long an attempt whose link was lost continues without
 	// being resumed. The calling side detects the loss within 3 s and resumes the
-	// attempt at once.
+	// attempt at once. If that fails, it tries again for as long.
 	resumeGrace = 5 * time.Second
+	// resumeInterval is the time between two tries.
+	resumeInterval = 50 * time.Millisecond
+	// maxResumeTime limits the time from the loss of the first link to the last try. The
+	// attempt may have ended at that loss, and must not run again.
+	maxResumeTime = attemptRetention / 2
 	// attemptRetention is how long the identifier of an ended attempt is retained,
 	// so that a delayed frame which opens a stream for it doesn't run it again. A
 	// frame that is delayed for longer arrives on a link that is closed by then.
@@ -51,7 +56,7 @@
 var evicted = newEvicted()
 
 func newEvicted() *attempt {
-	a := &attempt{done: make(chan struct{}), cancel: func(error) {}}
+	a := &attempt{ctx: context.Background(), done: make(chan struct{}), cancel: func(error) {}}
 	close(a.done)
 	return a
 }
@@ -67,7 +72,7 @@
 
 	mu          sync.Mutex
 	stream      *frame.Stream // nil after its link was lost
-	resumed     bool
+	resumes     int           // how often it was resumed
 	head        []byte
 	body        []byte
 	trailer     []byte
@@ -143,18 +148,22 @@
 // because its link was lost, the attempt continues for resumeGrace, since the
 // calling side may resume it.
 func (a *attempt) cancelWith(s *frame.Stream) {
-	context.AfterFunc(s.Context(), func() {
-		var lost *frame.SessionError
-		if !errors.As(context.Cause(s.Context()), &lost) {
-			a.cancel(context.Cause(s.Context()))
-			return
-		}
-		a.mu.Lock()
-		a.detach(s)
-		a.mu.Unlock()
-		timer := time.AfterFunc(resumeGrace, func() { a.cancelUnlessResumed(lost) })
-		context.AfterFunc(a.ctx, func() { timer.Stop() })
-	})
+	context.AfterFunc(s.Context(), func() { a.streamEnded(s, 0) })
+}
+
+// streamEnded handles the end of a stream of the attempt before that of the attempt. resumes is how
+// often it had been resumed by then, with this stream included.
+func (a *attempt) streamEnded(s *frame.Stream, resumes int) {
+	var lost *frame.SessionError
+	if !errors.As(context.Cause(s.Context()), &lost) {
+		a.cancel(context.Cause(s.Context()))
+		return
+	}
+	a.mu.Lock()
+	a.detach(s)
+	a.mu.Unlock()
+	timer := time.AfterFunc(resumeGrace, func() { a.cancelUnlessResumed(resumes, lost) })
+	context.AfterFunc(a.ctx, func() { timer.Stop() })
 }
 
 // detach stops writing the reply to a stream. The caller holds mu.
@@ -164,10 +173,11 @@
 	}
 }
 
-func (a *attempt) cancelUnlessResumed(cause error) {
+// cancelUnlessResumed cancels the attempt if it was resumed no more often than the given number.
+func (a *attempt) cancelUnlessResumed(resumes int, cause error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.resumed {
+	if a.resumes == resumes {
 		a.cancel(cause)
 	}
 }
@@ -176,12 +186,13 @@
 // stream.
 func (a *attempt) resume(s *frame.Stream) *refuse.Error {
 	a.mu.Lock()
-	a.resumed = true
+	a.resumes++
+	resumes := a.resumes
 	a.mu.Unlock()
 	select {
 	case <-a.done:
 	case <-s.Context().Done():
-		a.cancel(context.Cause(s.Context()))
+		a.streamEnded(s, resumes)
 		return nil
 	}
 	a.mu.Lock()
--- a/node/relay/attempt_error.go
+++ b/node/relay/attempt_error.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/picker"
@@ -17,6 +18,8 @@
 	result       picker.Result
 	attemptsLeft int  // unused attempts that the target reported
 	linkLost     bool // the link was lost; the attempt may be running
+	noStream     bool // there was no link to the node, or it refused the stream
+	noProcess    bool // nothing listens at the address of the node
 	reached      bool // the call was sent to an upstream, or may have been
 	feedback     *Feedback
 	again        bool // the same target may be tried again
@@ -35,10 +38,19 @@
 	}
 	return &attemptError{
 		refusal: refuse.New(refuse.UpstreamFailed, "%s", detail),
-		outcome: retry.NotDispatched, result: picker.Failed, attemptsLeft: attemptsLeft,
+		outcome: retry.NotDispatched, result: picker.Failed, attemptsLeft: attemptsLeft, noStream: true,
 	}
 }
 
+// mayResume reports whether an attempt may be resumed once more. The link that it was sent on was
+// lost first, and the latest link on which it was resumed was lost last.
+func (f *attemptError) mayResume(firstLoss, lastLoss, now time.Time) bool {
+	if f.noProcess || !f.linkLost && !f.noStream {
+		return false
+	}
+	return now.Sub(lastLoss) < resumeGrace && now.Sub(firstLoss) < maxResumeTime
+}
+
 // noReplyError describes an attempt that ended without a reply. If the remote node
 // refused the stream, the call was certainly not executed.
 func noReplyError(ctx context.Context, err error) *attemptError {
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -283,13 +285,7 @@
 	h.Statement = c.statement(to.Instance)
 	s, reply, fail := c.exchange(ctx, req, to.Addr, KindCall, h)
 	if fail != nil && fail.linkLost && req.Body.buffered && ctx.Err() == nil {
-		c.metrics.Add(metric.Resumed, 1)
-		h.Resume = true
-		s, reply, fail = c.exchange(ctx, req, to.Addr, KindCall, h)
-		if fail != nil {
-			fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
-			fail.outcome = retry.Failed
-		}
+		s, reply, fail = c.resume(ctx, req, to.Addr, h)
 	}
 	if fail == nil || fail.feedback != nil {
 		c.recordStatement(req.Service, to, &reply, time.Now())
@@ -304,6 +300,34 @@
 	return c.newResponse(req, to, began, s, reply, cancel), nil
 }
 
+// resume asks the target's node for the reply to an attempt whose link was lost. If the new
+// link fails too, a request that must not run twice is resumed again for as long as the node
+// lets the attempt run. One that may run twice is better retried at another target.
+func (c *Caller) resume(ctx context.Context, req *Request, addr string, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
+	c.metrics.Add(metric.Resumed, 1)
+	h.Resume = true
+	firstLoss := time.Now()
+	for lastLoss := firstLoss; ; {
+		s, reply, fail := c.exchange(ctx, req, addr, KindCall, h)
+		if fail == nil {
+			return s, reply, nil
+		}
+		fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
+		fail.outcome = retry.Failed
+		fail.reached = fail.reached || fail.feedback == nil // when it was sent first
+		now := time.Now()
+		if fail.linkLost {
+			lastLoss = now
+		}
+		if req.Repeatable || !fail.mayResume(firstLoss, lastLoss, now) {
+			return nil, reply, fail
+		}
+		if !super.Pause(ctx, resumeInterval) {
+			return nil, ReplyHead{}, noReplyError(ctx, ctx.Err())
+		}
+	}
+}
+
 // exchange sends a call and waits for the head of the reply.
 func (c *Caller) exchange(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
 	s, fail := c.open(ctx, addr, kind, h)
@@ -337,7 +361,9 @@
 func (c *Caller) open(ctx context.Context, addr string, kind uint8, h CallHead) (*frame.Stream, *attemptError) {
 	session, err := c.links.Session(ctx, addr)
 	if err != nil {
-		return nil, notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
+		fail := notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
+		fail.noProcess = errors.Is(err, syscall.ECONNREFUSED)
+		return nil, fail
 	}
 	h.Remaining = time.Until(h.Call.Deadline).Microseconds()
 	data, err := pack(h)
