relay: a request is sent to the owner of its key again if their link is lost

Cause: only calls to targets were resumed. A request with an idempotency key that the entry forwards to the owner of the key ended as 502 "the target's node gave no answer", unknown, when the link between the two went silent, though the owner runs it on and can be asked again: it joins the execution or replays its response.

A request that could not be sent in the first place is refused at once, as before.

--- a/bench/site/fault_test.go
+++ b/bench/site/fault_test.go
@@ -68,3 +68,30 @@
 	assert.Equal(t, runs(r, idem[0]), 1)
 	assert.Equal(t, r.Nodes[0].Metrics().Value(metric.Resumed), int64(1))
 }
+
+// Guards against an order whose outcome is reported as unknown when the connection to the owner of
+// its idempotency key goes silent, though the owner can be asked again.
+func TestSilentLinkToOwnerResumesOrder(t *testing.T) {
+	ctx, r := startParallel(t)
+	owner, entry := r.Nodes[0], r.Nodes[1]
+	idem, err := r.IssueIdempotencyKeys(ctx, http.DefaultClient, owner, "theatre", 1)
+	assert.NilError(t, err)
+	for _, n := range r.Nodes {
+		if n.Service == "orders" {
+			n.Upstream.SetServiceTime(time.Second)
+		}
+	}
+	got := make(chan answer, 1)
+	go func() { got <- order(ctx, t, entry, r.Keys["theatre"], idem[0]) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if sum(r, (*fakes.Upstream).Received) > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no order has arrived completely")
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(30*time.Second))
+	owner.Wire.Silence()
+	a := <-got
+	assert.Equal(t, a.status, 200, "%v", a.problem)
+	assert.Equal(t, runs(r, idem[0]), 1)
+	assert.Equal(t, entry.Metrics().Value(metric.Resumed), int64(1))
+}
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -283,10 +283,7 @@
 	}
 	h := newCallHead(req, to, childAttempts)
 	h.Statement = c.statement(to.Instance)
-	s, reply, fail := c.exchange(ctx, req, to.Addr, KindCall, h)
-	if fail != nil && fail.linkLost && req.Body.buffered && ctx.Err() == nil {
-		s, reply, fail = c.resume(ctx, req, to.Addr, h)
-	}
+	s, reply, fail := c.send(ctx, req, to.Addr, KindCall, h)
 	if fail == nil || fail.feedback != nil {
 		c.recordStatement(req.Service, to, &reply, time.Now())
 	}
@@ -300,15 +297,26 @@
 	return c.newResponse(req, to, began, s, reply, cancel), nil
 }
 
-// resume asks the target's node for the reply to an attempt whose link was lost. If the new
-// link fails too, a request that must not run twice is resumed again for as long as the node
-// lets the attempt run. One that may run twice is better retried at another target.
-func (c *Caller) resume(ctx context.Context, req *Request, addr string, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
+// send sends a call or a claim and waits for the head of the reply. If the link is lost before
+// that, the call is resumed on a new one.
+func (c *Caller) send(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
+	s, reply, fail := c.exchange(ctx, req, addr, kind, h)
+	if fail != nil && fail.linkLost && req.Body.buffered && ctx.Err() == nil {
+		return c.resume(ctx, req, addr, kind, h)
+	}
+	return s, reply, fail
+}
+
+// resume asks the target's node for the reply to an attempt whose link was lost, or the owner of
+// an idempotency key for that to its claim. If the new link fails too, it asks again for as long
+// as the node lets the attempt run, unless the call may be retried at another target.
+func (c *Caller) resume(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
 	c.metrics.Add(metric.Resumed, 1)
 	h.Resume = true
+	once := kind == KindCall && req.Repeatable
 	firstLoss := time.Now()
 	for lastLoss := firstLoss; ; {
-		s, reply, fail := c.exchange(ctx, req, addr, KindCall, h)
+		s, reply, fail := c.exchange(ctx, req, addr, kind, h)
 		if fail == nil {
 			return s, reply, nil
 		}
@@ -319,7 +327,7 @@
 		if fail.linkLost {
 			lastLoss = now
 		}
-		if req.Repeatable || !fail.mayResume(firstLoss, lastLoss, now) {
+		if once || !fail.mayResume(firstLoss, lastLoss, now) {
 			return nil, reply, fail
 		}
 		if !super.Pause(ctx, resumeInterval) {
@@ -328,7 +336,7 @@
 	}
 }
 
-// exchange sends a call and waits for the head of the reply.
+// exchange sends a call or a claim on one link and waits for the head of the reply.
 func (c *Caller) exchange(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
 	s, fail := c.open(ctx, addr, kind, h)
 	if fail != nil {
--- a/node/relay/forward.go
+++ b/node/relay/forward.go
@@ -12,14 +12,15 @@
 
 // Forward sends a request with an idempotency key to the node that owns the claim
 // of the key, and returns the response that the owner sends. The claim is the
-// record of the key's first request and its outcome. sent reports whether the
-// owner may have seen the request; left is the number of unused attempts.
+// record of the key's first request and its outcome, so a request whose link is
+// lost is sent to the owner again. sent reports whether the owner may have seen
+// the request; left is the number of unused attempts.
 func (c *Caller) Forward(ctx context.Context, req *Request, key, addr string) (resp *Response, left int, sent bool, e *refuse.Error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Call.Deadline)
 	h := newCallHead(req, Candidate{}, req.Call.Attempts)
 	h.Call.Depth--
 	h.Key = key
-	s, reply, fail := c.exchange(ctx, req, addr, KindClaim, h)
+	s, reply, fail := c.send(ctx, req, addr, KindClaim, h)
 	if fail != nil {
 		defer cancel()
 		answered := fail.feedback != nil
--- a/node/relay/resume_test.go
+++ b/node/relay/resume_test.go
@@ -231,3 +231,72 @@
 		})
 	}
 }
+
+// claimOwner is the owner of an idempotency key. It runs a request with the key once; others join
+// that execution.
+type claimOwner struct {
+	service time.Duration // time that the execution takes
+	began   atomic.Pointer[time.Time]
+	asked   atomic.Int64
+}
+
+// handler returns the handler of claim streams. Each must have the given key and deadline.
+func (o *claimOwner) handler(t *testing.T, key string, deadline time.Time) frame.Handler {
+	t.Helper()
+	reply := replyWith(t, ReplyHead{Status: http.StatusOK, ContentLength: 3}, "ran")
+	return func(s *frame.Stream) {
+		now := time.Now()
+		req, got, err := ReadClaim(s, now)
+		if !assert.Check(t, err) || !assert.Check(t, got == key) {
+			return
+		}
+		assert.Check(t, req.Call.Deadline.Sub(deadline) <= maxExcess)
+		o.asked.Add(1)
+		o.began.CompareAndSwap(nil, &now)
+		time.Sleep(time.Until(o.began.Load().Add(o.service)))
+		reply(s)
+	}
+}
+
+// TestClaimOutlastsFailedLinks guards against a request with an idempotency key whose outcome is
+// reported as unknown, though the owner of the key has it and can be asked again.
+func TestClaimOutlastsFailedLinks(t *testing.T) {
+	silent := linkFate{silentAfter: silentAfter}
+	for _, test := range []struct {
+		name       string
+		repeatable bool
+		fates      []linkFate
+		failed     bool
+		asked      int64
+		within     time.Duration
+	}{
+		{"next link works", false, []linkFate{silent, {}}, false, 2, 5 * time.Second},
+		{"next dial fails", false, []linkFate{silent, {err: errNoRoute}, {}}, false, 2, 5 * time.Second},
+		{"next dial fails, repeatable", true, []linkFate{silent, {err: errNoRoute}, {}}, false, 2, 5 * time.Second},
+		{"next handshake hangs", false, []linkFate{silent, {hangs: true}, {}}, false, 2, lost + 2*time.Second},
+		{"the process is gone", false, []linkFate{silent, {err: syscall.ECONNREFUSED}}, true, 1, lost},
+		{"no further link", false, []linkFate{silent, {err: errNoRoute}}, true, 1, lost + resumeGrace},
+		{"no link", false, []linkFate{{err: errNoRoute}}, true, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				deadline := began.Add(20 * time.Second)
+				defer func() { time.Sleep(time.Until(deadline)) }()
+				owner := &claimOwner{service: 5 * time.Second}
+				links := newFatedLinks(t, map[string]frame.Handler{"one": owner.handler(t, "key", deadline)}, test.fates)
+				c := NewCaller(NewBalancer(fakeNodes{}, "a", 1), links, metric.New())
+				resp, _, sent, e := c.Forward(t.Context(), timedRequest(t, "one", test.repeatable, deadline), "key", "one")
+				took := time.Since(began)
+				if test.failed {
+					assert.Check(t, e != nil && e.Reason == refuse.UpstreamFailed, "%v", e)
+					assert.Check(t, sent == (test.asked > 0))
+				} else {
+					assertRan(t, resp, e)
+				}
+				assert.Check(t, took <= test.within+2*resumeInterval, "%v", took)
+				assert.Equal(t, owner.asked.Load(), test.asked)
+			})
+		})
+	}
+}
