relay: only the remaining time of a request is set again

Cause: since all headers of the protocol were set twice for each request to an upstream, before net/http validates them and when the connection is there.

Change: Protocol has SetRemaining, which sets only the time that is left; the hook GotConn calls that. All headers are still set before, so an invalid one is refused before anything is sent (TestInvalidHeaderIsNotSent, passes before and after). Without the call in GotConn, TestSlowDialUsesRemainingTime and TestConnectionOfAnotherDial fail.

--- a/node/relay/protocol.go
+++ b/node/relay/protocol.go
@@ -24,9 +24,11 @@
 // Protocol defines the headers that a node and its upstream exchange about a
 // call. Implementations must be safe for concurrent use.
 type Protocol interface {
-	// SetHeaders sets the headers of a request to an upstream. It is called more than once
-	// for a request, as the time that is left changes.
+	// SetHeaders sets the headers of a request to an upstream.
 	SetHeaders(h http.Header, call *CallHead, up Upstream, token string, left time.Duration)
+	// SetRemaining sets the header with the time that is left again, in the headers that
+	// SetHeaders has set.
+	SetRemaining(h http.Header, left time.Duration)
 	// ClassifyResponse classifies the response to a call by its status and header.
 	ClassifyResponse(call *CallHead, resp *http.Response) ResponseClass
 	// ResponseID returns the identifier of the request that a response states, or an empty
@@ -69,8 +71,13 @@
 type defaultProtocol struct{}
 
 // SetHeaders implements Protocol.
-func (defaultProtocol) SetHeaders(h http.Header, _ *CallHead, _ Upstream, token string, left time.Duration) {
+func (p defaultProtocol) SetHeaders(h http.Header, _ *CallHead, _ Upstream, token string, left time.Duration) {
 	h.Set(chain.CallHeader, token)
+	p.SetRemaining(h, left)
+}
+
+// SetRemaining implements Protocol.
+func (defaultProtocol) SetRemaining(h http.Header, left time.Duration) {
 	h.Set(chain.DeadlineHeader, strconv.FormatInt(left.Milliseconds(), 10))
 }
 
--- a/node/relay/remaining_test.go
+++ b/node/relay/remaining_test.go
@@ -306,3 +306,39 @@
 		})
 	}
 }
+
+// TestInvalidHeaderIsNotSent guards against a header of the protocol that is set only after
+// net/http has validated the request, so that its line ends make up further headers.
+func TestInvalidHeaderIsNotSent(t *testing.T) {
+	for _, test := range []struct {
+		id   string // which the protocol sets as a header
+		sent int
+	}{
+		{"one", 1},
+		{"one\r\nForged: 1", 0},
+		{"one\nForged: 1", 0},
+		{"one\x00", 0},
+	} {
+		t.Run(strconv.Quote(test.id), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				deadline := time.Now().Add(5 * time.Second)
+				u := &timedUpstream{respond: respondOwn}
+				var dials atomic.Int64
+				target := timedTarget(t, u, func() time.Duration {
+					dials.Add(1)
+					return 0
+				})
+				dir := fakeNodes{"one": newSession(t, target.Serve)}
+				c := NewCaller(NewBalancer(dir, "a", 1), dir, metric.New())
+				resp, _, e := c.Do(t.Context(), timedRequest(t, test.id, false, deadline))
+				assert.Equal(t, dials.Load(), int64(test.sent))
+				u.assertEnds(t, test.sent, deadline)
+				if test.sent > 0 {
+					assertRan(t, resp, e)
+					return
+				}
+				assert.Assert(t, e != nil && e.Executed == refuse.NotExecuted, "%v", e)
+			})
+		})
+	}
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -87,22 +87,19 @@
 	return resp, nil
 }
 
-// send sends a request with the headers of the protocol, which state the time that is left when
-// the request is written. They are set before too, so that net/http validates them.
+// send sends a request with the headers of the protocol. All are set before, so that net/http
+// validates them, and the time that is left once more when the request is written.
 func (c *upstreamCall) send(via *http.Transport, req *http.Request, up Upstream) (*http.Response, error) {
 	header := EndToEndHeader(c.head.Header)
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil // otherwise net/http adds its own
 	}
-	setHeaders := func() {
-		c.target.protocol.SetHeaders(header, c.head, up, c.active.Token, time.Until(c.head.Call.Deadline))
-	}
-	setHeaders()
+	c.target.protocol.SetHeaders(header, c.head, up, c.active.Token, time.Until(c.head.Call.Deadline))
 	// RoundTrip calls GotConn in its own goroutine before it passes the request to the one
 	// that writes it, so no one else reads the header at that time.
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c.conn.Store(info.Conn.(*upstreamConn))
-		setHeaders()
+		c.target.protocol.SetRemaining(header, time.Until(c.head.Call.Deadline))
 	}}))
 	req.Header = header // of its own, since net/http may still read that of an earlier sending
 	return via.RoundTrip(req)
