--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -281,16 +283,7 @@
 	}
 	h := newCallHead(req, to, childAttempts)
 	h.Statement = c.statement(to.Instance)
-	s, reply, fail := c.exchange(ctx, req, to.Addr, KindCall, h)
-	if fail != nil && fail.linkLost && req.Body.buffered && ctx.Err() == nil {
-		c.metrics.Add(metric.Resumed, 1)
-		h.Resume = true
-		s, reply, fail = c.exchange(ctx, req, to.Addr, KindCall, h)
-		if fail != nil {
-			fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
-			fail.outcome = retry.Failed
-		}
-	}
+	s, reply, fail := c.send(ctx, req, to.Addr, KindCall, h)
 	if fail == nil || fail.feedback != nil {
 		c.recordStatement(req.Service, to, &reply, time.Now())
 	}
@@ -304,7 +297,46 @@
 	return c.newResponse(req, to, began, s, reply, cancel), nil
 }
 
-// exchange sends a call and waits for the head of the reply.
+// send sends a call or a claim and waits for the head of the reply. If the link is lost before
+// that, the call is resumed on a new one.
+func (c *Caller) send(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
+	s, reply, fail := c.exchange(ctx, req, addr, kind, h)
+	if fail != nil && fail.linkLost && req.Body.buffered && ctx.Err() == nil {
+		return c.resume(ctx, req, addr, kind, h)
+	}
+	return s, reply, fail
+}
+
+// resume asks the target's node for the reply to an attempt whose link was lost, or the owner of
+// an idempotency key for that to its claim. If the new link fails too, it asks again for as long
+// as the node lets the attempt run, unless the call may be retried at another target.
+func (c *Caller) resume(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
+	c.metrics.Add(metric.Resumed, 1)
+	h.Resume = true
+	once := kind == KindCall && req.Repeatable
+	firstLoss := time.Now()
+	for lastLoss := firstLoss; ; {
+		s, reply, fail := c.exchange(ctx, req, addr, kind, h)
+		if fail == nil {
+			return s, reply, nil
+		}
+		fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
+		fail.outcome = retry.Failed
+		fail.reached = fail.reached || fail.feedback == nil // when it was sent first
+		now := time.Now()
+		if fail.linkLost {
+			lastLoss = now
+		}
+		if once || !fail.mayResume(firstLoss, lastLoss, now) {
+			return nil, reply, fail
+		}
+		if !super.Pause(ctx, resumeInterval) {
+			return nil, ReplyHead{}, noReplyError(ctx, ctx.Err())
+		}
+	}
+}
+
+// exchange sends a call or a claim on one link and waits for the head of the reply.
 func (c *Caller) exchange(ctx context.Context, req *Request, addr string, kind uint8, h CallHead) (*frame.Stream, ReplyHead, *attemptError) {
 	s, fail := c.open(ctx, addr, kind, h)
 	if fail != nil {
@@ -337,7 +369,9 @@
 func (c *Caller) open(ctx context.Context, addr string, kind uint8, h CallHead) (*frame.Stream, *attemptError) {
 	session, err := c.links.Session(ctx, addr)
 	if err != nil {
-		return nil, notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
+		fail := notSentError(ctx, h.Call.Attempts, "the node to call is unreachable")
+		fail.noProcess = errors.Is(err, syscall.ECONNREFUSED)
+		return nil, fail
 	}
 	h.Remaining = time.Until(h.Call.Deadline).Microseconds()
 	data, err := pack(h)
