member: the timeout of a probe follows the measured replies

The additional packets make the replies slower.

Change: the timeout is that of RFC 6298, from the replies to direct probes inside the zone (smoothed time plus four deviations, at least the time of a tick), not below ProbeTimeout (250 ms) and not above MaxProbeTimeout (1 s, which is the timeout of an exchange).

Before the change this test and TestKilledNodeIsFoundAmongSlowReplies failed (a healthy node is suspected).

--- a/core/member/config.go
+++ b/core/member/config.go
@@ -11,6 +11,9 @@
 	GossipInterval = 500 * time.Millisecond
 	// ProbeTimeout covers a round trip between regions and some queueing.
 	ProbeTimeout = 250 * time.Millisecond
+	// MaxProbeTimeout bounds the timeout where replies are slow. A failed peer is
+	// then suspected within three such timeouts.
+	MaxProbeTimeout = time.Second
 	// lateReplyTime is how long after its timeout a packet is retained for a late
 	// reply.
 	lateReplyTime = time.Second
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -40,6 +40,8 @@
 	offsetTree   offsetTree
 	newestConfig configPeer
 
+	replyTimes replyTimes
+
 	nextID  uint64
 	pending map[uint64]*pendingMessage
 	outbox  []Message
@@ -293,6 +295,7 @@
 	}
 	delete(m.pending, id)
 	m.markReplied(pm)
+	m.recordReplyTime(pm)
 	if pm.kind == kindZone {
 		m.handleZoneReply(pm, p)
 	}
--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +78,78 @@
 	}
 }
 
+// Guards against traffic that multiplies when replies take longer than ProbeTimeout, which makes
+// them take longer still.
+func TestSlowRepliesKeepTraffic(t *testing.T) {
+	for _, zones := range []int{1, 3} {
+		rate := func(delay time.Duration) float64 {
+			w, _ := formedFleet(t, 1, zones, 12/zones)
+			w.delay = delay
+			w.run(30 * time.Second)
+			w.messages = 0
+			w.run(30 * time.Second)
+			return float64(w.messages) / 30 / 12
+		}
+		fast := rate(0)
+		for _, delay := range []time.Duration{150 * time.Millisecond, 250 * time.Millisecond, 350 * time.Millisecond, 450 * time.Millisecond} {
+			slow := rate(delay)
+			t.Logf("%d zones, replies after %v: %.1f messages/s of each node, %.1f with fast replies", zones, 2*delay, slow, fast)
+			assert.Check(t, slow <= 1.25*fast, "%d zones, %v", zones, delay)
+		}
+	}
+}
+
+// Guards against slow replies that make members suspects, and against a failed node that isn't
+// detected among them.
+func TestKilledNodeIsFoundAmongSlowReplies(t *testing.T) {
+	for seed := range uint64(4) {
+		w, nodes := formedFleet(t, seed, 1, 20)
+		w.delay = 450 * time.Millisecond
+		w.run(20 * time.Second)
+		for range 300 {
+			w.run(100 * time.Millisecond)
+			assert.Assert(t, all(nodes, func(x *simNode) bool { return len(x.table.suspects) == 0 }), "a healthy node is suspected")
+		}
+		killed := nodes[3]
+		killed.down = true
+		elapsed, ok := w.runUntil(10*time.Second, func() bool {
+			return all(nodes, func(x *simNode) bool { return stateAt(x, killed.Self().Name) == Dead })
+		})
+		t.Logf("declared dead at all nodes after %v", elapsed)
+		assert.Check(t, ok)
+	}
+}
+
+// Guards against a timeout that is shorter than the replies take, and against one that leaves its
+// bounds.
+func TestReplyTimeout(t *testing.T) {
+	ms := func(replies ...int) []time.Duration {
+		var out []time.Duration
+		for _, r := range replies {
+			out = append(out, time.Duration(r)*time.Millisecond)
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name     string
+		replies  []time.Duration
+		min, max time.Duration
+	}{
+		{"none", nil, ProbeTimeout, ProbeTimeout},
+		{"fast", ms(1, 2, 1, 30, 1), ProbeTimeout, ProbeTimeout},
+		{"slow", ms(400, 400, 400, 400, 400, 400, 400, 400), 450 * time.Millisecond, 600 * time.Millisecond},
+		{"uneven", ms(50, 600, 50, 600, 50, 600, 50, 600), 700 * time.Millisecond, MaxProbeTimeout},
+		{"slower than the bound", ms(3000, 3000, 3000), MaxProbeTimeout, MaxProbeTimeout},
+		{"fast again", append(ms(900, 900, 900), slices.Repeat(ms(2), 30)...), ProbeTimeout, ProbeTimeout},
+	} {
+		var r replyTimes
+		for _, d := range c.replies {
+			r.add(d)
+		}
+		assert.Check(t, c.min <= r.timeout() && r.timeout() <= c.max, "%s: %v", c.name, r.timeout())
+	}
+}
+
 // Guards invariant I10: the announcement that a target is draining reaches
 // every node of all zones within 3 s, even when messages are lost.
 func TestDrainingReachesAll(t *testing.T) {
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -24,6 +24,7 @@
 	kind       messageKind
 	to         string
 	addr       string
+	sentAt     time.Duration
 	deadline   time.Duration
 	probe      *activeProbe // kindGossip, kindIndirect
 	names      []string     // kindUrgent: names of the entries
@@ -63,8 +64,9 @@
 
 func (m *Machine) queue(p *Packet, probe *ProbeRequest, pm pendingMessage) {
 	m.nextID++
+	pm.sentAt = m.clock
 	if pm.deadline == 0 {
-		pm.deadline = m.clock + ProbeTimeout
+		pm.deadline = m.clock + m.ReplyTimeout()
 	}
 	pm.hasDigests = p != nil && len(p.Digests) > 0
 	m.pending[m.nextID] = &pm
@@ -150,6 +152,39 @@
 	}
 }
 
+// recordReplyTime records the reply to a direct probe.
+func (m *Machine) recordReplyTime(pm *pendingMessage) {
+	if pm.kind != kindGossip {
+		return
+	}
+	m.replyTimes.add(m.clock - pm.sentAt)
+}
+
+// ReplyTimeout returns the time within which a reply is expected. It follows the
+// replies of the peers in the zone, so that slow ones cause no further packets.
+func (m *Machine) ReplyTimeout() time.Duration {
+	return m.replyTimes.timeout()
+}
+
+// replyTimes estimates how long replies take, as TCP does (RFC 6298).
+type replyTimes struct {
+	mean, deviation time.Duration // smoothed; zero before the first reply
+}
+
+func (r *replyTimes) add(d time.Duration) {
+	if *r == (replyTimes{}) {
+		r.mean, r.deviation = d, d/2
+		return
+	}
+	r.deviation += ((d - r.mean).Abs() - r.deviation) / 4
+	r.mean += (d - r.mean) / 8
+}
+
+func (r *replyTimes) timeout() time.Duration {
+	t := r.mean + max(TickInterval, 4*r.deviation)
+	return min(max(ProbeTimeout, t), MaxProbeTimeout)
+}
+
 // expirePending handles messages that got no reply in time. A late reply is still used: where
 // replies take longer than the timeout, no synchronisation would ever end otherwise.
 func (m *Machine) expirePending() {
@@ -223,7 +258,7 @@
 	for _, h := range helpers {
 		req := &ProbeRequest{From: m.cfg.Name, Target: pr.name, Addr: r.Addr}
 		pm := pendingMessage{kind: kindIndirect, to: h, addr: m.table.records[h].Addr, probe: pr}
-		pm.deadline = m.clock + 2*ProbeTimeout
+		pm.deadline = m.clock + 2*m.ReplyTimeout()
 		m.queue(nil, req, pm)
 	}
 }
@@ -247,7 +282,7 @@
 
 // StartProbe returns the packet that probes a target on behalf of another node.
 // The caller sends it, passes a reply to ReceiveReply, and reports to the other
-// node in a ProbeReply whether one came within ProbeTimeout.
+// node in a ProbeReply whether one came within ReplyTimeout.
 func (m *Machine) StartProbe(now time.Time, req ProbeRequest) Message {
 	m.advance(now)
 	p := m.packet()
@@ -255,7 +290,7 @@
 		p.Entries = append(p.Entries, r.Entry)
 	}
 	m.nextID++
-	m.pending[m.nextID] = &pendingMessage{kind: kindRelayedProbe, to: req.Target, addr: req.Addr, deadline: m.clock + ProbeTimeout}
+	m.pending[m.nextID] = &pendingMessage{kind: kindRelayedProbe, to: req.Target, addr: req.Addr, deadline: m.clock + m.ReplyTimeout()}
 	return Message{ID: m.nextID, To: req.Target, Addr: req.Addr, Packet: p}
 }
 
--- a/core/member/sim_test.go
+++ b/core/member/sim_test.go
@@ -21,6 +21,7 @@
 	sent     map[string]int            // bytes sent by each node, including replies
 	received map[string]int
 	counting bool
+	messages int // messages sent, including replies
 }
 
 // simNode is a machine with its state in the network.
@@ -117,6 +118,7 @@
 	if w.rng.Float64() < w.loss {
 		return
 	}
+	w.messages++
 	delay := w.delay + 500*time.Microsecond + time.Duration(w.rng.Int64N(int64(2*time.Millisecond)))
 	w.schedule(delay, func() {
 		to, ok := w.nodes[addr]
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -105,7 +105,7 @@
 	}
 	m.queue(next, nil, pendingMessage{
 		kind: kindSync, to: p.From, addr: p.Addr, steps: pm.steps + 1, truncated: more,
-		deadline: m.clock + 4*ProbeTimeout, // large packets
+		deadline: m.clock + 4*m.ReplyTimeout(), // large packets
 	})
 }
 
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -207,8 +207,9 @@
 // probe checks on behalf of another node whether a third one is reachable.
 func (f *fleet) probe(ctx context.Context, req member.ProbeRequest) (member.ProbeReply, error) {
 	var send member.Message
-	f.withLock(func() { send = f.machine.StartProbe(time.Now(), req) })
-	ctx, cancel := context.WithTimeout(ctx, member.ProbeTimeout)
+	var timeout time.Duration
+	f.withLock(func() { send, timeout = f.machine.StartProbe(time.Now(), req), f.machine.ReplyTimeout() })
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	session, err := f.agent.links.Session(ctx, send.Addr)
 	if err != nil {
