member: fewer further packets where hardly any reply comes in time

A stall leaves no replies to measure, so timeouts that follow them come too late there.

With the packets of both, the nodes handle more than they can for good.

The direct probe of a round and its times stay as they are. A packet to another zone isn't repeated after six in a row without a reply; the next regular one carries the same entries.

--- a/core/member/border.go
+++ b/core/member/border.go
@@ -11,6 +11,10 @@
 // its list of border instances there may be stale.
 const maxZoneFailures = 3
 
+// maxFailuresToRetry is the number of such packets from which on none is sent again at its
+// timeout; the next regular packet carries the same entries.
+const maxFailuresToRetry = 2 * maxZoneFailures
+
 // zoneExchange is the state that a border instance keeps about its exchange
 // with one other zone.
 type zoneExchange struct {
--- a/core/member/config.go
+++ b/core/member/config.go
@@ -25,6 +25,9 @@
 	// suspected. With one message in 5 lost, one round suspects a healthy target
 	// in 3 probes of 100, two rounds in 2 of 1,000.
 	indirectRounds = 2
+	// maxHelpedRounds is the number of rounds that may ask other peers although no
+	// direct probe was replied to in time; each such reply permits one more.
+	maxHelpedRounds = 8
 	// SuspicionTimeout is the time in which a suspect can refute the suspicion.
 	SuspicionTimeout = 3 * time.Second
 	// GoneRetention is how long a dead or left entry is retained, so that a late
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -40,7 +40,8 @@
 	offsetTree   offsetTree
 	newestConfig configPeer
 
-	replyTimes replyTimes
+	replyTimes   replyTimes
+	helpedRounds int // rounds of indirect probes that may ask other peers
 
 	nextID  uint64
 	pending map[uint64]*pendingMessage
@@ -61,6 +62,8 @@
 		retired:    newZoneValues(),
 		offsets:    newZoneValues(),
 		offsetTree: offsetTree{reports: map[string]OffsetReport{}},
+
+		helpedRounds: maxHelpedRounds,
 	}
 	m.self = Entry{Name: cfg.Name, Incarnation: cfg.Incarnation, Version: 1, Addr: cfg.Addr, Zone: cfg.Zone}
 	m.table.put(m.self)
--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -150,6 +150,35 @@
 	}
 }
 
+// Guards against a fleet that one stall of a busy machine overloads for good, because unanswered
+// packets cause further ones.
+func TestFleetSettlesAfterStall(t *testing.T) {
+	for _, c := range []struct {
+		zones    int
+		handling time.Duration // of one message; 12 nodes handle 48 of them a second in one zone, 84 in three
+	}{
+		{zones: 1, handling: 3 * time.Millisecond},
+		{zones: 1, handling: 4 * time.Millisecond},
+		{zones: 3, handling: 3 * time.Millisecond},
+		{zones: 3, handling: 4 * time.Millisecond},
+	} {
+		for seed := range uint64(4) {
+			w, nodes := formedFleet(t, seed, c.zones, 12/c.zones)
+			w.exchangeTimeout = time.Second
+			w.handlingTime = c.handling
+			w.run(20 * time.Second)
+			w.idleAt = w.now.Add(1500 * time.Millisecond)
+			w.run(time.Minute)
+			lag := w.idleAt.Sub(w.now)
+			w.messages = 0
+			w.run(30 * time.Second)
+			t.Logf("%d zones, %v for a message: %v behind after 60 s, then %d messages/s", c.zones, c.handling, max(0, lag), w.messages/30)
+			assert.Check(t, w.messages <= 100*30, "the traffic stays multiplied")
+			assert.Check(t, complete(nodes, 12), "%d zones, %v, seed %d", c.zones, c.handling, seed)
+		}
+	}
+}
+
 // Guards invariant I10: the announcement that a target is draining reaches
 // every node of all zones within 3 s, even when messages are lost.
 func TestDrainingReachesAll(t *testing.T) {
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -158,6 +158,9 @@
 		return
 	}
 	m.replyTimes.add(m.clock - pm.sentAt)
+	if !pm.late {
+		m.helpedRounds = min(m.helpedRounds+1, maxHelpedRounds)
+	}
 }
 
 // ReplyTimeout returns the time within which a reply is expected. It follows the
@@ -234,7 +237,7 @@
 		if pm.hasDigests {
 			z.nextSync = m.clock
 		}
-		if pm.try < maxSendTries {
+		if pm.try < maxSendTries && z.failures < maxFailuresToRetry {
 			m.sendToZone(pm.zone, pm.try+1, false)
 		}
 	case kindSync:
@@ -246,7 +249,8 @@
 }
 
 // probeIndirect probes a peer that didn't reply once more, and asks other peers
-// to probe it.
+// to probe it. Where hardly any peer replies in time, the machines or the network
+// are overloaded, and the packets of the others would add to that.
 func (m *Machine) probeIndirect(pr *activeProbe) {
 	r, ok := m.table.records[pr.name]
 	if pr.done || !ok || r.State.Gone() {
@@ -254,6 +258,10 @@
 	}
 	pr.rounds++
 	m.send(pr.name, m.packet(), pendingMessage{kind: kindIndirect, probe: pr})
+	if m.helpedRounds == 0 {
+		return
+	}
+	m.helpedRounds--
 	helpers := m.randomPeers(IndirectProbes, pr.name, m.cfg.Name)
 	for _, h := range helpers {
 		req := &ProbeRequest{From: m.cfg.Name, Target: pr.name, Addr: r.Addr}
--- a/core/member/sim_test.go
+++ b/core/member/sim_test.go
@@ -22,6 +22,12 @@
 	received map[string]int
 	counting bool
 	messages int // messages sent, including replies
+
+	// With a handling time, all nodes share one processor, which handles the messages in the
+	// order of their arrival.
+	handlingTime    time.Duration
+	exchangeTimeout time.Duration // after which the sender drops a reply
+	idleAt          time.Time     // when the processor has handled all messages that arrived
 }
 
 // simNode is a machine with its state in the network.
@@ -120,16 +126,31 @@
 	}
 	w.messages++
 	delay := w.delay + 500*time.Microsecond + time.Duration(w.rng.Int64N(int64(2*time.Millisecond)))
-	w.schedule(delay, func() {
-		to, ok := w.nodes[addr]
-		if !ok || to.down || to.paused || from.down {
-			return
-		}
-		if w.blocked != nil && w.blocked(from.Self(), to.Self()) {
-			return
-		}
-		run(to)
-	})
+	w.schedule(delay, func() { w.handle(func() { w.receive(from, addr, run) }) })
+}
+
+// handle calls run once the processor has handled the messages before it.
+func (w *network) handle(run func()) {
+	if w.handlingTime == 0 {
+		run()
+		return
+	}
+	if w.idleAt.Before(w.now) {
+		w.idleAt = w.now
+	}
+	w.idleAt = w.idleAt.Add(w.handlingTime)
+	w.schedule(w.idleAt.Sub(w.now), run)
+}
+
+func (w *network) receive(from *simNode, addr string, run func(to *simNode)) {
+	to, ok := w.nodes[addr]
+	if !ok || to.down || to.paused || from.down {
+		return
+	}
+	if w.blocked != nil && w.blocked(from.Self(), to.Self()) {
+		return
+	}
+	run(to)
 }
 
 func (w *network) deliver(from *simNode, sends []Message) {
@@ -144,11 +165,16 @@
 
 func (w *network) exchange(from *simNode, s Message, onReply func(Packet)) {
 	w.countBytes(from.Self().Name, s.Addr, s.Packet)
+	sent := w.now
 	w.transmit(from, s.Addr, func(to *simNode) {
 		reply, more := to.Receive(w.now, *s.Packet)
 		w.deliver(to, more)
 		w.countBytes(to.Self().Name, from.Self().Addr, &reply)
-		w.transmit(to, from.Self().Addr, func(*simNode) { onReply(reply) })
+		w.transmit(to, from.Self().Addr, func(*simNode) {
+			if w.exchangeTimeout == 0 || w.now.Sub(sent) < w.exchangeTimeout {
+				onReply(reply)
+			}
+		})
 	})
 }
 
