--- a/core/member/config.go
+++ b/core/member/config.go
@@ -11,6 +11,9 @@
 	GossipInterval = 500 * time.Millisecond
 	// ProbeTimeout covers a round trip between regions and some queueing.
 	ProbeTimeout = 250 * time.Millisecond
+	// MaxProbeTimeout bounds the timeout where replies are slow. A failed peer is
+	// then suspected within three such timeouts.
+	MaxProbeTimeout = time.Second
 	// lateReplyTime is how long after its timeout a packet is retained for a late
 	// reply.
 	lateReplyTime = time.Second
@@ -22,6 +25,9 @@
 	// suspected. With one message in 5 lost, one round suspects a healthy target
 	// in 3 probes of 100, two rounds in 2 of 1,000.
 	indirectRounds = 2
+	// maxHelpedRounds is the number of rounds that may ask other peers although no
+	// direct probe was replied to in time; each such reply permits one more.
+	maxHelpedRounds = 8
 	// SuspicionTimeout is the time in which a suspect can refute the suspicion.
 	SuspicionTimeout = 3 * time.Second
 	// GoneRetention is how long a dead or left entry is retained, so that a late
--- a/core/member/machine.go
+++ b/core/member/machine.go
@@ -40,6 +40,9 @@
 	offsetTree   offsetTree
 	newestConfig configPeer
 
+	replyTimes   replyTimes
+	helpedRounds int // rounds of indirect probes that may ask other peers
+
 	nextID  uint64
 	pending map[uint64]*pendingMessage
 	outbox  []Message
@@ -59,6 +62,8 @@
 		retired:    newZoneValues(),
 		offsets:    newZoneValues(),
 		offsetTree: offsetTree{reports: map[string]OffsetReport{}},
+
+		helpedRounds: maxHelpedRounds,
 	}
 	m.self = Entry{Name: cfg.Name, Incarnation: cfg.Incarnation, Version: 1, Addr: cfg.Addr, Zone: cfg.Zone}
 	m.table.put(m.self)
@@ -293,6 +298,7 @@
 	}
 	delete(m.pending, id)
 	m.markReplied(pm)
+	m.recordReplyTime(pm)
 	if pm.kind == kindZone {
 		m.handleZoneReply(pm, p)
 	}
