conns: handle "OPTIONS *" like other requests, so that it can't hold up a shutdown

net/http answers "OPTIONS *" itself. Such a request wasn't tracked and its response announced no close, also while the server shut down. Since a shutdown waits a second after each response, a caller that sends it in shorter intervals kept a shutdown waiting until its end (1.1 s on, where net/http's own shutdown ended the connection).

The server now answers it in its own handler, as net/http did.

TestShutdownIsNotHeldUp before: "the shutdown took 8.000815053s", "context deadline exceeded", which is the limit of the test; now 1.2 s.

--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -33,11 +34,31 @@
 // callbacks of h.
 func NewServer(h *http.Server, m *metric.Set, log hclog.Logger) *Server {
 	s := &Server{Tracker: newTracker(m), http: h, log: log}
-	h.Handler = s.handle(h.Handler)
+	h.Handler, h.DisableGeneralOptionsHandler = s.handle(s.answerServerOptions(h.Handler)), true
 	h.ConnContext, h.ConnState = s.withConn, s.track
 	return s
 }
 
+// maxOptionsBodyBytes limits the body of a request "OPTIONS *".
+const maxOptionsBodyBytes = 4 << 10
+
+// answerServerOptions returns a handler that answers "OPTIONS *" as net/http does, and calls h for
+// all other requests. Requests that net/http answers itself are not tracked.
+func (s *Server) answerServerOptions(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodOptions || r.RequestURI != "*" {
+			h.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Content-Length", "0")
+		if r.ContentLength != 0 {
+			if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxOptionsBodyBytes)); err != nil {
+				s.log.Debug("the body of a request \"OPTIONS *\" was not read to its end", "remote", r.RemoteAddr, "error", err)
+			}
+		}
+	})
+}
+
 // HTTP returns the underlying HTTP server.
 func (s *Server) HTTP() *http.Server {
 	return s.http
