conns: know an HTTP/2 connection before its first request

A connection counted as one of HTTP/1 until its first request was handled. A shutdown waited for such an HTTP/2 connection until it received nothing for a second, and a caller that sends PING frames in shorter intervals kept it waiting until its end. It also ended the connection without a GOAWAY frame.

A connection that becomes idle without a request is now one of HTTP/2, which net/http ends with a GOAWAY frame.

--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -84,6 +84,9 @@
 	switch state {
 	case http.StateIdle:
 		cc.idleSince = now
+		if !cc.used {
+			cc.http2 = true // an HTTP/1 connection becomes idle only after a request
+		}
 		if cc.conn != nil {
 			cc.conn.becomeIdle()
 		}
--- a/node/entry/held_shutdown_test.go
+++ b/node/entry/held_shutdown_test.go
@@ -16,8 +16,10 @@
 // of the server doesn't see.
 func TestShutdownIsNotHeldUp(t *testing.T) {
 	const limit = 8 * time.Second
+	const http2Start = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + "\x00\x00\x00\x04\x00\x00\x00\x00\x00"
 	for _, test := range []struct{ name, first, then string }{
 		{"OPTIONS *", "", "OPTIONS * HTTP/1.1\r\nHost: press.example\r\n\r\n"},
+		{"HTTP/2 without a request", http2Start, "\x00\x00\x08\x06\x00\x00\x00\x00\x0012345678"}, // PING
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
