conns: end the reading of a connection only while it waits for data

The reading of an idle connection could be ended while a whole request that was sent ahead was already in the buffer of net/http, if the goroutine of the connection got no time on a CPU between its idle state and the next request. The background read that net/http starts with the request then returned an error, and net/http cancelled the request. The same could happen to a first request more than a second old, and a request that undid the end could also cross the read that takes arrived data.

The reading is now ended only during a call of Read, when net/http has no whole request left, and not while net/http reports the connection as active.

TestEndOfReadingCancelsNoRequest holds the goroutine up at these two places, and before failed with "500 != 200: the request was cancelled". That it happened outside of this test is not shown. The tests of endReading now mark a read as begun, since without one nothing is ended; TestEndOfReadingLosesNoArrivedData still fails (EOF) without the read of arrived data.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -59,8 +59,9 @@
 	once     sync.Once
 
 	mu       sync.Mutex
+	reading  bool      // Read was called and has not returned
 	received bool      // data was received since the connection became idle
-	ended    bool      // endReading was called, and no data was received since
+	ended    bool      // endReading was called during a Read that received no data since
 	deadline time.Time // for reads
 	last     bool      // the response that is being sent is the last one
 	arrivals arrivals
@@ -78,12 +79,14 @@
 // Read implements net.Conn. Data that was received although the reading was to end is returned,
 // and the reading continues.
 func (c *conn) Read(p []byte) (int, error) {
+	c.beginRead()
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isEnded() {
 		n, err = c.readArrived(p)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	switch {
 	case n > 0:
 		c.received = true
@@ -95,6 +98,12 @@
 	return n, err
 }
 
+func (c *conn) beginRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+}
+
 // readArrived reads data that arrived before the reading was ended. A read after its deadline
 // returns none of it.
 func (c *conn) readArrived(p []byte) (int, error) {
@@ -150,15 +159,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.arrivals.begin(hasBody)
-	c.resumeReading() // the request was read before the end
 }
 
 // endReading ends the reading of an idle connection, unless data was received since it became
-// idle and not before quietSince. net/http then closes it if it has not read a complete head.
+// idle and not before quietSince. net/http then closes it. Without a read in progress net/http
+// may hold a whole request that was read before, and nothing is ended.
 func (c *conn) endReading(quietSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.received || c.arrivals.last.Before(quietSince) {
+	if c.reading && (!c.received || c.arrivals.last.Before(quietSince)) {
 		c.ended = true
 		c.limitReading(time.Unix(1, 0))
 	}
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -46,6 +46,7 @@
 type connState struct {
 	conn      *conn     // nil for a connection of another listener
 	idleSince time.Time // zero unless the connection waits for a request
+	active    bool      // a request was read, and its response not sent
 	requests  int       // number of requests that are handled
 	used      bool      // a request was handled
 	closed    bool
@@ -80,7 +81,7 @@
 	if cc == nil {
 		return
 	}
-	cc.idleSince = time.Time{}
+	cc.idleSince, cc.active = time.Time{}, state == http.StateActive
 	switch state {
 	case http.StateIdle:
 		cc.idleSince = now
@@ -227,7 +228,7 @@
 
 // isWaiting reports whether no request is handled and no response being written.
 func (cc *connState) isWaiting() bool {
-	return cc.requests == 0 && (!cc.used || !cc.idleSince.IsZero())
+	return cc.requests == 0 && !cc.active
 }
 
 // closeInShutdown ends the reading of a waiting connection if no request arrived in time. It
