conns: close idle HTTP/2 connections without dropping requests that were read

After a change of the idle limit an HTTP/2 connection was closed if net/http reported it as idle.

The reading of such a connection is now ended as that of an HTTP/1 connection. Frames that were read are processed first, since net/http reads the next frame afterwards.

--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -293,7 +293,7 @@
 // endIfIdle ends the reading of an idle connection, so that net/http closes it if no request is
 // being read. It returns false if the connection can only be closed. The caller holds Tracker.mu.
 func (cc *connState) endIfIdle(quietSince time.Time) bool {
-	if cc.conn == nil || !cc.used || cc.http2 {
+	if cc.conn == nil {
 		return false
 	}
 	if !cc.idleSince.IsZero() && cc.requests == 0 {
