--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -48,6 +48,7 @@
 type connState struct {
 	conn      *conn     // nil for a connection of another listener
 	idleSince time.Time // zero unless the connection waits for a request
+	active    bool      // a request was read, and its response not sent
 	requests  int       // number of requests that are handled
 	used      bool      // a request was handled
 	closed    bool
@@ -82,10 +83,13 @@
 	if cc == nil {
 		return
 	}
-	cc.idleSince = time.Time{}
+	cc.idleSince, cc.active = time.Time{}, state == http.StateActive
 	switch state {
 	case http.StateIdle:
 		cc.idleSince = now
+		if !cc.used {
+			cc.http2 = true // an HTTP/1 connection becomes idle only after a request
+		}
 		if cc.conn != nil {
 			cc.conn.becomeIdle()
 		}
@@ -226,7 +230,7 @@
 
 // isWaiting reports whether no request is handled and no response being written.
 func (cc *connState) isWaiting() bool {
-	return cc.requests == 0 && (!cc.used || !cc.idleSince.IsZero())
+	return cc.requests == 0 && !cc.active
 }
 
 // closeInShutdown ends the reading of a waiting connection if no request arrived in time. It
@@ -291,7 +295,7 @@
 // endIfIdle ends the reading of an idle connection, so that net/http closes it if no request is
 // being read. It returns false if the connection can only be closed. The caller holds Tracker.mu.
 func (cc *connState) endIfIdle(quietSince time.Time) bool {
-	if cc.conn == nil || !cc.used || cc.http2 {
+	if cc.conn == nil {
 		return false
 	}
 	if !cc.idleSince.IsZero() && cc.requests == 0 {
