conns: an HTTP/2 connection keeps what it has received when it becomes idle

net/http reports an HTTP/2 connection as idle when its last request ends, and may have read the next one before. The tracker then took its data for that of the request before, and the idle close cut the next one off. Only HTTP/1 connections now begin anew, and a reading that is already ended isn't ended again while the data that has arrived is read.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -165,11 +165,12 @@
 
 // endReading ends the reading of an idle connection, unless data was received since it became
 // idle and not before quietSince. net/http then closes it. Without a read in progress net/http
-// may hold a whole request that was read before, and nothing is ended.
+// may hold a whole request that was read before, and nothing is ended. A Read that is ended
+// already keeps its time for data that has arrived.
 func (c *conn) endReading(quietSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading && (!c.received || c.arrivals.last.Before(quietSince)) {
+	if c.reading && !c.ended && (!c.received || c.arrivals.last.Before(quietSince)) {
 		c.ended = true
 		c.limitReading(time.Unix(1, 0))
 	}
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -90,7 +90,7 @@
 		if !cc.used {
 			cc.http2 = true // an HTTP/1 connection becomes idle only after a request
 		}
-		if cc.conn != nil {
+		if cc.conn != nil && !cc.http2 { // an HTTP/2 connection may have read the next request
 			cc.conn.becomeIdle()
 		}
 	case http.StateClosed, http.StateHijacked:
