conns: wait longer for data that has arrived when a reading ends

The read of what has arrived had 1 ms. A goroutine that gets no CPU between the setting of this deadline and the read would drop the rest of a request whose beginning was read. It has 50 ms now, which is little beside the idle limits.

--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -21,8 +21,9 @@
 	maxDrainBytes = 256 << 10
 )
 
-// arrivedTimeout is how long a read takes for data that has already arrived.
-const arrivedTimeout = time.Millisecond
+// arrivedTimeout is how long a read waits for data that has already arrived. It covers the time
+// in which a goroutine of a busy machine gets no CPU.
+const arrivedTimeout = 50 * time.Millisecond
 
 // listener accepts connections whose reading can be ended without losing a request, and that can
 // be closed without a reset.
