entry: one listener wraps the connections of tests

Three tests had a listener of their own each, which differed only in the type of connection that Accept returned. They now pass that to wrapConns; assertions are unchanged. go test -race ./node/entry passes.

--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -227,22 +227,29 @@
 }
 
 func (n *tallies) listen(ln net.Listener) net.Listener {
-	return &countingListener{Listener: ln, n: n}
+	return wrapConns(func(c net.Conn) net.Conn {
+		n.conns.Add(1)
+		return &countingConn{Conn: c, n: n}
+	})(ln)
 }
 
-type countingListener struct {
+// wrapConns returns a function that makes a listener wrap each connection that it accepts.
+func wrapConns(wrap func(net.Conn) net.Conn) func(net.Listener) net.Listener {
+	return func(ln net.Listener) net.Listener { return &wrappingListener{ln, wrap} }
+}
+
+type wrappingListener struct {
 	net.Listener
-	n *tallies
+	wrap func(net.Conn) net.Conn
 }
 
 // Accept implements net.Listener.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+func (l *wrappingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	l.n.conns.Add(1)
-	return &countingConn{Conn: conn, n: l.n}, nil
+	return l.wrap(c), nil
 }
 
 type countingConn struct {
--- a/node/entry/http2_idle_close_test.go
+++ b/node/entry/http2_idle_close_test.go
@@ -18,7 +18,9 @@
 func TestIdleCloseAnswersWhatItReadsOverHTTP2(t *testing.T) {
 	var sent passedOn
 	var heads, responses atomic.Int64
-	s, addr := newTestServer(t, sent.send, func(ln net.Listener) net.Listener { return &headCounter{ln, &heads, &responses} })
+	s, addr := newTestServer(t, sent.send, wrapConns(func(c net.Conn) net.Conn {
+		return &headCounterConn{Conn: c, read: frameReader{n: &heads, skip: http2PrefaceSize}, written: frameReader{n: &responses}}
+	}))
 	const limit = 20 * time.Millisecond
 	stop := make(chan struct{})
 	go func() {
@@ -65,21 +67,7 @@
 	})
 }
 
-// headCounter counts the heads of requests and responses on HTTP/2 connections.
-type headCounter struct {
-	net.Listener
-	read, written *atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *headCounter) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &headCounterConn{Conn: c, read: frameReader{n: l.read, skip: http2PrefaceSize}, written: frameReader{n: l.written}}, nil
-}
-
+// headCounterConn counts the heads of requests and responses on an HTTP/2 connection.
 type headCounterConn struct {
 	net.Conn
 	read, written frameReader
--- a/node/entry/sent_ahead_test.go
+++ b/node/entry/sent_ahead_test.go
@@ -37,7 +37,7 @@
 				return resp, 0, nil
 			})
 			var reads atomic.Int64
-			conn := dial(t, serve(t, s, func(ln net.Listener) net.Listener { return &readCounter{ln, &reads} }))
+			conn := dial(t, serve(t, s, wrapConns(func(c net.Conn) net.Conn { return &readCounterConn{c, &reads} })))
 			assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
 			_, err := io.WriteString(conn, test.first)
 			assert.NilError(t, err)
@@ -71,21 +71,7 @@
 	}
 }
 
-// readCounter counts the reads that return data.
-type readCounter struct {
-	net.Listener
-	n *atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *readCounter) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &readCounterConn{c, l.n}, nil
-}
-
+// readCounterConn counts the reads that return data.
 type readCounterConn struct {
 	net.Conn
 	n *atomic.Int64
