conns: a shutdown is marked once

closeUnusedAndIdle took the lock a second time on each check, up to 200 times a second, to set a flag that never changes again; closeConns now sets it before the first check. update, whose result was taken away with the end of the last connection, had only track as its caller and is part of it.

go test -race of node/conns, entry, local, agent and start passes.

--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -72,11 +72,7 @@
 
 // track is the ConnState callback of http.Server.
 func (c *Tracker) track(conn net.Conn, state http.ConnState) {
-	c.update(conn, state, time.Now())
-}
-
-// update records the state of a connection.
-func (c *Tracker) update(conn net.Conn, state http.ConnState, now time.Time) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc := c.byConn[conn]
@@ -204,6 +200,7 @@
 // answered. It returns when only HTTP/2 connections are left, or the error of ctx.
 func (c *Tracker) closeConns(ctx context.Context) error {
 	began := time.Now()
+	c.markStopping()
 	for interval := closeInterval; c.closeUnusedAndIdle(began, time.Now()); interval = min(2*interval, maxCloseInterval) {
 		if !super.Pause(ctx, interval) {
 			return ctx.Err()
@@ -212,6 +209,12 @@
 	return nil
 }
 
+func (c *Tracker) markStopping() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+}
+
 // closeUnusedAndIdle closes the HTTP/1 connections that have waited for a request for long enough
 // in a shutdown that began at the given time. It reports whether any HTTP/1 connection is left.
 func (c *Tracker) closeUnusedAndIdle(began, now time.Time) (left bool) {
@@ -222,9 +225,6 @@
 		left = true
 		return cc.isWaiting() && cc.closeInShutdown(began, now)
 	})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopping = true
 	return left
 }
 
