--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -294,7 +294,7 @@
 	throttle.RecordFeedback(epoch, "deep", "d", "c", Feedback{Level: 7, PathLevel: 5, Demand: 3})
 	throttle.RecordFeedback(epoch, "rare", "r", "c", Feedback{Level: 1, PathLevel: 1, Demand: 9})
 	f := throttle.MergeChildren(epoch, "front", "c", Feedback{Level: OpenLevel, PathLevel: OpenLevel, Demand: 1})
-	assert.Equal(t, f, Feedback{Level: OpenLevel, PathLevel: 5, Demand: 3})
+	assert.DeepEqual(t, f, Feedback{Level: OpenLevel, PathLevel: 5, Demand: 3})
 }
 
 // Guards against an estimated service time above every deadline, which would
--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -8,5 +8,18 @@
 	Limit     int     `msgpack:"limit"`    // concurrency limit
 	Demand    float64 `msgpack:"demand"`   // demand of the calling customer as a multiple of its fair share, the highest along the path
 
+	// ServiceTime is the time in microseconds that the upstream currently needs for a typical
+	// call, without its child calls; 0 if the target has not learned it.
+	ServiceTime int64 `msgpack:"serviceUs"`
+	// Chain describes the calls behind one call of the service; empty if they are not known.
+	Chain []ChainShare `msgpack:"chain"`
+
 	RateLimited bool `msgpack:"-"` // the upstream states a rate limit; set by the receiver, which knows it from the reply
 }
+
+// ChainShare describes the calls of one service behind a call of another one.
+type ChainShare struct {
+	Service string  `msgpack:"service"`
+	Calls   float64 `msgpack:"calls"`   // calls of the service behind one call, at all depths
+	Success float64 `msgpack:"success"` // fraction of the calls of the service that succeed at present
+}
