conns: a shutdown after a stall waits for the responses to the requests that it ends

What callers saw: a process that is stalled (suspended, or without CPU) until more than 200 ms after the deadline of its shutdown closes the connections of the requests that it ends at that moment, without a response (rule LOST of the platform). Cause: the wait for these responses ended 200 ms after the deadline of the context. Behind that time it was zero, although the timer that ends the requests fires only when the process runs again. Change: the wait begins at the deadline or now, whichever is later. Evidence: TestShutdownAfterStallAnswersRequests failed 5 of 5 before (EOF in place of the response), passes 20 of 20 with the race detector. go test -race of node/conns, entry, local and start passes.

--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -94,7 +94,9 @@
 
 // Shutdown stops the server gracefully. Requests that still arrive are handled, and IsRefusing
 // reports true for them. If ctx ends first, Shutdown waits until the requests that were ended
-// with it are answered, for at most answerTime after the deadline of ctx.
+// with it are answered, for at most answerTime after the deadline of ctx. A process that was
+// stalled until after the deadline ends its requests only when it runs again, so the wait then
+// begins at that time.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Refuse()
 	s.closeListener()
@@ -105,7 +107,7 @@
 	}
 	if deadline, ok := ctx.Deadline(); err != nil && ok {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline.Add(answerTime))
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), max(0, time.Until(deadline))+answerTime)
 		defer cancel()
 		s.awaitResponses(ctx)
 		// The callers of HTTP/2 connections learn which of their requests were not read.
