platform, node/relay: the load that an upstream reports is read from its responses

Cause: Instance-Load of responses to requests was not read anywhere, though it states the running requests, the slots and on some deployments the current work time of the machine.

--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -36,6 +36,7 @@
 	schedulerLimit *limit.SchedulerLimit
 	fixedSlots     int           // exact number of calls that the upstream serves concurrently; 0 if unknown
 	wake           chan struct{} // wakes poll when a call is queued
+	learned        learnedSpeed
 }
 
 // waiter is a call at the gate. The gate sends nil to result when the call may
--- a/node/relay/protocol.go
+++ b/node/relay/protocol.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/speed"
 )
 
 // ResponseClass tells whether a response of an upstream belongs to the request and
@@ -38,8 +39,14 @@
 	// ReadStatement returns what the upstream states in a response, without the process.
 	// It reports false if that can't be read, so that the response says nothing.
 	ReadStatement(resp *http.Response) (Statement, bool)
+	// ReadLoad returns what the upstream reports about its load in a response. It reports
+	// false if there is no report or it can't be read.
+	ReadLoad(resp *http.Response) (LoadReport, bool)
 }
 
+// LoadReport is what an upstream reports about its load.
+type LoadReport = speed.LoadReport
+
 // Headers in which an upstream states something about itself.
 const (
 	// RateLimitHeader holds the requests per second that the upstream accepts from all
@@ -93,3 +100,6 @@
 func (defaultProtocol) ReadStatement(resp *http.Response) (Statement, bool) {
 	return ParseStatement(resp.Header, RateLimitHeader, LeavingHeader)
 }
+
+// ReadLoad implements Protocol. The default protocol has no report.
+func (defaultProtocol) ReadLoad(*http.Response) (LoadReport, bool) { return LoadReport{}, false }
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -158,6 +158,9 @@
 	if s, ok := c.target.protocol.ReadStatement(resp); ok {
 		c.target.recordStatement(up, s, c.began, time.Now())
 	}
+	if r, ok := c.target.protocol.ReadLoad(resp); ok {
+		c.target.gate.learned.report(r, time.Now())
+	}
 	return class
 }
 
