relay: a call that was never dispatched is refused before its deadline

Cause: the deadline of a call at its target is that of the calling node plus the time of the transfer. A call that waited in the target's queue, or for a connection to the upstream, was refused there when the calling node had already given up and reported it as possibly executed (504).

Change: the target gives up the dispatch 20 ms before the deadline, or a quarter of the remaining time if that is less. A call that is dispatched keeps its whole deadline.

Result: go test -race -run TestRefusalArrivesBeforeDeadline ./node/relay passes; without the change its cases "queued" and "connecting" end as executed: unknown. go test -race ./node/relay passes.

--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -27,6 +27,23 @@
 // is left for a retry at another target.
 const queueDivisor = 8
 
+// refusalMargin is the time before the deadline of a call at which its dispatch is given up. The
+// deadline of a call at its target is later than at the calling node, by the time that the call
+// took to arrive. A refusal at the deadline would reach a calling node that has given up and
+// has to report that the call may have been executed. The time covers a transfer between zones
+// and the wait for a processor of a busy node.
+const refusalMargin = 20 * time.Millisecond
+
+// refusalMarginDivisor limits the margin to a part of the time that a call has left when it
+// arrives, so that a call with a short deadline may still wait.
+const refusalMarginDivisor = 4
+
+// dispatchDeadline returns the time at which a call that arrives now and is not dispatched by
+// then is refused.
+func dispatchDeadline(deadline, now time.Time) time.Time {
+	return deadline.Add(-min(refusalMargin, deadline.Sub(now)/refusalMarginDivisor))
+}
+
 // gate queues and admits calls to the local upstream so that no more than a limit
 // run at a time. It is safe for concurrent use.
 type gate struct {
@@ -66,16 +83,20 @@
 	case g.wake <- struct{}{}:
 	default:
 	}
+	late := time.NewTimer(time.Until(dispatchDeadline(h.Call.Deadline, now)))
+	defer late.Stop()
 	select {
 	case e := <-w.result:
 		return e
+	case <-late.C:
+		return g.abandon(context.DeadlineExceeded, w)
 	case <-ctx.Done():
-		return g.abandon(ctx, w)
+		return g.abandon(ctx.Err(), w)
 	}
 }
 
-// abandon ends the wait of a call whose context is done.
-func (g *gate) abandon(ctx context.Context, w *waiter) *refuse.Error {
+// abandon ends the wait of a call for the given reason.
+func (g *gate) abandon(reason error, w *waiter) *refuse.Error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	select {
@@ -86,7 +107,7 @@
 	default:
 		w.abandoned = true
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(reason, context.DeadlineExceeded) {
 		return refuse.New(refuse.DeadlineExceeded, "the deadline passed in the queue of the target")
 	}
 	return refuse.New(refuse.Cancelled, "the request was cancelled")
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -64,9 +64,11 @@
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
-	resp, err := c.send(c.target.client.transport(c.head.Repeatable), req, up)
+	connecting, stop := c.limitConnecting(ctx)
+	resp, err := c.send(c.target.client.transport(c.head.Repeatable), req.WithContext(connecting), up)
+	stop()
 	if err != nil {
-		refusal := c.target.failureRefusal(err, c.conn.Load() != nil)
+		refusal := c.target.failureRefusal(connecting, err, c.conn.Load() != nil)
 		if errors.Is(context.Cause(ctx), errStopped) {
 			refusal.Reason = refuse.UpstreamFailed // so that the request is retried elsewhere if it may be
 		}
@@ -87,6 +89,22 @@
 	return resp, nil
 }
 
+// errNotConnected is the cause of the end of a call that got no connection to the upstream in
+// time for its refusal to reach the calling node before the deadline.
+var errNotConnected = errors.New("no connection to the upstream before the deadline")
+
+// limitConnecting returns a context that ends shortly before the deadline of the call if there
+// is no connection to the upstream by then. The function that it returns ends the limit.
+func (c *upstreamCall) limitConnecting(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx) // ends with the attempt
+	timer := time.AfterFunc(time.Until(dispatchDeadline(c.head.Call.Deadline, c.began)), func() {
+		if c.conn.Load() == nil {
+			cancel(errNotConnected)
+		}
+	})
+	return ctx, func() { timer.Stop() }
+}
+
 // send sends a request with the headers of the protocol. All are set before, so that net/http
 // validates them, and the time that is left once more when the request is written.
 func (c *upstreamCall) send(via *http.Transport, req *http.Request, up Upstream) (*http.Response, error) {
@@ -277,13 +295,13 @@
 	return n, err
 }
 
-// failureRefusal returns the refusal for a failed call to the upstream. If no
-// connection was obtained, the request was not executed.
-func (t *Target) failureRefusal(err error, gotConn bool) *refuse.Error {
+// failureRefusal returns the refusal for a failed call to the upstream with the given context.
+// If no connection was obtained, the request was not executed.
+func (t *Target) failureRefusal(ctx context.Context, err error, gotConn bool) *refuse.Error {
 	t.metrics.Add(metric.UpstreamErrors, 1)
 	reason := refuse.UpstreamFailed
 	switch {
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), errNotConnected), errors.Is(err, context.DeadlineExceeded):
 		reason = refuse.DeadlineExceeded
 	case errors.Is(err, context.Canceled):
 		reason = refuse.Cancelled
