relay: a resumed call keeps the statement of the process that it was sent to

Cause: after the loss of a link, every failure of the resumed attempt was reported as possibly executed, also a refusal by the same process of the target's node. That process registers each attempt once, so its statement that the attempt was not executed also covers the stream that was lost.

Change: such a refusal is returned as it is, so that the call may be sent to another target or ends with 503. A process of another or unknown incarnation, claims and failures without a reply stay unknown.

Result: go test -race -run TestRefusalOfResumedCall ./node/relay passes; without the change "same process" ends as executed: unknown.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -320,6 +320,10 @@
 		if fail == nil {
 			return s, reply, nil
 		}
+		if fail.feedback != nil && kind == KindCall && h.Incarnation != 0 && fail.refusal.Executed == refuse.NotExecuted {
+			// The process that received the first stream, if it did, knows the attempt.
+			return nil, reply, fail
+		}
 		fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
 		fail.outcome = retry.Failed
 		fail.reached = fail.reached || fail.feedback == nil // when it was sent first
--- a/node/relay/deadline_test.go
+++ b/node/relay/deadline_test.go
@@ -54,3 +54,47 @@
 		})
 	}
 }
+
+// knownProcesses is a Directory that lists the targets of a fakeNodes with their incarnation.
+type knownProcesses struct {
+	fakeNodes
+	incarnation uint64
+}
+
+// Candidates implements Directory.
+func (p knownProcesses) Candidates(service string) ([]Candidate, uint64) {
+	list, gen := p.fakeNodes.Candidates(service)
+	for i := range list {
+		list[i].Incarnation = p.incarnation
+	}
+	return list, gen
+}
+
+// TestRefusalOfResumedCall guards against a call whose link was lost and that is reported as
+// possibly executed, though the process that it was sent to states that it was not. A process of
+// an unknown incarnation may be a later one, whose statement says nothing about the first stream.
+func TestRefusalOfResumedCall(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		incarnation uint64
+		refusal     *refuse.Error
+		executed    refuse.Executed
+	}{
+		{"same process", 1, refuse.New(refuse.Overloaded, "full"), refuse.NotExecuted},
+		{"same process, may have run", 1, refuse.New(refuse.OutcomeUnknown, "").WithExecuted(refuse.ExecutionUnknown), refuse.ExecutionUnknown},
+		{"process unknown", 0, refuse.New(refuse.Overloaded, "full"), refuse.ExecutionUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			links := slowLinks{0, make(chan *frame.Session, 2)}
+			var lost *frame.Session
+			lost = newSession(t, func(*frame.Stream) { assert.Check(t, lost.Close()) })
+			links.sessions <- lost
+			links.sessions <- newSession(t, replyWith(t, ReplyHead{Refusal: test.refusal}, ""))
+			dir := knownProcesses{fakeNodes{"one": nil}, test.incarnation}
+			c := NewCaller(NewBalancer(dir, "a", 1), links, metric.New())
+			_, _, e := c.Do(t.Context(), timedRequest(t, "one", false, time.Now().Add(10*time.Second)))
+			assert.Assert(t, e != nil)
+			assert.Equal(t, e.Executed, test.executed, "%v", e)
+		})
+	}
+}
