refuse: a failure or missed deadline before any dispatch has status 503

Cause: problem documents of requests that reached no upstream had the statuses 502 and 504 beside executed "no".

Change: Error.Status is 503 for these refusals if they were not executed.

Result: go test -race -run TestStatusOfUnsentRequest ./core/refuse passes.

--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -105,8 +105,13 @@
 	}
 }
 
-// Status returns the HTTP status code of the refusal.
+// Status returns the HTTP status code of the refusal. A failure or a missed deadline of a
+// request that reached no upstream is a 503, which tells callers that they may repeat it; 502
+// and 504 say that it may have been executed.
 func (e *Error) Status() int {
+	if e.Executed == NotExecuted && (e.Reason == UpstreamFailed || e.Reason == DeadlineExceeded) {
+		return http.StatusServiceUnavailable
+	}
 	switch e.Reason {
 	case KeyMissing, KeyInvalid, KeyRevoked:
 		return http.StatusUnauthorized
--- a/core/refuse/refuse_test.go
+++ b/core/refuse/refuse_test.go
@@ -20,3 +20,20 @@
 	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &p))
 	assert.Equal(t, p, e.Problem())
 }
+
+// TestStatusOfUnsentRequest guards against a request that reached no upstream and whose status
+// says that it may have been executed.
+func TestStatusOfUnsentRequest(t *testing.T) {
+	for _, test := range []struct {
+		reason   Reason
+		executed Executed
+		status   int
+	}{
+		{UpstreamFailed, NotExecuted, 503},
+		{UpstreamFailed, ExecutionUnknown, 502},
+		{DeadlineExceeded, NotExecuted, 503},
+		{DeadlineExceeded, ExecutionUnknown, 504},
+	} {
+		assert.Equal(t, New(test.reason, "").WithExecuted(test.executed).Status(), test.status)
+	}
+}
