relay: a dial that timed out is no missed deadline of the call

Change: the reason is deadline-exceeded only if the context of the call ended.

Result: go test -race -count 5 -run TestDialTimeoutIsRetriedElsewhere ./node/relay passes; without the change the reason is deadline-exceeded.

--- a/node/relay/deadline_test.go
+++ b/node/relay/deadline_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +100,24 @@
 		})
 	}
 }
+
+// TestDialTimeoutIsRetriedElsewhere guards against an upstream that accepts no connection and whose
+// calls end as if their own deadline had passed, without an attempt at another target.
+func TestDialTimeoutIsRetriedElsewhere(t *testing.T) {
+	_, timeout := (&net.Dialer{Timeout: time.Nanosecond}).DialContext(t.Context(), "tcp", "127.0.0.1:1")
+	assert.ErrorIs(t, timeout, context.DeadlineExceeded)
+	silent := timedTarget(t, slowUpstream(0), func() time.Duration { return 0 })
+	silent.client.fresh.DialContext = func(context.Context, string, string) (net.Conn, error) { return nil, timeout }
+	healthy := timedTarget(t, slowUpstream(0), func() time.Duration { return 0 })
+	dir := fakeNodes{"one": newSession(t, silent.Serve)}
+	c := NewCaller(NewBalancer(dir, "a", 1), dir, metric.New())
+	_, _, e := c.Do(t.Context(), timedRequest(t, "one", false, time.Now().Add(10*time.Second)))
+	assert.Assert(t, e != nil)
+	assert.Equal(t, e.Reason, refuse.UpstreamFailed)
+	assert.Equal(t, e.Executed, refuse.NotExecuted)
+
+	dir["two"] = newSession(t, healthy.Serve)
+	c = NewCaller(NewBalancer(dir, "a", 1), dir, metric.New())
+	resp, _, e := c.Do(t.Context(), timedRequest(t, "two", false, time.Now().Add(10*time.Second)))
+	assertRan(t, resp, e)
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -301,7 +301,11 @@
 	t.metrics.Add(metric.UpstreamErrors, 1)
 	reason := refuse.UpstreamFailed
 	switch {
-	case errors.Is(context.Cause(ctx), errNotConnected), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), errNotConnected):
+		reason = refuse.DeadlineExceeded
+	case ctx.Err() == nil:
+		// The deadline is not that of the call: a dial that timed out is DeadlineExceeded too.
+	case errors.Is(err, context.DeadlineExceeded):
 		reason = refuse.DeadlineExceeded
 	case errors.Is(err, context.Canceled):
 		reason = refuse.Cancelled
