core/warm, relay, picker, platform: cold upstreams receive a bounded number of calls

Cause: an upstream is cold for some seconds after its start, may become cold again at any moment, and crashes well above ColdPerS requests per second. Change: core/warm admits at most ColdPerS calls in any sliding second while the upstream is cold or may be. The upstream's local node enforces it at each dispatch, repeated ones included; a call beyond it goes back as not executed, with the time until the next one is admitted. The calling node then tries other targets, neither against its retry ratio nor against the limit of four targets, and sends that target nothing before the stated time. Paces cover cold targets, and after the cold time the pace doubles every half second. A node that starts takes the second before its start as full and its upstream as cold until a heartbeat or health check says otherwise. As a heartbeat comes every 1.5 s only, a health check follows every few calls (a quarter of ColdPerS x (ColdOver - 1) + ColdSlack) and every 0.5 s. Services without ColdPerS have none of this. An upstream with an identifier that becomes cold again is no longer taken for a new process: that counted its running requests as those that ended the former one. Measured: go test -race -run TestColdUpstreams ./node/relay (70 callers, 12 calls each): at most 16 arrivals in any second at each of three cold upstreams, and no call fails while one is warm.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -169,6 +169,9 @@
 }
 
 func checkService(s model.Service) string {
+	if s.ColdPerSecond < 0 || s.ColdPerSecond > model.MaxColdPerSecond {
+		return fmt.Sprintf("coldPerSecond must lie between 0 and %d", model.MaxColdPerSecond)
+	}
 	for _, o := range s.SLOs {
 		switch {
 		case !(o.Objective > 0 && o.Objective < 1):
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -40,6 +40,8 @@
 	InFlight          = "inFlight"          // gauge: calls running at the local upstream
 	UpstreamRateLimit = "upstreamRateLimit" // gauge: calls per second that the local upstream accepts; 0 without a limit
 	Waiting           = "waiting"           // gauge: calls queued for the local upstream
+	ColdRefused       = "coldRefused"       // calls returned because the local upstream is cold
+	Cold              = "cold"              // gauge: 1 while calls to the local upstream are limited because it is cold
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
 
--- a/core/model/objects.go
+++ b/core/model/objects.go
@@ -44,8 +44,14 @@
 type Service struct {
 	Labels map[string]string `json:"labels,omitempty" toml:"labels,omitempty"`
 	SLOs   []SLO             `json:"slos,omitempty" toml:"slos,omitempty"`
+	// ColdPerSecond is the number of calls per second, from all nodes together, that a cold upstream
+	// of the service handles; 0 for no limit.
+	ColdPerSecond int `json:"coldPerSecond,omitempty" toml:"coldPerSecond,omitempty"`
 }
 
+// MaxColdPerSecond is the largest value of ColdPerSecond. A node keeps the time of as many calls.
+const MaxColdPerSecond = 1 << 16
+
 // SLO is a service level objective for calls to a service.
 type SLO struct {
 	Importance *int    `json:"importance,omitempty" toml:"importance,omitempty"` // nil for every importance
--- a/core/picker/health.go
+++ b/core/picker/health.go
@@ -130,7 +130,7 @@
 		return nil
 	}
 	for _, t := range s.targets {
-		if !t.ejected || t.Draining || now.Before(t.probeAt) || slices.Contains(q.Tried, t.ID) {
+		if !t.ejected || t.Draining || now.Before(t.probeAt) || slices.Contains(q.Tried, t.ID) || t.full(now) {
 			continue
 		}
 		t.probeAt = now.Add(max(probeTimeout, t.backoff))
--- a/core/picker/pace_test.go
+++ b/core/picker/pace_test.go
@@ -76,3 +76,52 @@
 		assert.Assert(t, ok)
 	}
 }
+
+// Guards against nodes that send most calls to a cold target, and against a step of the load at the
+// end of its cold period.
+func TestPaceOfColdTarget(t *testing.T) {
+	const calls = 100 // per second
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := NewSet("z")
+	now := time.Unix(1000, 0)
+	s.Update([]Target{{ID: "cold", Zone: "z", Cold: true}, {ID: "warm", Zone: "z"}})
+	s.ApplyCold(now)
+	var perHalf [20]int // calls to the cold target in each half second; it becomes warm after the sixth
+	for i := range len(perHalf) * calls / 2 {
+		now = now.Add(time.Second / calls)
+		if i == 6*calls/2 {
+			s.SetCold(now, "cold", false)
+		}
+		id, ok := s.Pick(now, Query{}, rng)
+		assert.Assert(t, ok)
+		s.Done(now, id, OK, nil)
+		if id == "cold" {
+			perHalf[i*2/calls]++
+		}
+	}
+	for i, n := range perHalf[:6] {
+		assert.Assert(t, n <= 2, "half second %d: %v", i, perHalf)
+	}
+	for i := 6; i < len(perHalf); i++ {
+		assert.Assert(t, perHalf[i] <= 2*perHalf[i-1]+4, "half second %d: %v", i, perHalf)
+	}
+	assert.Assert(t, perHalf[19] >= calls/8, "%v", perHalf)
+}
+
+// Guards against a call to a target that has said that it takes none yet, and against one that is
+// left out for longer.
+func TestFullColdTarget(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := NewSet("z")
+	now := time.Unix(1000, 0)
+	s.Update([]Target{{ID: "cold", Zone: "z"}})
+	s.SetCold(now, "cold", true)
+	s.SetFull("cold", now.Add(time.Second))
+	_, ok := s.Pick(now, Query{}, rng)
+	assert.Assert(t, !ok)
+	_, ok = s.Pick(now.Add(time.Second), Query{}, rng)
+	assert.Assert(t, ok)
+	s.SetCold(now, "cold", false)
+	_, ok = s.Pick(now, Query{}, rng)
+	assert.Assert(t, ok)
+}
--- a/core/picker/set.go
+++ b/core/picker/set.go
@@ -36,6 +36,7 @@
 	ID       string
 	Zone     string
 	Draining bool
+	Cold     bool // calls to its upstream are limited because that is cold
 }
 
 // Result is how a call to a target ended, in terms of the health of the target.
@@ -81,6 +82,8 @@
 	inFlightAtFeedback  int       // value of inFlight when the feedback arrived
 	quality             quality
 	pace                pace
+	listedCold          bool      // value of Cold that was last applied to pace
+	fullUntil           time.Time // a cold target takes no call before
 
 	ejected bool
 	backoff time.Duration
@@ -193,9 +196,9 @@
 // candidates fills ownZone and otherZones with the targets that may be chosen.
 // Targets whose pace is exhausted are among them only if there are no others.
 func (s *Set) candidates(now time.Time, q Query) {
-	s.listCandidates(q, func(t *targetState) bool { return !t.pace.exhausted(now) })
+	s.listCandidates(q, func(t *targetState) bool { return !t.full(now) && !t.pace.exhausted(now) })
 	if len(s.ownZone)+len(s.otherZones) == 0 {
-		s.listCandidates(q, func(*targetState) bool { return true })
+		s.listCandidates(q, func(t *targetState) bool { return !t.full(now) })
 	}
 }
 
--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -96,6 +96,8 @@
 		{"bounds.revokeWithin", notNegative(int64(n.Bounds.RevokeWithin))},
 		{"bounds.retryRatio", notNegative(int64(n.Bounds.RetryRatio * 100))},
 		{"bounds.retrySlack", notNegative(int64(n.Bounds.RetrySlack))},
+		{"bounds.coldOver", notNegative(int64(n.Bounds.ColdOver * 100))},
+		{"bounds.coldSlack", notNegative(int64(n.Bounds.ColdSlack))},
 		{"shutdown.linger", notNegative(int64(n.Shutdown.Linger))},
 		{"log.url", httpURL(n.Log.URL)},
 		{"log.timeout", positive(int64(n.Log.Timeout))},
--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -54,6 +54,10 @@
 	Strict       bool     `toml:"strict"`       // RevokeWithin also holds while the log is unreachable
 	RetryRatio   float64  `toml:"retryRatio"`   // maximum ratio of retries to requests of a service; 0 for the default
 	RetrySlack   float64  `toml:"retrySlack"`   // retries to a service allowed on top of that in a window of 10 s
+	// ColdOver and ColdSlack bound the calls that a cold upstream may receive in any second: its rate
+	// times ColdOver plus ColdSlack.
+	ColdOver  float64 `toml:"coldOver"`
+	ColdSlack float64 `toml:"coldSlack"`
 }
 
 // Log configures access to the platform's log service.
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -234,7 +234,13 @@
 	if a.platform == nil {
 		return nil
 	}
-	return []relay.BalancerOption{relay.WithRetryLimits(a.retryLimits)}
+	return []relay.BalancerOption{relay.WithRetryLimits(a.retryLimits), relay.WithColdLimit(a.limitsCold)}
+}
+
+// limitsCold reports whether calls to cold upstreams of a service are limited.
+func (a *Agent) limitsCold(service string) bool {
+	cur := a.store.Current()
+	return cur != nil && cur.View.Services[service].ColdPerSecond > 0
 }
 
 func (a *Agent) targetOptions() []relay.TargetOption {
@@ -278,6 +284,16 @@
 	a.target.Restore(u, now)
 }
 
+// Dispatched returns the number of calls that were sent to the local upstream.
+func (a *Agent) Dispatched() uint64 {
+	return a.target.Dispatched()
+}
+
+// ReportCold applies what the upstream answered to a health check; see relay.Target.
+func (a *Agent) ReportCold(id string, remaining time.Duration, sent, now time.Time) {
+	a.target.ReportCold(id, remaining, sent, now)
+}
+
 // Serving reports whether the node has a configuration and is not shutting down.
 func (a *Agent) Serving() bool {
 	return a.store.Current() != nil && !a.stopping.Load()
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -56,11 +56,20 @@
 	a.metrics.SetGauge(metric.Waiting, int64(load.Waiting))
 	a.metrics.SetGauge(metric.ConcurrencyLimit, int64(load.Limit))
 	a.metrics.SetGauge(metric.UpstreamRateLimit, int64(load.Rate))
+	a.metrics.SetGauge(metric.Cold, asGauge(a.target.Cold(time.Now())))
 	a.metrics.SetGauge(metric.CrashingRequests, int64(a.crashes.Refused(time.Now())))
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
 }
 
+// asGauge returns 1 for true.
+func asGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func upstreamReport(u relay.Upstream) *report.Upstream {
 	return &report.Upstream{ID: u.ID, Service: u.Service, Addr: u.Addr, State: string(u.State), Slots: u.Slots}
 }
--- a/node/relay/attempt_error.go
+++ b/node/relay/attempt_error.go
@@ -23,6 +23,7 @@
 	reached      bool // the call was sent to an upstream, or may have been
 	feedback     *Feedback
 	again        bool // the same target may be tried again
+	cold         bool // the upstream is cold and receives no more calls at present
 }
 
 // rejectedError describes an attempt that was not sent, in a case in which a retry
@@ -92,6 +93,7 @@
 		refusal: reply.Refusal, outcome: retry.Rejected, result: picker.Refused, attemptsLeft: reply.AttemptsLeft, feedback: &reply.Feedback,
 		reached: reply.Reached || reply.Refusal.Executed == refuse.ExecutionUnknown,
 	}
+	fail.cold = reply.Refusal.Reason == refuse.NoUpstream && reply.Feedback.FullUS > 0 && !fail.reached
 	switch reply.Refusal.Reason {
 	case refuse.Overloaded:
 		fail.outcome = retry.Refused
--- a/node/relay/balance.go
+++ b/node/relay/balance.go
@@ -32,6 +32,7 @@
 	// retryLimits returns the retry ratio and the minimum number of retries of this
 	// node for each service.
 	retryLimits func() (ratio float64, minimum int)
+	limitsCold  func(service string) bool // reports whether calls to cold upstreams of a service are limited
 }
 
 // targetSet holds the targets of one service and its retry policy.
@@ -49,6 +50,7 @@
 		dir: dir, zone: zone, sets: map[string]*targetSet{}, statements: map[string]heardStatement{}, throttle: admit.NewThrottle(),
 		rng:         rand.New(rand.NewPCG(seed, seed)),
 		retryLimits: func() (float64, int) { return retry.DefaultRatio, retry.DefaultMinRetries },
+		limitsCold:  func(string) bool { return false },
 	}
 	for _, o := range opts {
 		o(b)
@@ -66,6 +68,12 @@
 	return func(b *Balancer) { b.retryLimits = f }
 }
 
+// WithColdLimit sets the function that reports whether calls to cold upstreams of a service are
+// limited. By default they are not.
+func WithColdLimit(f func(service string) bool) BalancerOption {
+	return func(b *Balancer) { b.limitsCold = f }
+}
+
 // Rank returns the rank of a root request, which is the request at the start of a
 // call chain. Under overload, a service refuses calls with a high rank first.
 func (b *Balancer) Rank(service, customer string, importance int, root string, now time.Time) uint32 {
@@ -134,9 +142,10 @@
 	for _, c := range list {
 		s.byID[c.ID] = c
 		b.learnLeaving(c, now)
-		targets = append(targets, picker.Target{ID: c.ID, Zone: c.Zone, Draining: c.State == Draining})
+		targets = append(targets, picker.Target{ID: c.ID, Zone: c.Zone, Draining: c.State == Draining, Cold: c.State == Cold && b.limitsCold(service)})
 	}
 	s.picker.Update(targets)
+	s.picker.ApplyCold(now)
 	b.throttle.SetLimited(service, s.picker.AllLimited())
 	return s
 }
@@ -181,6 +190,8 @@
 	}
 	f.RateLimited = set.Limited(id)
 	set.Done(now, id, r, &f.Feedback)
+	set.SetCold(now, id, f.Cold)
+	set.SetFull(id, now.Add(time.Duration(f.FullUS)*time.Microsecond))
 	b.throttle.RecordFeedback(now, req.Service, id, req.Call.Customer, f.Feedback)
 	if f.Draining {
 		set.Drain(id)
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -27,6 +27,10 @@
 // service are unusable, the others are likely to be unusable too.
 const maxTargets = 4
 
+// maxColdTargets limits the number of targets that return one call because their upstreams are cold.
+// Such a target tells until when it is full and isn't chosen before, so few calls meet more than one.
+const maxColdTargets = 64
+
 // Candidate is a target of a service as the membership of the fleet lists it.
 type Candidate struct {
 	ID          string // instance and incarnation
@@ -109,6 +113,7 @@
 	counted       bool            // the first attempt was counted
 	executed      refuse.Executed // whether any attempt so far may have been executed
 	lastRefusal   *refuse.Error
+	coldTried     int       // number of targets in tried that returned the call because their upstream is cold
 	errorResponse *Response // error response of an upstream, returned if no retry succeeds; may be nil
 }
 
@@ -207,6 +212,11 @@
 	}
 }
 
+// usualTried returns the number of targets that were tried, without those whose upstreams are cold.
+func (s *callState) usualTried() int {
+	return max(0, len(s.tried)-s.coldTried)
+}
+
 func (c *Caller) countAttempt(state *callState, now time.Time) {
 	c.metrics.Add(metric.Attempts, 1)
 	if !state.counted {
@@ -230,11 +240,14 @@
 		state.budget.ReturnToken()
 	}
 	state.recordRefusal(fail.refusal)
-	retries := len(state.tried)
+	if fail.cold {
+		state.coldTried++
+	}
+	retries := state.usualTried()
 	if !fail.again {
 		state.tried = append(state.tried, target.ID)
 	}
-	if !state.req.Body.available() || len(state.tried) >= maxTargets || fail.refusal.Reason == refuse.UpstreamFailed && fail.reached && c.isSuspect(state.req, now) {
+	if !state.req.Body.available() || state.usualTried() >= maxTargets || state.coldTried >= maxColdTargets || fail.refusal.Reason == refuse.UpstreamFailed && fail.reached && c.isSuspect(state.req, now) {
 		c.logAttempt(state, target, fail.refusal, false, now)
 		return false
 	}
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -39,6 +39,7 @@
 	StartedMS      int64             `json:"startedMs,omitempty"`  // start of the process as Unix time in milliseconds; 0 if unknown
 	TTLMS          int64             `json:"ttlMs,omitempty"`      // time to live of the announcement in milliseconds
 	Load           float64           `json:"load,omitempty"`       // hint: used fraction of its capacity, 0 to 1
+	ColdMS         int64             `json:"coldMs,omitempty"`     // time for which it stays cold in milliseconds; 0 if not cold or not known
 }
 
 // process returns the process that the upstream is.
@@ -48,7 +49,7 @@
 
 // precedes reports whether next describes a later process than u.
 func (u Upstream) precedes(next Upstream) bool {
-	coldAgain := u.State != Cold && next.State == Cold
+	coldAgain := u.ID == "" && u.State != Cold && next.State == Cold // one with an identifier may become cold at any moment
 	return u.Addr != next.Addr || !u.process().same(next.process()) || coldAgain
 }
 
@@ -65,6 +66,7 @@
 	attempts *attemptTable
 	crashes  *crashWatch
 	protocol Protocol
+	cold     coldGate
 
 	incarnation uint64
 
@@ -105,6 +107,7 @@
 		onState:  onState,
 		gate:     newGate(),
 		client:   newUpstreamClient(),
+		cold:     newColdGate(time.Now()),
 	}
 	for _, o := range opts {
 		o(t)
@@ -121,7 +124,7 @@
 }
 
 // Announce sets the local upstream. The announcement expires after its time to
-// live. An upstream that becomes cold again is treated like a new process.
+// live. An upstream without an identifier that becomes cold again is treated like a new process.
 func (t *Target) Announce(u Upstream, now time.Time) {
 	t.mu.Lock()
 	newProcess := t.isNewProcess(u)
@@ -132,7 +135,8 @@
 	t.statement.setProcess(u.process(), newProcess, u.State == Draining)
 	statement := t.statement.current()
 	t.gate.applyStatement(statement, now)
-	changed := t.upstream == nil || t.upstream.State != u.State || t.upstream.Service != u.Service || statement.Leaving != left
+	changedCold := t.cold.announce(u, newProcess, now)
+	changed := changedCold || t.upstream == nil || t.upstream.State != u.State || t.upstream.Service != u.Service || statement.Leaving != left
 	t.upstream, t.announced = &u, now
 	t.expires = now.Add(time.Duration(u.TTLMS) * time.Millisecond)
 	t.mu.Unlock()
@@ -188,6 +192,7 @@
 	if t.drainer.Draining() || t.statement.current().Leaving {
 		u.State = Draining
 	}
+	u.State = t.coldState(u, now)
 	return u, true
 }
 
@@ -291,6 +296,9 @@
 		return
 	}
 	up, refusal := t.checkCall(h, now)
+	if refusal == nil && t.refuseCold(a, h, t.coldWait(h.Service, now)) {
+		return
+	}
 	if refusal == nil {
 		refusal = t.gate.enter(a.ctx, h, now)
 	}
@@ -301,6 +309,10 @@
 		t.refuseCall(a, h, refusal, h.Call.Attempts)
 		return
 	}
+	if t.refuseCold(a, h, t.takeCold(h.Service, time.Now())) {
+		t.gate.cancel(time.Now())
+		return
+	}
 	defer func() {
 		ended := time.Now()
 		t.finish.Record(h.Route, ended.Sub(now), ended)
@@ -373,5 +385,6 @@
 func (t *Target) feedback(h *CallHead) Feedback {
 	now := time.Now()
 	f := t.balancer.MergeFeedback(h.Service, h.Call.Customer, t.gate.feedback(h.Call.Customer, now), now)
-	return Feedback{Feedback: f, Draining: t.drainer.Draining()}
+	cold, wait := t.coldFeedback(h.Service, now)
+	return Feedback{Feedback: f, Draining: t.drainer.Draining(), Cold: cold, FullUS: wait.Microseconds()}
 }
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -77,7 +77,9 @@
 // Feedback reports the load of a target to the calling side.
 type Feedback struct {
 	admit.Feedback
-	Draining bool `msgpack:"draining"`
+	Draining bool  `msgpack:"draining"`
+	Cold     bool  `msgpack:"cold"`   // the upstream is cold or may be, and its calls are limited
+	FullUS   int64 `msgpack:"fullUs"` // microseconds until a cold upstream takes another call
 }
 
 // deadline returns the deadline on the local clock: Remaining after now.
