core/budget: decides which callers give way when the memory for callers is full

Cause: no component decides which connection is closed when all connections together hold too much.

Change: Pool counts the bytes of all connections. When more than 7/8 are in use, connections that hold memory without progress (4 KiB count as progress, so a byte a second doesn't) are evicted, the longest first, then idle ones, and then the largest of the customer that holds most. Nothing uses it yet.

--- /dev/null
+++ b/core/budget/pool.go
@@ -0,0 +1,275 @@
+package budget
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// ProgressBytes is the number of bytes that count as progress. Fewer don't, so that a
+	// caller can't keep its memory by sending a byte a second.
+	ProgressBytes = 4 << 10
+	// StallTime is the time without progress after which a connection gives way.
+	StallTime = time.Second
+	// SmallBytes is what a connection may hold, beyond its own cost, while it makes progress
+	// without giving way to others. It is the largest head that the settings permit.
+	SmallBytes = 64 << 10
+
+	// A pool evicts accounts once more than highNumerator of 8 parts are in use, until at most
+	// lowNumerator of 8 parts are. The part above is left to new connections and ordinary heads.
+	highNumerator = 7
+	lowNumerator  = 6
+	parts         = 8
+)
+
+// Pool is a number of bytes that is shared by accounts. It is safe for concurrent use.
+type Pool struct {
+	limit       int64
+	maxAccounts int
+
+	mu       sync.Mutex
+	accounts map[*Account]struct{}
+	held     int64 // bytes of all accounts
+	leaving  int64 // of these, bytes of evicted accounts
+	gone     int   // number of evicted accounts
+	stats    Stats
+}
+
+// Stats counts what a pool did. Bytes and Accounts are current, the other fields grow.
+type Stats struct {
+	Bytes    int64 // in use
+	Accounts int   // open
+	Evicted  int64 // accounts that had to give way
+	Refused  int64 // requests for bytes that were refused
+}
+
+// Account is the part of a pool that one connection uses. All methods do nothing and permit
+// everything on a nil Account. It is safe for concurrent use.
+type Account struct {
+	pool  *Pool
+	base  int64
+	evict func()
+
+	// The fields below are guarded by Pool.mu.
+	held     int64 // includes base
+	customer string
+	received int64     // bytes since the last progress
+	progress time.Time // of the last progress
+	evicted  bool
+	closed   bool
+}
+
+// New returns a pool of limit bytes for at most maxAccounts accounts; 0 means no limit of accounts.
+func New(limit int64, maxAccounts int) *Pool {
+	return &Pool{limit: limit, maxAccounts: maxAccounts, accounts: map[*Account]struct{}{}}
+}
+
+// Limit returns the size of the pool in bytes.
+func (p *Pool) Limit() int64 { return p.limit }
+
+// Stats returns the counts of the pool.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Bytes, s.Accounts = p.held, len(p.accounts)
+	return s
+}
+
+// Open returns an account that holds base bytes, or false if the pool has no room for it. The
+// function evict is called at most once, without a lock, when the account has to give way; the
+// owner must then close it soon.
+func (p *Pool) Open(base int64, evict func(), now time.Time) (*Account, bool) {
+	a := &Account{pool: p, base: base, held: base, evict: evict, progress: now}
+	p.mu.Lock()
+	victims := p.makeRoom(base, 1, nil, now)
+	ok := p.held+base <= p.limit && (p.maxAccounts == 0 || len(p.accounts) < p.maxAccounts)
+	if ok {
+		p.accounts[a] = struct{}{}
+		p.held += base
+	} else {
+		p.stats.Refused++
+	}
+	p.mu.Unlock()
+	evictAll(victims)
+	return a, ok
+}
+
+// Grow takes n more bytes and reports whether the pool had room for them below its reserve.
+func (a *Account) Grow(n int64, now time.Time) bool {
+	if a == nil || n <= 0 {
+		return true
+	}
+	p := a.pool
+	p.mu.Lock()
+	victims := p.makeRoom(n, 0, a, now)
+	ok := !a.closed && !a.evicted && p.held+n <= p.high()
+	if ok {
+		a.held += n
+		p.held += n
+	} else {
+		p.stats.Refused++
+	}
+	p.mu.Unlock()
+	evictAll(victims)
+	return ok
+}
+
+// Shrink returns n bytes that Grow took.
+func (a *Account) Shrink(n int64) {
+	if a == nil || n <= 0 {
+		return
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if !a.closed {
+		a.release(n)
+	}
+}
+
+// release returns n bytes. The caller holds Pool.mu.
+func (a *Account) release(n int64) {
+	a.held -= n
+	a.pool.held -= n
+	if a.evicted {
+		a.pool.leaving -= n
+	}
+}
+
+// Receive records that n bytes were received.
+func (a *Account) Receive(n int, now time.Time) {
+	if a == nil {
+		return
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if a.received += int64(n); a.received >= ProgressBytes {
+		a.received, a.progress = 0, now
+	}
+}
+
+// Progress records that a request began or ended.
+func (a *Account) Progress(now time.Time) {
+	if a == nil {
+		return
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	a.received, a.progress = 0, now
+}
+
+// SetCustomer sets the customer for which the account holds its bytes.
+func (a *Account) SetCustomer(name string) {
+	if a == nil {
+		return
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	a.customer = name
+}
+
+// Close returns all bytes of the account.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	p := a.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.release(a.held)
+	if a.evicted {
+		p.gone--
+	}
+	a.closed = true
+	delete(p.accounts, a)
+}
+
+func (p *Pool) high() int64 { return p.limit / parts * highNumerator }
+
+// makeRoom returns the accounts that give way if n more bytes and the given number of accounts
+// don't fit below the reserve. They are marked as evicted. The caller holds mu.
+func (p *Pool) makeRoom(n int64, accounts int, requester *Account, now time.Time) (victims []*Account) {
+	full := p.maxAccounts > 0 && len(p.accounts)-p.gone+accounts > p.maxAccounts
+	if p.held-p.leaving+n <= p.high() && !full {
+		return nil
+	}
+	open := len(p.accounts) - p.gone
+	if full {
+		open -= max(1, p.maxAccounts/parts)
+	}
+	low := p.limit / parts * lowNumerator
+	for _, a := range p.stalled(requester, now) {
+		if p.held-p.leaving+n <= low && len(p.accounts)-p.gone <= open {
+			break
+		}
+		victims = append(victims, p.mark(a))
+	}
+	for p.held-p.leaving+n > p.high() {
+		a := p.largest(requester)
+		if a == nil {
+			break
+		}
+		victims = append(victims, p.mark(a))
+	}
+	return victims
+}
+
+// mark marks an account as evicted. The caller holds mu.
+func (p *Pool) mark(a *Account) *Account {
+	a.evicted = true
+	p.leaving += a.held
+	p.gone++
+	p.stats.Evicted++
+	return a
+}
+
+// stalled returns the accounts without recent progress: those that hold memory, the longest
+// without progress first, and then the idle ones in the same order. The caller holds mu.
+func (p *Pool) stalled(requester *Account, now time.Time) []*Account {
+	var out []*Account
+	for a := range p.accounts {
+		if !a.evicted && a != requester && now.Sub(a.progress) >= StallTime {
+			out = append(out, a)
+		}
+	}
+	isIdle := func(a *Account) int {
+		if a.held > a.base {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(out, func(a, b *Account) int { return cmp.Or(isIdle(a)-isIdle(b), a.progress.Compare(b.progress)) })
+	return out
+}
+
+// largest returns the account that holds most of the customer that holds most, among the
+// accounts that hold more than SmallBytes. It returns nil if there is none. The caller holds mu.
+func (p *Pool) largest(requester *Account) *Account {
+	byCustomer := map[string]int64{}
+	for a := range p.accounts {
+		if !a.evicted {
+			byCustomer[a.customer] += a.held
+		}
+	}
+	var most *Account
+	for a := range p.accounts {
+		if a.evicted || a == requester || a.held <= a.base+SmallBytes {
+			continue
+		}
+		if most == nil || cmp.Or(cmp.Compare(byCustomer[a.customer], byCustomer[most.customer]), cmp.Compare(a.held, most.held)) > 0 {
+			most = a
+		}
+	}
+	return most
+}
+
+func evictAll(victims []*Account) {
+	for _, a := range victims {
+		a.evict()
+	}
+}
