entry, conns, relay: what callers occupy is taken from one pool of memory

Cause: bodies up to 1 MiB were buffered without a common bound, heads and connections were not counted, and the kernel's receive buffers of connections that are not read grow up to megabytes.

Connections without progress give way; their requests get 503 if not dispatched. A body that finds no room is streamed. The receive buffer is 32 KiB (the kernel doubles it). With an idempotency key a body that can't be buffered is refused, since its digest belongs to the key. Log line each second, gauges callerBytes, callerConnections, memoryEvicted, memoryRefused.

--- a/core/budget/pool.go
+++ b/core/budget/pool.go
@@ -22,6 +22,10 @@
 	highNumerator = 7
 	lowNumerator  = 6
 	parts         = 8
+
+	// scanInterval is the least time between two searches for accounts that give way after one
+	// that found none. Each search visits all accounts.
+	scanInterval = 20 * time.Millisecond
 )
 
 // Pool is a number of bytes that is shared by accounts. It is safe for concurrent use.
@@ -31,9 +35,10 @@
 
 	mu       sync.Mutex
 	accounts map[*Account]struct{}
-	held     int64 // bytes of all accounts
-	leaving  int64 // of these, bytes of evicted accounts
-	gone     int   // number of evicted accounts
+	held     int64     // bytes of all accounts
+	leaving  int64     // of these, bytes of evicted accounts
+	gone     int       // number of evicted accounts
+	scanned  time.Time // of the last search that found no account to evict; zero after a success
 	stats    Stats
 }
 
@@ -55,6 +60,7 @@
 	// The fields below are guarded by Pool.mu.
 	held     int64 // includes base
 	customer string
+	pins     int       // requests that wait for this process and not for the caller
 	received int64     // bytes since the last progress
 	progress time.Time // of the last progress
 	evicted  bool
@@ -160,6 +166,34 @@
 	a.received, a.progress = 0, now
 }
 
+// Pin records that the caller has sent all of a request, so that the account doesn't give way
+// until Unpin is called.
+func (a *Account) Pin() { a.pin(1) }
+
+// Unpin undoes Pin.
+func (a *Account) Unpin() { a.pin(-1) }
+
+func (a *Account) pin(n int) {
+	if a == nil {
+		return
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	a.pins += n
+}
+
+// Take takes n more bytes even if the pool has no room for them.
+func (a *Account) Take(n int64) {
+	if a == nil || n <= 0 {
+		return
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	if !a.closed {
+		a.release(-n)
+	}
+}
+
 // SetCustomer sets the customer for which the account holds its bytes.
 func (a *Account) SetCustomer(name string) {
 	if a == nil {
@@ -198,6 +232,9 @@
 	if p.held-p.leaving+n <= p.high() && !full {
 		return nil
 	}
+	if now.Sub(p.scanned) < scanInterval && now.After(p.scanned) {
+		return nil
+	}
 	open := len(p.accounts) - p.gone
 	if full {
 		open -= max(1, p.maxAccounts/parts)
@@ -216,6 +253,9 @@
 		}
 		victims = append(victims, p.mark(a))
 	}
+	if len(victims) == 0 {
+		p.scanned = now
+	}
 	return victims
 }
 
@@ -233,7 +273,7 @@
 func (p *Pool) stalled(requester *Account, now time.Time) []*Account {
 	var out []*Account
 	for a := range p.accounts {
-		if !a.evicted && a != requester && now.Sub(a.progress) >= StallTime {
+		if !a.evicted && a.pins == 0 && a != requester && now.Sub(a.progress) >= StallTime {
 			out = append(out, a)
 		}
 	}
@@ -258,7 +298,7 @@
 	}
 	var most *Account
 	for a := range p.accounts {
-		if a.evicted || a == requester || a.held <= a.base+SmallBytes {
+		if a.evicted || a.pins > 0 || a == requester || a.held <= a.base+SmallBytes {
 			continue
 		}
 		if most == nil || cmp.Or(cmp.Compare(byCustomer[a.customer], byCustomer[most.customer]), cmp.Compare(a.held, most.held)) > 0 {
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -40,6 +40,10 @@
 	InFlight          = "inFlight"          // gauge: calls running at the local upstream
 	UpstreamRateLimit = "upstreamRateLimit" // gauge: calls per second that the local upstream accepts; 0 without a limit
 	Waiting           = "waiting"           // gauge: calls queued for the local upstream
+	CallerBytes       = "callerBytes"       // gauge: bytes of memory that callers and links occupy
+	CallerConnections = "callerConnections" // gauge: open connections that count towards callerBytes
+	MemoryEvicted     = "memoryEvicted"     // gauge: connections closed since the start to free memory
+	MemoryRefused     = "memoryRefused"     // gauge: connections, heads and bodies refused since the start for lack of memory
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
 
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 
+	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/epoch"
@@ -51,6 +52,7 @@
 	caller  *relay.Caller
 	fleet   *fleet
 	links   *links
+	memory  *budget.Pool // of what callers and links occupy
 	peers   *peerServer
 
 	entry     *entry.Server
@@ -123,6 +125,7 @@
 		store:       store.New(),
 		calls:       chain.NewTable(),
 		burnCounts:  newBurnRecorder(),
+		memory:      newMemoryPool(cfg.Limits),
 		logLimiter:  lines.NewLimiter(cfg.Logging.LinesPerSecond),
 		sources:     sources{Sources: config.NewSources(cfg.Instance.Name)},
 
@@ -207,7 +210,7 @@
 	}
 	a.peers = newPeerServer(a, auth)
 	a.entry = entry.New(a.store, a.entryDependencies(), a.metrics, a.cfg.Limits, a.entryOptions()...)
-	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes, local.WithLogger(a.log))
+	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes, local.WithLogger(a.log), local.WithPool(a.memory))
 	a.ops = opsapi.New(a.Status, a.BurnCounts, a.Metrics)
 	return nil
 }
@@ -229,7 +232,7 @@
 //	├── claims: flush, follow, watch
 //	├── target: poll
 //	├── crashes: spread, sync
-//	├── log: note, load
+//	├── log: note, load, memory
 //	└── settings: follow
 func (a *Agent) start() {
 	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(a.onTaskError))
@@ -268,6 +271,7 @@
 	logs := a.tree.NewSubtree("log")
 	logs.Start("note", a.logChanges)
 	logs.Start("load", a.logLoad)
+	logs.Start("memory", a.logMemory)
 	if a.settingsSource != nil {
 		a.tree.NewSubtree("settings").Start("follow", a.followSettings)
 	}
--- a/node/agent/connlimit.go
+++ b/node/agent/connlimit.go
@@ -73,6 +73,14 @@
 	return c.Conn.Close()
 }
 
+// SetReadBuffer sets the size of the receive buffer of the kernel.
+func (c *limitedConn) SetReadBuffer(bytes int) error {
+	if b, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		return b.SetReadBuffer(bytes)
+	}
+	return nil
+}
+
 // CloseWrite ends the sending direction, so that net/http can do so before it closes a
 // connection on which the caller still sends.
 func (c *limitedConn) CloseWrite() error {
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -246,7 +246,7 @@
 }
 
 func (a *Agent) entryOptions() []entry.Option {
-	opts := []entry.Option{entry.WithLogger(a.log, a.logLimiter, a.abortLogLimiter)}
+	opts := []entry.Option{entry.WithLogger(a.log, a.logLimiter, a.abortLogLimiter), entry.WithPool(a.memory)}
 	if a.platform == nil {
 		return opts
 	}
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -57,6 +57,7 @@
 	a.metrics.SetGauge(metric.ConcurrencyLimit, int64(load.Limit))
 	a.metrics.SetGauge(metric.UpstreamRateLimit, int64(load.Rate))
 	a.metrics.SetGauge(metric.CrashingRequests, int64(a.crashes.Refused(time.Now())))
+	a.setMemoryGauges()
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
 }
--- a/node/conns/arrival.go
+++ b/node/conns/arrival.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 )
 
@@ -42,8 +41,7 @@
 // Arrival returns when a request of a server arrived, from its context. It is now unless the
 // request waited for the response to an earlier one on its connection.
 func Arrival(ctx context.Context, now time.Time) time.Time {
-	conn, _ := ctx.Value(connKey{}).(net.Conn)
-	c := unwrap(conn)
+	c := connOf(ctx)
 	if c == nil {
 		return now
 	}
--- a/node/conns/conn.go
+++ b/node/conns/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/super"
 )
 
@@ -30,28 +31,35 @@
 type listener struct {
 	net.Listener
 	draining *atomic.Int64
+	pool     *budget.Pool // nil for no limit
 	log      hclog.Logger
 }
 
 // Wrap returns a listener that the server needs to end its connections in order. Serve wraps
 // listeners itself; if a listener adds TLS, the one below it must be wrapped.
 func (s *Server) Wrap(ln net.Listener) net.Listener {
-	return &listener{Listener: ln, draining: &s.draining, log: s.log}
+	return &listener{Listener: ln, draining: &s.draining, pool: s.pool, log: s.log}
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if unwrap(c) != nil {
+			return c, nil
+		}
+		if _, ok := c.(*tls.Conn); ok {
+			return c, nil // net/http needs its type
+		}
+		w := &conn{Conn: c, draining: l.draining, log: l.log}
+		if w.openAccount(l.pool, time.Now()) {
+			return w, nil
+		}
+		_ = c.Close()
 	}
-	if unwrap(c) != nil {
-		return c, nil
-	}
-	if _, ok := c.(*tls.Conn); ok {
-		return c, nil // net/http needs its type
-	}
-	return &conn{Conn: c, draining: l.draining, log: l.log}, nil
 }
 
 // conn is a connection of a listener.
@@ -60,6 +68,7 @@
 	draining *atomic.Int64
 	log      hclog.Logger
 	once     sync.Once
+	account  *budget.Account // nil for no limit
 
 	mu       sync.Mutex
 	reading  bool      // Read was called and has not returned
@@ -68,6 +77,7 @@
 	deadline time.Time // for reads
 	last     bool      // the response that is being sent is the last one
 	arrivals arrivals
+	memory   connMemory
 }
 
 // unwrap returns the connection of a listener below c, or nil if there is none.
@@ -87,9 +97,13 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isEnded() {
 		n, err = c.readArrived(p)
 	}
+	room := c.countReceived(n, time.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
+	if !room {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoMemory}
+	}
 	switch {
 	case n > 0:
 		c.received = true
@@ -155,6 +169,8 @@
 	defer c.mu.Unlock()
 	c.received = false
 	c.arrivals.becomeIdle()
+	c.releaseHead()
+	c.account.Progress(time.Now())
 }
 
 // beginRequest records that a request is handled.
@@ -162,6 +178,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.arrivals.begin(hasBody)
+	c.account.Progress(time.Now())
 }
 
 // endReading ends the reading of an idle connection, unless data was received since it became
@@ -212,7 +229,7 @@
 // closed once the caller has closed it or drainTimeout has passed.
 func (c *conn) Close() error {
 	if !c.isLast() || c.CloseWrite() != nil {
-		return c.Conn.Close()
+		return c.closeNow()
 	}
 	c.once.Do(func() {
 		c.draining.Add(1)
@@ -225,7 +242,7 @@
 
 func (c *conn) drain() {
 	defer c.draining.Add(-1)
-	defer func() { _ = c.Conn.Close() }()
+	defer func() { _ = c.closeNow() }()
 	if c.Conn.SetReadDeadline(time.Now().Add(drainTimeout)) == nil {
 		_, _ = io.CopyN(io.Discard, c.Conn, maxDrainBytes)
 	}
--- /dev/null
+++ b/node/conns/memory.go
@@ -0,0 +1,165 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"dogwoodsill.org/core/budget"
+)
+
+const (
+	// connBytes is what an open connection costs: its goroutine, the read and the write buffer of
+	// net/http and the first freeHeadBytes of a head.
+	connBytes     = 12 << 10
+	freeHeadBytes = 4 << 10
+	// headFactor is the number of bytes in use for each byte of a head: the parsed fields and
+	// the buffers from which they were read.
+	headFactor = 2
+	// http2Bytes is what an HTTP/2 connection costs beyond that: one header block that is being
+	// read, frames and the tables of the header compression.
+	http2Bytes = 64 << 10
+	// receiveBufferBytes is the receive buffer that is requested from the kernel for a connection.
+	// Data that the process has not read counts towards its memory. The buffer, which the
+	// kernel doubles, allows 20 MB/s at a round-trip time of 3 ms.
+	receiveBufferBytes = 32 << 10
+)
+
+// errNoMemory is the error of a connection whose head finds no room in the memory for callers.
+var errNoMemory = errors.New("conns: the memory for callers is in use")
+
+// connMemory is what a connection occupies. conn.mu guards it.
+type connMemory struct {
+	head    int64  // bytes received of the head of the next or current request
+	charged int64  // bytes taken from the pool for the head
+	http2   bool   // heads are not counted
+	abort   func() // ends the request that is being handled; nil if there is none
+}
+
+// openAccount opens the account of the connection. It returns false if there is no room for it.
+func (c *conn) openAccount(p *budget.Pool, now time.Time) bool {
+	if p == nil {
+		return true
+	}
+	if b, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		if err := b.SetReadBuffer(receiveBufferBytes); err != nil {
+			c.log.Debug("the receive buffer of a connection is not limited", "remote", c.RemoteAddr(), "error", err)
+		}
+	}
+	account, ok := p.Open(connBytes, c.giveWay, now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.account = account
+	return ok
+}
+
+// giveWay ends what the connection does, so that its memory is free for others. A request that
+// is being handled is ended by its handler, which responds.
+func (c *conn) giveWay() {
+	c.mu.Lock()
+	abort, idle := c.memory.abort, !c.received && !c.arrivals.running && !c.memory.http2
+	c.mu.Unlock()
+	switch {
+	case abort != nil:
+		abort()
+	case idle:
+		c.endReading(time.Now())
+	default:
+		_ = c.closeNow()
+	}
+}
+
+// countReceived counts received bytes. It returns false if the head finds no room.
+func (c *conn) countReceived(n int, now time.Time) bool {
+	if n == 0 || c.account == nil {
+		return true
+	}
+	c.account.Receive(n, now)
+	// The account is used without mu: making room may lock another connection.
+	need := c.headNeed(n)
+	if !c.account.Grow(need, now) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.charged += need
+	return true
+}
+
+// headNeed returns the memory that n more received bytes need as part of a head.
+func (c *conn) headNeed(n int) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.arrivals.running || c.memory.http2 {
+		return 0 // part of a body, or read ahead into the buffer of net/http
+	}
+	c.memory.head += int64(n)
+	return max(0, headFactor*(c.memory.head-freeHeadBytes)-c.memory.charged)
+}
+
+// releaseHead returns what was taken for a head. The caller holds mu.
+func (c *conn) releaseHead() {
+	c.account.Shrink(c.memory.charged)
+	c.memory.head, c.memory.charged = 0, 0
+}
+
+// beginHTTP2 records that the connection uses HTTP/2. It returns false if there is no room.
+func (c *conn) beginHTTP2(now time.Time) bool {
+	if c.becomeHTTP2() {
+		return c.account.Grow(http2Bytes, now)
+	}
+	return true
+}
+
+// becomeHTTP2 reports whether the connection was not known to use HTTP/2.
+func (c *conn) becomeHTTP2() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.memory.http2 {
+		return false
+	}
+	c.releaseHead()
+	c.memory.http2 = true
+	return true
+}
+
+// closeNow closes the connection and its account.
+func (c *conn) closeNow() error {
+	err := c.Conn.Close()
+	c.account.Close()
+	return err
+}
+
+// Account returns the account of the connection of a request, from its context. It is nil if the
+// memory of callers is not limited.
+func Account(ctx context.Context) *budget.Account {
+	if c := connOf(ctx); c != nil {
+		return c.account
+	}
+	return nil
+}
+
+// OnEvict sets the function that ends a request of an HTTP/1 connection when the connection has
+// to give way. The returned function removes it.
+func OnEvict(ctx context.Context, abort func()) (remove func()) {
+	c := connOf(ctx)
+	if c == nil {
+		return func() {}
+	}
+	c.setAbort(abort)
+	return func() { c.setAbort(nil) }
+}
+
+func (c *conn) setAbort(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.memory.http2 {
+		c.memory.abort = f
+	}
+}
+
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return unwrap(c)
+}
--- a/node/conns/server.go
+++ b/node/conns/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/super"
 )
@@ -21,6 +22,7 @@
 type Server struct {
 	*Tracker
 	http *http.Server
+	pool *budget.Pool // of the memory of connections; nil for no limit
 	log  hclog.Logger
 
 	draining atomic.Int64 // number of connections that are read after their last response
@@ -30,10 +32,21 @@
 	serveEnded chan struct{} // closed when Serve returns
 }
 
+// Option configures a Server.
+type Option func(*Server)
+
+// WithPool bounds the memory of the connections by a pool, which other servers may share.
+func WithPool(p *budget.Pool) Option {
+	return func(s *Server) { s.pool = p }
+}
+
 // NewServer returns a server that handles requests as h does. It takes over the handler and the
 // callbacks of h.
-func NewServer(h *http.Server, m *metric.Set, log hclog.Logger) *Server {
+func NewServer(h *http.Server, m *metric.Set, log hclog.Logger, opts ...Option) *Server {
 	s := &Server{Tracker: newTracker(m), http: h, log: log}
+	for _, o := range opts {
+		o(s)
+	}
 	h.Handler, h.DisableGeneralOptionsHandler = s.handle(s.answerServerOptions(h.Handler)), true
 	h.ConnContext, h.ConnState = s.withConn, s.track
 	return s
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -177,7 +177,12 @@
 	}
 	cc.requests++
 	cc.used, cc.http2 = true, http2
-	if cc.conn != nil && !http2 {
+	switch {
+	case cc.conn == nil:
+	case http2 && !cc.conn.beginHTTP2(time.Now()):
+		cc.requests--
+		return false
+	case !http2:
 		cc.conn.beginRequest(hasBody)
 	}
 	return true
--- a/node/entry/body.go
+++ b/node/entry/body.go
@@ -23,6 +23,7 @@
 type callerBody struct {
 	r       io.Reader
 	req     *activeRequest
+	memory  *requestMemory
 	rc      *http.ResponseController
 	timeout time.Duration
 
@@ -35,12 +36,13 @@
 }
 
 // newBody returns the body of a request.
-func (s *Server) newBody(ctx context.Context, w http.ResponseWriter, r *http.Request) *callerBody {
+func (s *Server) newBody(ctx context.Context, w http.ResponseWriter, r *http.Request, m *requestMemory) *callerBody {
 	req, _ := ctx.Value(activeRequestKey{}).(*activeRequest)
-	b := &callerBody{req: req, rc: http.NewResponseController(w), timeout: s.limits.ProgressTimeout.D(), left: r.ContentLength}
+	b := &callerBody{req: req, memory: m, rc: http.NewResponseController(w), timeout: s.limits.ProgressTimeout.D(), left: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.complete = true
 		req.markBodyComplete()
+		m.pin()
 		b.r = http.NoBody
 		return b
 	}
@@ -84,6 +86,7 @@
 	if errors.Is(err, io.EOF) || b.left == 0 {
 		b.complete = true
 		b.req.markBodyComplete()
+		b.memory.pin()
 	}
 	if !b.released {
 		_ = b.rc.SetReadDeadline(time.Time{})
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -47,6 +47,7 @@
 	// callerRetry says that the caller was probably refused before and repeats
 	// the request.
 	callerRetry bool
+	memory      *requestMemory
 	body        *callerBody // nil until the request is admitted
 	// parent is the request on whose behalf the local upstream makes this one;
 	// nil for a request of a caller.
@@ -63,9 +64,13 @@
 	if e := q.server.checkSize(q.r); e != nil {
 		return q.withUnknownExecutionIfKeyed(e)
 	}
+	if e := q.takeMemory(); e != nil {
+		return q.withUnknownExecutionIfKeyed(e)
+	}
 	if e := q.resolve(cur); e != nil {
 		return e
 	}
+	q.memory.account.SetCustomer(q.id.customer)
 	parent := q.findParent()
 	if parent == nil && q.server.IsRefusing() {
 		return q.withUnknownExecutionIfKeyed(refuse.New(refuse.NotReady, "the node shuts down").WithRetryAfter(time.Second))
@@ -78,6 +83,7 @@
 	}
 	ctx, done := q.server.active.begin(q.r.Context(), q.id.keyID)
 	defer done()
+	defer q.endOnEviction(ctx)()
 	release, e := q.admit(ctx)
 	if e != nil {
 		return q.withUnknownExecutionIfKeyed(q.refineRefusal(ctx, e))
@@ -98,6 +104,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errRevoked):
 		return refuse.New(refuse.KeyRevoked, "the key was revoked while the request was running").WithExecuted(e.Executed)
+	case errors.Is(cause, errEvicted):
+		return memoryRefusal().WithExecuted(e.Executed)
 	case errors.Is(cause, errStopped):
 		return refuse.New(refuse.NotReady, "the node stopped before the answer").WithExecuted(e.Executed).WithRetryAfter(minRestartDelay)
 	default:
@@ -349,13 +357,19 @@
 // send dispatches the admitted request and writes the response.
 func (q *request) send(ctx context.Context) *refuse.Error {
 	s := q.server
-	q.body = s.newBody(ctx, q.w, q.r)
+	if e := q.takeStreamMemory(); e != nil {
+		return q.withUnknownExecutionIfKeyed(e)
+	}
+	q.body = s.newBody(ctx, q.w, q.r, q.memory)
 	stop := context.AfterFunc(ctx, q.body.interrupt)
-	body, err := relay.NewBody(q.body, q.r.ContentLength, q.trailer)
+	body, err := relay.NewBody(q.body, q.r.ContentLength, q.trailer, relay.WithReserve(q.memory.reserve))
 	stop()
 	if err != nil {
 		return q.withUnknownExecutionIfKeyed(bodyError(ctx, err))
 	}
+	if e := q.checkFingerprint(body); e != nil {
+		return e
+	}
 	resp, _, e := Dispatch(ctx, s.sender, s.claimer, q.route.Route, q.outbound(body))
 	if e != nil {
 		return q.refineRefusal(ctx, e)
@@ -413,6 +427,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errRevoked):
 		return refuse.New(refuse.KeyRevoked, "the key was revoked while the body arrived")
+	case errors.Is(context.Cause(ctx), errEvicted):
+		return memoryRefusal()
 	case errors.Is(context.Cause(ctx), errStopped):
 		return refuse.New(refuse.NotReady, "the node stopped while the body arrived").WithRetryAfter(minRestartDelay)
 	case errors.As(err, &tooLarge):
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
+	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/finish"
@@ -104,6 +105,7 @@
 	protocol      Protocol
 	origin        string // service of the local instance
 	parents       *chain.Table
+	pool          *budget.Pool // of the memory of callers; nil for no limit
 	log           hclog.Logger
 	refusalLines  *lines.Limiter // limits log lines about refused requests
 	abortLines    *lines.Limiter // limits log lines about requests without a complete answer
@@ -175,7 +177,8 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout.D(),
 		IdleTimeout:       limits.IdleTimeout.D(),
-	}, m, s.log)
+		HTTP2:             http2Config(),
+	}, m, s.log, conns.WithPool(s.pool))
 	return s
 }
 
@@ -219,7 +222,8 @@
 func (s *Server) serve(c echo.Context) error {
 	w, r := c.Response(), c.Request()
 	started := time.Now()
-	q := &request{server: s, w: w, r: r, now: started}
+	q := &request{server: s, w: w, r: r, now: started, memory: newRequestMemory(r)}
+	defer q.memory.release()
 	outcome := q.abortedOutcome // counted if handle panics, as abort does
 	defer q.endBody()
 	defer func() { q.count(outcome(), time.Since(started)) }()
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
+	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/chain"
 	"dogwoodsill.org/core/finish"
 	"dogwoodsill.org/core/metric"
@@ -48,6 +49,7 @@
 	metrics *metric.Set
 	log     hclog.Logger
 	finish  finish.Gate
+	pool    *budget.Pool    // of the memory of callers; nil for no limit
 	ctx     context.Context // ends with errStopped
 	stop    context.CancelCauseFunc
 }
@@ -62,6 +64,11 @@
 	return func(s *Server) { s.log = l }
 }
 
+// WithPool bounds the memory of connections by a pool, which other servers may share.
+func WithPool(p *budget.Pool) Option {
+	return func(s *Server) { s.pool = p }
+}
+
 // New returns a server that is not listening yet.
 func New(st *store.Store, calls *chain.Table, target *relay.Target, caller *relay.Caller, claimer entry.Claimer, m *metric.Set, headerBytes int, opts ...Option) *Server {
 	ctx, stop := context.WithCancelCause(context.Background())
@@ -74,7 +81,7 @@
 	e.POST(AnnouncePath, s.announce)
 	e.DELETE(AnnouncePath, s.withdraw)
 	e.Any("/*", s.call)
-	s.Server = conns.NewServer(&http.Server{Handler: e, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: 5 * time.Second}, m, s.log)
+	s.Server = conns.NewServer(&http.Server{Handler: e, MaxHeaderBytes: headerBytes, ReadHeaderTimeout: 5 * time.Second}, m, s.log, conns.WithPool(s.pool))
 	return s
 }
 
--- a/node/relay/body.go
+++ b/node/relay/body.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -29,38 +30,89 @@
 // Body is the body of a request and its trailer.
 type Body struct {
 	r        io.Reader
-	data     []byte
-	buffered bool // data is the complete body
+	blocks   [][]byte
+	buffered bool // blocks are the complete body
 	consumed bool
 	trailer  func() http.Header
 }
 
+// bodyBlockBytes is the size of the blocks of a buffered body. A body that doesn't arrive
+// occupies no more than one block.
+const bodyBlockBytes = 32 << 10
+
+// BodyOption configures NewBody.
+type BodyOption func(*bodyOptions)
+
+type bodyOptions struct {
+	reserve func(n int64) bool
+}
+
+// WithReserve sets a function that is called before n bytes of memory are used for the body. If
+// it returns false, the rest of the body is not buffered.
+func WithReserve(reserve func(n int64) bool) BodyOption {
+	return func(o *bodyOptions) { o.reserve = reserve }
+}
+
+// IsBuffered reports whether NewBody buffers a body of n bytes if there is memory for it.
+func IsBuffered(n int64) bool { return n >= 0 && n <= maxBufferedRequest }
+
 // NewBody returns the body of a request with n bytes; n is -1 if the length is
 // unknown. The function trailer is called after the end of the body and may be
 // nil. If the length is known and at most maxBufferedRequest, NewBody reads the
 // whole body, so that it can be sent more than once.
-func NewBody(r io.Reader, n int64, trailer func() http.Header) (*Body, error) {
+func NewBody(r io.Reader, n int64, trailer func() http.Header, opts ...BodyOption) (*Body, error) {
 	b := &Body{r: r, trailer: trailer}
-	if n < 0 || n > maxBufferedRequest {
+	if !IsBuffered(n) {
 		return b, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(r, n))
-	if err == nil && int64(len(data)) < n {
-		err = io.ErrUnexpectedEOF
+	o := bodyOptions{reserve: func(int64) bool { return true }}
+	for _, f := range opts {
+		f(&o)
+	}
+	for left := n; left > 0; {
+		size := min(left, bodyBlockBytes)
+		if !o.reserve(size) {
+			b.r = io.MultiReader(b.read(), r)
+			b.blocks = nil
+			return b, nil
+		}
+		block := make([]byte, size)
+		if _, err := io.ReadFull(r, block); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return b, err
+		}
+		b.blocks = append(b.blocks, block)
+		left -= size
 	}
-	b.data = data
 	b.buffered = true
-	return b, err
+	return b, nil
+}
+
+// Buffered reports whether the whole body is buffered, so that it can be sent more than once.
+func (b *Body) Buffered() bool { return b.buffered }
+
+// read returns a reader of the buffered blocks.
+func (b *Body) read() io.Reader {
+	if len(b.blocks) == 1 {
+		return bytes.NewReader(b.blocks[0])
+	}
+	readers := make([]io.Reader, len(b.blocks))
+	for i, block := range b.blocks {
+		readers[i] = bytes.NewReader(block)
+	}
+	return io.MultiReader(readers...)
 }
 
 // open returns a reader of the body for one attempt, or false if the body was
 // consumed by an earlier attempt and is not buffered.
 func (b *Body) open() (io.Reader, bool) {
-	if b.buffered && len(b.data) == 0 {
+	if b.buffered && len(b.blocks) == 0 {
 		return http.NoBody, true
 	}
 	if b.buffered {
-		return bytes.NewReader(b.data), true
+		return b.read(), true
 	}
 	if b.consumed {
 		return nil, false
@@ -75,7 +127,9 @@
 func (b *Body) prefixDigest() (crash.Digest, bool) {
 	var d crash.BodyDigest
 	if b.buffered {
-		_, _ = d.Write(b.data)
+		for _, block := range b.blocks {
+			_, _ = d.Write(block)
+		}
 		d.End()
 		return d.Sum()
 	}
@@ -134,6 +188,9 @@
 	if !b.buffered {
 		return nil
 	}
-	sum := sha256.Sum256(b.data)
-	return sum[:]
+	sum := sha256.New()
+	for _, block := range b.blocks {
+		_, _ = sum.Write(block)
+	}
+	return sum.Sum(nil)
 }
