frame, agent: unread bytes of all links count towards the memory of callers

Cause: each session may hold 4 MiB of unread data, with no bound over all sessions.

Change: option WithMemory counts the unread bytes of the streams of all sessions in the pool of the node. A stream that holds more than 64 KiB is reset with CodeStalled when more arrives and the pool is exhausted, or once its reader has not read for a second and the pool is full.

Measured: go test -race -count=3 ./core/frame ./core/budget passes.

--- a/core/budget/pool.go
+++ b/core/budget/pool.go
@@ -182,16 +182,31 @@
 	a.pins += n
 }
 
-// Take takes n more bytes even if the pool has no room for them.
-func (a *Account) Take(n int64) {
+// Take takes n more bytes even if the pool has no room for them, and reports whether it had.
+func (a *Account) Take(n int64, now time.Time) bool {
 	if a == nil || n <= 0 {
-		return
+		return true
 	}
-	a.pool.mu.Lock()
-	defer a.pool.mu.Unlock()
+	p := a.pool
+	p.mu.Lock()
+	victims := p.makeRoom(n, 0, a, now)
 	if !a.closed {
 		a.release(-n)
 	}
+	ok := p.held-p.leaving <= p.limit
+	p.mu.Unlock()
+	evictAll(victims)
+	return ok
+}
+
+// Full reports whether the pool is used beyond its reserve.
+func (a *Account) Full() bool {
+	if a == nil {
+		return false
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	return a.pool.held-a.pool.leaving > a.pool.high()
 }
 
 // SetCustomer sets the customer for which the account holds its bytes.
--- a/core/frame/option.go
+++ b/core/frame/option.go
@@ -30,6 +30,7 @@
 	KeepaliveTimeout time.Duration
 	HandshakeTimeout time.Duration
 	ProgressTimeout  time.Duration // 0 disables the timeout
+	Memory           Memory        // counts the unread bytes of all streams; may be nil
 	OnClose          func(s *Session, err error)
 	OnPanic          func(err error) // called with the *super.PanicError of a handler that panicked
 }
@@ -84,6 +85,21 @@
 	return func(o *Options) { o.ProgressTimeout = d }
 }
 
+// Memory is the memory that the unread bytes of streams share with others, in bytes. Its methods
+// are called with locks held and must not call the session.
+type Memory interface {
+	Take(n int64, now time.Time) bool // false if the memory is exhausted; the bytes are taken in any case
+	Shrink(n int64)                   // returns bytes
+	Full() bool                       // streams whose reader has stopped must give way
+}
+
+// WithMemory counts the unread bytes of all streams in m, which several sessions may share. A
+// stream that holds more than freeUnreadBytes is reset with CodeStalled if m is exhausted when
+// more arrives, or if m is full and its reader has stopped.
+func WithMemory(m Memory) Option {
+	return func(o *Options) { o.Memory = m }
+}
+
 // WithOnClose sets a function that is called once after the session has ended.
 func WithOnClose(f func(s *Session, err error)) Option {
 	return func(o *Options) { o.OnClose = f }
--- a/core/frame/session.go
+++ b/core/frame/session.go
@@ -362,8 +362,11 @@
 	s.wakeWriter()
 	for _, st := range s.streams {
 		if st.active && st.progressTimeout > 0 && now-st.lastProgress >= st.progressTimeout {
-			s.pending.resets = append(s.pending.resets, pendingReset{st.id, CodeStalled})
-			st.abort(&ResetError{Code: CodeStalled}, true)
+			st.resetStalled()
+			continue
+		}
+		if st.holdsMemory(now) {
+			st.resetStalled()
 		}
 	}
 }
--- a/core/frame/stream.go
+++ b/core/frame/stream.go
@@ -50,6 +50,7 @@
 
 	active          bool // the open frame is queued or was received
 	finished        bool
+	lastRead        time.Duration // time of the last read since the start of the session
 	lastProgress    time.Duration // time of the last progress since the start of the session
 	progressTimeout time.Duration // 0 disables the timeout
 }
@@ -59,7 +60,7 @@
 	st := &Stream{
 		s: s, id: id, kind: kind, local: local,
 		recvWindow: s.opt.StreamWindow, recvReserve: streamReserve, sendWindow: s.peer.StreamWindow, sendReserve: streamReserve,
-		lastProgress: s.sinceStart(), progressTimeout: s.opt.ProgressTimeout,
+		lastRead: s.sinceStart(), lastProgress: s.sinceStart(), progressTimeout: s.opt.ProgressTimeout,
 	}
 	st.ctx, st.cancel = context.WithCancelCause(ctx)
 	st.readable.L = &s.mu
@@ -143,6 +144,9 @@
 	if requestUnfinished {
 		st.abort(&ResetError{Code: CodeDone}, true)
 	}
+	if clean {
+		st.dropUnread() // of a session that ended before the handler read it
+	}
 	s.mu.Unlock()
 	switch {
 	case requestUnfinished:
@@ -175,7 +179,7 @@
 
 // dropUnread discards received bytes that weren't read. s.mu is held.
 func (st *Stream) dropUnread() {
-	st.unread.clear()
+	st.giveBack(st.unread.clear())
 	st.s.countConsumed(st.unreadInSession)
 	st.unreadInSession = 0
 }
@@ -259,7 +263,9 @@
 	st.s.countConsumed(inSession)
 	st.consumed += n
 	st.consumedReserved += n - inSession
+	st.giveBack(n)
 	st.lastProgress = st.s.sinceStart()
+	st.lastRead = st.lastProgress
 	return n
 }
 
--- a/core/frame/stream_receive.go
+++ b/core/frame/stream_receive.go
@@ -65,6 +65,9 @@
 		return wireErrorf("peer exceeds the window of stream %d", st.id)
 	}
 	st.unread.write(p)
+	if !st.take(len(p)) {
+		st.resetStalled()
+	}
 	st.readable.Broadcast()
 	return nil
 }
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -188,7 +188,7 @@
 }
 
 func (a *Agent) assemble() error {
-	auth, err := newAuth(a.cfg.Instance.Name, a.cfg.Peers, frame.WithOnPanic(a.onPanic))
+	auth, err := newAuth(a.cfg.Instance.Name, a.cfg.Peers, frame.WithOnPanic(a.onPanic), frame.WithMemory(a.linkMemory(time.Now())))
 	if err != nil {
 		return err
 	}
--- a/node/agent/memory.go
+++ b/node/agent/memory.go
@@ -23,6 +23,14 @@
 	return budget.New(budget.PoolBytes(l.MemoryMB), l.Descriptors*connectionPercent/100)
 }
 
+// linkMemory returns the account of the unread bytes of all links. It never gives way to callers:
+// a stream whose reader has stopped is reset instead.
+func (a *Agent) linkMemory(now time.Time) *budget.Account {
+	m, _ := a.memory.Open(0, func() {}, now) // the first account always has room
+	m.Pin()
+	return m
+}
+
 // logMemory is the background task that logs that connections had to give way or were refused
 // for lack of memory.
 func (a *Agent) logMemory(ctx context.Context) error {
