--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -23,6 +23,7 @@
 	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/claims"
+	"dogwoodsill.org/node/conns"
 	"dogwoodsill.org/node/entry"
 	"dogwoodsill.org/node/local"
 	"dogwoodsill.org/node/opsapi"
@@ -243,7 +244,7 @@
 	ls.Start("callers", serveHTTP(a.entry, a.callersListener()))
 	ls.Start("idle callers", a.entry.CloseIdle)
 	ls.Start("local", serveHTTP(a.local, a.listeners.local))
-	ls.Start("operations", serveHTTP(a.ops, a.listeners.ops))
+	ls.Start("operations", serveHTTP(conns.LimitControl(a.ops), conns.Bound(a.listeners.ops, conns.MaxControlConns, a.log)))
 	ls.Start("peers", a.peers.serve(a.listeners.peers))
 	ls.Start("links", a.links.closeIdle)
 	cs := a.tree.NewSubtree("config")
--- a/node/agent/peers.go
+++ b/node/agent/peers.go
@@ -4,28 +4,37 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/epoch"
 	"dogwoodsill.org/core/frame"
+	"dogwoodsill.org/core/lines"
 	"dogwoodsill.org/core/quota"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/relay"
 	"dogwoodsill.org/node/store"
 )
 
+// maxHandshakes limits the connections that have not authenticated yet. Each ends after
+// frame.DefaultHandshakeTimeout; a peer that is refused dials again.
+const maxHandshakes = 512
+
 // peerServer accepts links from other nodes and dispatches their streams.
 type peerServer struct {
 	agent *Agent
 	auth  *auth
 
+	handshakes chan struct{} // holds an element for each handshake in progress
+	refusals   *lines.Limiter
+
 	mu       sync.Mutex
 	sessions map[*frame.Session]struct{}
 	closed   bool
 }
 
 func newPeerServer(a *Agent, au *auth) *peerServer {
-	return &peerServer{agent: a, auth: au, sessions: map[*frame.Session]struct{}{}}
+	return &peerServer{agent: a, auth: au, handshakes: make(chan struct{}, maxHandshakes), refusals: lines.NewLimiter(1), sessions: map[*frame.Session]struct{}{}}
 }
 
 // serve returns the background task that accepts links on a listener.
@@ -39,15 +48,34 @@
 				}
 				return err
 			}
-			super.Go("link", p.agent.onPanic, func() { p.serveLink(ctx, conn) })
+			select {
+			case p.handshakes <- struct{}{}:
+				super.Go("link", p.agent.onPanic, func() { p.serveLink(ctx, conn) })
+			default:
+				p.refuse(conn, time.Now())
+			}
 		}
 	}
 }
 
+// refuse closes a new connection since too many are in their handshakes.
+func (p *peerServer) refuse(conn net.Conn, now time.Time) {
+	_ = conn.Close()
+	if p.refusals.Allow(now) {
+		p.agent.log.Warn("too many peer handshakes at once", "remote", conn.RemoteAddr(), "limit", maxHandshakes)
+	}
+}
+
+// handshake performs the handshake on a new connection.
+func (p *peerServer) handshake(ctx context.Context, conn net.Conn) (*frame.Session, error) {
+	defer func() { <-p.handshakes }()
+	return frame.Server(ctx, conn, p.handle, p.auth.server...)
+}
+
 // serveLink performs the handshake on a new connection and serves the link until it
 // ends.
 func (p *peerServer) serveLink(ctx context.Context, conn net.Conn) {
-	s, err := frame.Server(ctx, conn, p.handle, p.auth.server...)
+	s, err := p.handshake(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
 		p.agent.log.Warn("peer handshake failed", "remote", conn.RemoteAddr(), "error", err)
