--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -42,6 +42,10 @@
 	Waiting           = "waiting"           // gauge: calls queued for the local upstream
 	ColdRefused       = "coldRefused"       // calls returned because the local upstream is cold
 	Cold              = "cold"              // gauge: 1 while calls to the local upstream are limited because it is cold
+	CallerBytes       = "callerBytes"       // gauge: bytes of memory that callers and links occupy
+	CallerConnections = "callerConnections" // gauge: open connections that count towards callerBytes
+	MemoryEvicted     = "memoryEvicted"     // gauge: connections closed since the start to free memory
+	MemoryRefused     = "memoryRefused"     // gauge: connections, heads and bodies refused since the start for lack of memory
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
 
