--- a/node/entry/memory.go
+++ b/node/entry/memory.go
@@ -23,6 +23,9 @@
 	// http2WindowBytes is the receive window of an HTTP/2 connection and of each of its streams.
 	// It allows 85 MB/s at a round-trip time of 3 ms.
 	http2WindowBytes = 256 << 10
+	// http2BodyBytes is what the unread part of a body costs over HTTP/2. With what its
+	// connection, its request and its stream cost, one body covers the window of its connection.
+	http2BodyBytes = 64 << 10
 	// memoryRetryAfter is the time after which a caller that was refused for lack of memory may
 	// find some: connections without progress give way after budget.StallTime.
 	memoryRetryAfter = time.Second
@@ -96,9 +99,10 @@
 	n := int64(requestBytes)
 	if q.r.ProtoMajor > 1 {
 		n += headerSize(q.r) // for HTTP/1 the connection counts it
-		if q.r.ContentLength != 0 {
-			n += http2WindowBytes
+		if q.r.ContentLength < 0 {
+			n += http2BodyBytes
 		}
+		n += min(max(0, q.r.ContentLength), http2BodyBytes)
 	}
 	if q.memory.reserve(n) {
 		return nil
