core/speed: an estimator of the speed and the capacity of an upstream

Cause: the number of slots is the concurrency limit, also of upstreams that slow down before they are full; and nothing tells the calling nodes how fast an upstream is. Change: speed.Estimator learns from finished calls, without child calls, and from the reported work time. The service time is the mean of latencies divided by the work time at which they ran, times the current work time; how far latencies follow the work time is fitted, so that a report without meaning has no effect. The limit is found from the time that calls spend beside a number of others over the calls that end there; it is set where that raises the calls that end well, checked by steps of a twentieth of the slots, and never below half of the slots unless the upstream sheds. If all slots are in use all the time, short probes find out what fewer would do. Nothing uses it yet.

--- /dev/null
+++ b/core/speed/estimator.go
@@ -0,0 +1,296 @@
+package speed
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// serviceSamples is the number of calls of which the service time is the mean. With a
+	// spread of 0.5 and tails of five times, their mean is right to 6%.
+	serviceSamples = 200
+	// minServiceSamples is the number of calls after which the service time is known.
+	minServiceSamples = 20
+	// firstSamples is the number of first calls without effect on the limit: those that end
+	// first are the short ones.
+	firstSamples = 100
+	// maxLatencyRatio bounds the weight of a single slow call: a latency of more than this
+	// multiple of the mean counts as this multiple.
+	maxLatencyRatio = 4.0
+	// maxWorkRatio bounds the effect of a reported work time.
+	maxWorkRatio = 8.0
+
+	// adjustWeight is the number of calls at the limit by which it is adjusted. Their mean is right
+	// to a tenth. A wrong step costs a twentieth of the slots until the next one.
+	adjustWeight = 100
+	// minSlowdown is the least factor that counts as slower when the limit is adjusted.
+	minSlowdown = 1.3
+	// reportExpiry is the age from which on a reported work time counts no more than the mean of
+	// all, since a slow phase takes about a second.
+	reportExpiry = time.Second
+
+	// firstHold is how long a limit holds before more calls are tried again. Each time that
+	// they are slow again the time doubles, up to maxHold.
+	firstHold, maxHold = 15 * time.Second, time.Minute
+)
+
+// Sample describes a finished call.
+type Sample struct {
+	Latency   time.Duration // at the upstream
+	ChildTime time.Duration // part of Latency with a child call in progress
+	Goal      time.Duration // latency goal of the call; 0 if there is none
+	InFlight  int           // calls at the upstream, this one included
+	Shed      bool          // the upstream refused the call as overloaded
+	Failed    bool          // the call failed otherwise, which says nothing about speed
+}
+
+// Estimator estimates the service time and the limit of one upstream. Without samples, the limit
+// is the number of slots and the service time is unknown. It is not safe for concurrent use.
+type Estimator struct {
+	slots    int
+	running  series    // calls in flight
+	work     series    // work time of the machine, without the part that is due to the running requests
+	reported time.Time // last report
+	trust    trust
+	jumps    jumps
+	steep    int // bin from which on the reported work time jumps; 0 if it doesn't
+	curve    curve
+
+	known   knee // found last, with or without a gain
+	limited int  // bin of the limit; 0 without one
+	ceiling int  // bin that the limit doesn't reach before the end of the hold; 0 if there is none
+	former  int  // bin of the last limit, which was located
+	held    time.Time
+	fast    float64 // mean time of a call beside no more others than the limit, in seconds
+	hold    time.Duration
+
+	serviceTime moments // in seconds, at the usual work time and below the knee
+	latency     moments // in seconds, with child calls
+
+	probe probe
+}
+
+// New returns an Estimator without knowledge.
+func New() *Estimator {
+	return &Estimator{}
+}
+
+// Report records what the upstream reports. Reports without a work time, or that contradict
+// themselves, have no effect.
+func (e *Estimator) Report(now time.Time, r LoadReport) {
+	if r.WorkTime <= 0 || math.IsNaN(r.WorkTime) || r.Slots < 1 || r.Running < 0 || r.Running > r.Slots {
+		return
+	}
+	w := min(maxWorkRatio, max(1/maxWorkRatio, r.WorkTime))
+	bin := binOf(float64(r.Running), r.Slots)
+	e.jumps.add(now.UnixNano(), bin, w)
+	steep, factor := e.jumps.find()
+	if steep != 0 && e.steep == 0 {
+		// They were measured against a work time that included the slowdown.
+		e.curve, e.probe = curve{}, probe{}
+	}
+	e.steep = steep
+	if steep != 0 && bin >= steep {
+		w /= factor
+	}
+	e.work.set(now, w)
+	e.reported = now
+}
+
+// Observe records a finished call.
+func (e *Estimator) Observe(now time.Time, s Sample) {
+	e.running.set(now, float64(s.InFlight))
+	e.probe.note(s.InFlight, e.slots)
+	if s.Failed || e.slots == 0 || s.Latency <= 0 {
+		return
+	}
+	began, end := now.Add(-s.Latency), &e.curve.cells[binOf(float64(s.InFlight), e.slots)]
+	if s.Shed {
+		end.shed++
+		return
+	}
+	own := max(s.Latency-s.ChildTime, time.Microsecond).Seconds()
+	work := e.work.mean(began, now, 1)
+	if e.work.n > 0 {
+		e.trust.add(work, own)
+	}
+	own /= math.Pow(work, e.trust.value())
+	slowdown := e.slowdown(began, now)
+	if e.serviceTime.n >= minServiceSamples {
+		own = min(own, maxLatencyRatio*e.serviceTime.mean*slowdown)
+	}
+	e.latency.add(s.Latency.Seconds(), serviceSamples)
+	e.serviceTime.add(own/slowdown, serviceSamples)
+	if e.serviceTime.n < firstSamples {
+		return
+	}
+	end.calls++
+	end.child += s.ChildTime.Seconds()
+	if s.Goal > 0 && own > s.Goal.Seconds() {
+		end.late++
+	}
+	e.running.each(began, now, func(running, seconds float64) {
+		e.curve.cells[binOf(running, e.slots)].own += own * seconds / s.Latency.Seconds()
+	})
+}
+
+// slowdown returns the mean factor by which a call took longer because of those beside it.
+func (e *Estimator) slowdown(from, to time.Time) float64 {
+	if e.known.bin == 0 || !to.After(from) {
+		return 1
+	}
+	above := 0.0
+	e.running.each(from, to, func(running, seconds float64) {
+		if binOf(running, e.slots) >= e.known.bin {
+			above += seconds
+		}
+	})
+	above /= to.Sub(from).Seconds()
+	return 1 / (1 - above + above/e.known.factor)
+}
+
+// typicalLatency returns the mean latency of calls.
+func (e *Estimator) typicalLatency() time.Duration {
+	return time.Duration(e.latency.mean * float64(time.Second))
+}
+
+// Limit returns the number of calls that the upstream should run at a time, at most slots.
+func (e *Estimator) Limit(now time.Time, slots int) int {
+	if slots != e.slots {
+		*e = Estimator{slots: slots, work: e.work, reported: e.reported, trust: e.trust, jumps: e.jumps, steep: e.steep, serviceTime: e.serviceTime}
+	}
+	if e.curve.decay(now) {
+		e.decide(now)
+	}
+	switch {
+	case e.probe.active(now):
+		return (slots*e.probe.bin + bins - 1) / bins
+	case e.limited == 0:
+		return slots
+	default:
+		return e.limitAt(e.limited)
+	}
+}
+
+// decide changes the limit if the curve justifies it.
+func (e *Estimator) decide(now time.Time) {
+	e.probe.step(now)
+	k, highest := e.curve.find()
+	if k.bin != 0 || e.curve.covers(e.known.bin) {
+		e.known = k
+	}
+	justified := k.bin != 0 && highest.bin <= lastKnee && k.gain >= minGain
+	located := highest.bin-k.bin < 2 || k.bin <= e.former && e.former <= highest.bin
+	few, _ := e.curve.split(firstKnee)
+	switch {
+	case e.limited == 0 && !located && max(k.gain, highest.gain) >= minGain:
+		e.probe.begin(now, min(lastKnee+1, (k.bin+highest.bin+1)/2), saturatedTime, e.typicalLatency())
+	case e.limited == 0 && located && justified:
+		e.cut(now, k)
+	case e.limited == 0 && few.calls < minWeight:
+		e.probe.beginLow(now, e.typicalLatency())
+	case e.limited != 0 && e.refuted():
+		e.curve.forgetFrom(e.limited)
+		e.limited = 0
+	case justified && highest.bin < e.limited:
+		e.limited, e.ceiling = highest.bin, e.limited
+	case e.limited != 0:
+		e.adjust(now)
+	}
+	if e.known.bin == 0 {
+		e.former = 0
+	}
+}
+
+// cut sets the limit to a knee.
+func (e *Estimator) cut(now time.Time, k knee) {
+	if now.Sub(e.held) > maxHold {
+		e.hold = firstHold
+	}
+	e.limited, e.former, e.ceiling, e.held = k.bin, k.bin, 0, now.Add(e.hold)
+	low, _ := e.curve.split(k.bin)
+	e.fast = low.mean()
+	e.curve.cells[e.limitBin()] = cell{}
+}
+
+// adjust raises the limit by one bin if calls at the limit are as fast as beside fewer others,
+// and otherwise lowers it by one bin, below which it then stays for the time of the hold.
+func (e *Estimator) adjust(now time.Time) {
+	if e.ceiling != 0 && !now.Before(e.held) {
+		e.ceiling = 0
+	}
+	bin := e.limitBin()
+	at := e.curve.cells[bin]
+	if at.calls+at.shed < adjustWeight {
+		return
+	}
+	low, _ := e.curve.split(bin)
+	if low.calls >= minWeight {
+		e.fast = low.mean()
+	}
+	sheds := at.shedding()-low.shedding() > minShedding
+	slow := sheds || at.mean() > math.Sqrt(max(e.known.factor, minSlowdown))*e.fast
+	if slow && (e.limited > firstKnee || sheds && e.limited > firstShedKnee) {
+		e.hold = min(2*e.hold, maxHold)
+		e.ceiling, e.held = e.limited, now.Add(e.hold)
+		e.limited--
+		e.former = e.limited
+		return
+	}
+	if sheds {
+		return
+	}
+	e.fast = at.mean()
+	if e.ceiling == 0 || e.limited+1 < e.ceiling {
+		e.raise()
+	}
+}
+
+// raise raises the limit to the next bin that is a larger number of calls.
+func (e *Estimator) raise() {
+	for before := e.limitAt(e.limited); e.limitAt(e.limited) == before; {
+		e.limited++
+	}
+	if e.limited > lastKnee {
+		e.curve.forgetFrom(e.limited)
+		e.limited = 0
+		return
+	}
+	e.former = e.limited
+	e.curve.cells[e.limitBin()] = cell{}
+}
+
+// limitAt returns the number of calls up to a bin.
+func (e *Estimator) limitAt(bin int) int { return max(1, e.slots*bin/bins) }
+
+// limitBin returns the bin of the calls that run while the limit is in use.
+func (e *Estimator) limitBin() int { return binOf(float64(e.limitAt(e.limited)), e.slots) }
+
+// refuted reports whether the calls at the limit have become as slow as those above it, so that
+// the number of running requests is not the cause.
+func (e *Estimator) refuted() bool {
+	low, high := e.curve.split(e.limited)
+	return low.calls >= minWeight && high.calls >= minWeight && low.mean() >= high.mean()*float64(e.limited)/bins*minGain
+}
+
+// ServiceTime returns the time that the upstream currently needs for a typical call beside
+// the running ones, without child calls, or 0 if it is not known.
+func (e *Estimator) ServiceTime(now time.Time) time.Duration {
+	if e.serviceTime.n < minServiceSamples {
+		return 0
+	}
+	work := e.work.current(1)
+	if e.work.n > 0 && now.Sub(e.reported) > reportExpiry {
+		work = math.Exp(e.trust.x)
+	}
+	work = math.Pow(work, e.trust.value())
+	if e.known.bin != 0 && binOf(e.running.current(0), e.slots) >= e.known.bin {
+		work *= e.known.factor
+	}
+	return time.Duration(e.serviceTime.mean * work * float64(time.Second))
+}
+
+// WorkTime returns the last reported work time of the machine, or 0 if there is none.
+func (e *Estimator) WorkTime() float64 {
+	return e.work.current(0)
+}
