node/relay, agent, admin: the learned capacity of the upstream limits its calls

Cause: the concurrency limit of an upstream with exact slots was their number, and feedback said nothing about its speed. Change: the gate gives finished calls and reports to speed.Estimator. Its limit replaces the slots; the limit by the node's own processor still applies. Feedback carries the service time. A new process of the upstream is learned again from its slots. Without exact slots the adaptive limit applies as before and only the service time is learned. The first probe of each node comes at a different time, since the upstreams of a service are saturated by the same burst.

--- a/admin/cmds/kinds.go
+++ b/admin/cmds/kinds.go
@@ -72,8 +72,12 @@
 	}
 	o.flags = func(cmd *cobra.Command) func(*model.Service) error {
 		slos := cmd.Flags().StringArray("slo", nil, "`objective=F[,latencyMs=N][,importance=N]`; may be repeated; replaces all objectives; none removes them")
+		learn := cmd.Flags().Bool("learn-capacity", false, "learn the capacity of upstreams also without a reported work time")
 		labels := labelFlag(cmd)
 		return func(m *model.Service) (err error) {
+			if cmd.Flags().Changed("learn-capacity") {
+				m.LearnCapacity = *learn
+			}
 			if cmd.Flags().Changed("slo") {
 				if m.SLOs, err = parseSLOs(*slos); err != nil {
 					return err
--- a/admin/cmds/status.go
+++ b/admin/cmds/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -11,13 +13,15 @@
 )
 
 func (c *cli) statusCommand() *cobra.Command {
-	return &cobra.Command{
+	var instance string
+	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show the fleet as the given nodes see it",
 		Long: `Show the fleet as the given nodes see it: instances, zones, upstreams, epochs, and the
 offset and age of each configuration. An instance that is not among --nodes is shown
-as the others know it, without an age. Differences between the views follow.`,
-		Example: "  admin status --nodes 10.0.1.1:9000,10.0.2.1:9000\n  admin status --output json",
+as the others know it, without an age. Differences between the views follow.
+With --upstream, what the node of that instance knows of the capacity of its upstream.`,
+		Example: "  admin status --nodes 10.0.1.1:9000,10.0.2.1:9000\n  admin status --output json\n  admin status --upstream bole-archive-0",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			client, err := c.nodeClient()
@@ -27,6 +31,9 @@
 			ctx, cancel := c.context(cmd)
 			defer cancel()
 			view := nodes.Merge(client.Statuses(ctx))
+			if instance != "" {
+				return c.printCapacity(view, instance)
+			}
 			if err := c.printFleet(view); err != nil {
 				return err
 			}
@@ -36,6 +43,33 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&instance, "upstream", "", "show the capacity of the upstream beside this instance")
+	return cmd
+}
+
+// printCapacity prints what the node of an instance knows of the capacity of its upstream.
+func (c *cli) printCapacity(f nodes.Fleet, instance string) error {
+	at := slices.IndexFunc(f.Instances, func(i nodes.Instance) bool { return i.Name == instance && i.Capacity != nil })
+	if at < 0 {
+		return exitf(ExitUnreachable, "no status of instance %s with an upstream was read; it must be among --nodes", show.Clean(instance))
+	}
+	i := f.Instances[at]
+	if c.output == show.JSON {
+		return show.WriteJSON(c.out, i)
+	}
+	rows := &show.Rows{Header: []string{"INSTANCE", "SERVICE", "UPSTREAM", "LOAD", "SLOTS", "LEARNED LIMIT", "SERVICE TIME", "WORK TIME"}}
+	learned, serviceTime, workTime := "-", "-", "-"
+	if i.Capacity.LearnedLimit > 0 {
+		learned = strconv.Itoa(i.Capacity.LearnedLimit)
+	}
+	if i.Capacity.ServiceUS > 0 {
+		serviceTime = (time.Duration(i.Capacity.ServiceUS) * time.Microsecond).String()
+	}
+	if i.Capacity.WorkTime > 0 {
+		workTime = fmt.Sprintf("%.2f", i.Capacity.WorkTime)
+	}
+	rows.Add(i.Name, i.Service, i.Upstream, i.Load, i.Capacity.Slots, learned, serviceTime, workTime)
+	return rows.Write(c.out)
 }
 
 func (c *cli) printFleet(f nodes.Fleet) error {
--- a/admin/nodes/fleet.go
+++ b/admin/nodes/fleet.go
@@ -29,10 +29,21 @@
 	Upstream    string `json:"upstream,omitempty"` // state of the upstream
 	Load        string `json:"load,omitempty"`     // calls in flight at the upstream and their limit, as "calls/limit"
 	Epoch       uint64 `json:"epoch"`
-	Lease       string `json:"lease,omitempty"` // "yes" or "no"
-	Offset      uint64 `json:"configOffset"`
-	AgeMS       *int64 `json:"configAgeMs,omitempty"` // -1 before the first configuration, the maximum duration until it is confirmed to be the newest
-	SeenBy      int    `json:"seenBy"`                // number of nodes whose status was read and that list the instance
+
+	Capacity *Capacity `json:"capacity,omitempty"` // of the upstream; nil if the instance has none or its own status was not read
+	Lease    string    `json:"lease,omitempty"`    // "yes" or "no"
+	Offset   uint64    `json:"configOffset"`
+	AgeMS    *int64    `json:"configAgeMs,omitempty"` // -1 before the first configuration, the maximum duration until it is confirmed to be the newest
+	SeenBy   int       `json:"seenBy"`                // number of nodes whose status was read and that list the instance
+}
+
+// Capacity is what a node knows of the capacity of its upstream.
+type Capacity struct {
+	Slots        int     `json:"slots"`
+	Limit        int     `json:"limit"`
+	LearnedLimit int     `json:"learnedLimit,omitempty"` // 0 if it is not in use
+	ServiceUS    int64   `json:"serviceUs,omitempty"`    // 0 if unknown
+	WorkTime     float64 `json:"workTime,omitempty"`     // 0 if unknown
 }
 
 // observation is the state of an instance as reported by one node.
@@ -93,6 +104,7 @@
 	if u := s.Upstream; u != nil {
 		i.Service, i.Upstream = u.Service, u.State
 		i.Load = fmt.Sprintf("%d/%d", u.InFlight, u.Limit)
+		i.Capacity = &Capacity{Slots: u.Slots, Limit: u.Limit, LearnedLimit: u.LearnedLimit, ServiceUS: u.ServiceUS, WorkTime: u.WorkTime}
 	}
 	return i
 }
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -39,6 +39,9 @@
 	ConcurrencyLimit  = "concurrencyLimit"  // gauge: concurrency limit of the local upstream
 	InFlight          = "inFlight"          // gauge: calls running at the local upstream
 	UpstreamRateLimit = "upstreamRateLimit" // gauge: calls per second that the local upstream accepts; 0 without a limit
+	LearnedLimit      = "learnedLimit"      // gauge: learned concurrency limit of the local upstream; 0 if it is not in use
+	ServiceTime       = "serviceUs"         // gauge: learned microseconds of a typical call at the local upstream; 0 if unknown
+	WorkTime          = "workTimePercent"   // gauge: work time that the local upstream reports, 100 as usual; 0 if unknown
 	Waiting           = "waiting"           // gauge: calls queued for the local upstream
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
--- a/core/model/objects.go
+++ b/core/model/objects.go
@@ -44,6 +44,9 @@
 type Service struct {
 	Labels map[string]string `json:"labels,omitempty" toml:"labels,omitempty"`
 	SLOs   []SLO             `json:"slos,omitempty" toml:"slos,omitempty"`
+	// LearnCapacity makes the nodes learn how many calls an upstream handles at a time and how
+	// fast it is, also if the upstream reports no work time.
+	LearnCapacity bool `json:"learnCapacity,omitempty" toml:"learnCapacity,omitempty"`
 }
 
 // SLO is a service level objective for calls to a service.
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -31,6 +31,10 @@
 	InFlight  int     `json:"inFlight"`
 	Limit     int     `json:"limit"`               // concurrency limit; 0 for no limit
 	RateLimit float64 `json:"rateLimit,omitempty"` // calls per second that the upstream accepts; 0 for no limit
+
+	LearnedLimit int     `json:"learnedLimit,omitempty"` // learned concurrency limit; 0 if it is not in use
+	ServiceUS    int64   `json:"serviceUs,omitempty"`    // learned microseconds of a typical call without child calls; 0 if unknown
+	WorkTime     float64 `json:"workTime,omitempty"`     // reported work time as a multiple of the usual; 0 if unknown
 }
 
 // Member is the state of a node in the member list of the reporting node.
--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -113,6 +113,7 @@
 		{"limits.idleTimeout", positive(int64(n.Limits.IdleTimeout))},
 		{"limits.progressTimeout", positive(int64(n.Limits.ProgressTimeout))},
 		{"limits.revokeGrace", notNegative(int64(n.Limits.RevokeGrace))},
+		{"limits.learnCapacity", learnCapacity(n.Limits.LearnCapacity)},
 		{"logging.level", level(n.Logging.Level)},
 		{"logging.linesPerSecond", notNegative(int64(n.Logging.LinesPerSecond))},
 		{"shutdown.timeout", positive(int64(n.Shutdown.Timeout))},
@@ -242,6 +243,13 @@
 	return ""
 }
 
+func learnCapacity(s string) string {
+	if s != LearnAuto && s != LearnOff {
+		return fmt.Sprintf("%q is not one of %s, %s", s, LearnAuto, LearnOff)
+	}
+	return ""
+}
+
 func level(s string) string {
 	switch s {
 	case "trace", "debug", "info", "warn", "error":
--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -96,8 +96,15 @@
 	IdleTimeout          Duration `toml:"idleTimeout"`
 	ProgressTimeout      Duration `toml:"progressTimeout"` // a body without progress for this long is aborted
 	RevokeGrace          Duration `toml:"revokeGrace"`     // a body is aborted this long after its key was revoked
+	LearnCapacity        string   `toml:"learnCapacity"`   // LearnAuto or LearnOff
 }
 
+// Values of limits.learnCapacity.
+const (
+	LearnAuto = "auto" // for upstreams that report a work time and for services whose configuration asks for it
+	LearnOff  = "off"
+)
+
 // Logging configures the log output of the process.
 type Logging struct {
 	Level string `toml:"level"`
@@ -154,6 +161,7 @@
 			IdleTimeout:          Duration(2 * time.Minute),
 			ProgressTimeout:      Duration(10 * time.Second),
 			RevokeGrace:          Duration(5 * time.Second),
+			LearnCapacity:        LearnAuto,
 		},
 		Logging:  Logging{Level: "info", LinesPerSecond: defaultLinesPerSecond},
 		Shutdown: Shutdown{Timeout: Duration(30 * time.Second)},
--- a/core/speed/estimator.go
+++ b/core/speed/estimator.go
@@ -68,11 +68,26 @@
 	latency     moments // in seconds, with child calls
 
 	probe probe
+	phase time.Duration
+}
+
+// Option configures an Estimator.
+type Option func(*Estimator)
+
+// WithPhase delays the first probe by a fraction of firstProbePause. With different fractions, the
+// upstreams of a service that are saturated by the same burst don't probe at the same time.
+func WithPhase(fraction float64) Option {
+	return func(e *Estimator) { e.phase = time.Duration(fraction * float64(firstProbePause)) }
 }
 
 // New returns an Estimator without knowledge.
-func New() *Estimator {
-	return &Estimator{}
+func New(opts ...Option) *Estimator {
+	e := &Estimator{}
+	for _, o := range opts {
+		o(e)
+	}
+	e.probe.phase = e.phase
+	return e
 }
 
 // Report records what the upstream reports. Reports without a work time, or that contradict
@@ -87,7 +102,7 @@
 	steep, factor := e.jumps.find()
 	if steep != 0 && e.steep == 0 {
 		// They were measured against a work time that included the slowdown.
-		e.curve, e.probe = curve{}, probe{}
+		e.curve, e.probe = curve{}, probe{phase: e.phase}
 	}
 	e.steep = steep
 	if steep != 0 && bin >= steep {
@@ -157,19 +172,24 @@
 // Limit returns the number of calls that the upstream should run at a time, at most slots.
 func (e *Estimator) Limit(now time.Time, slots int) int {
 	if slots != e.slots {
-		*e = Estimator{slots: slots, work: e.work, reported: e.reported, trust: e.trust, jumps: e.jumps, steep: e.steep, serviceTime: e.serviceTime}
+		*e = Estimator{slots: slots, work: e.work, reported: e.reported, trust: e.trust, jumps: e.jumps, steep: e.steep, serviceTime: e.serviceTime, latency: e.latency, phase: e.phase, probe: probe{phase: e.phase}}
 	}
 	if e.curve.decay(now) {
 		e.decide(now)
 	}
-	switch {
-	case e.probe.active(now):
+	if e.probe.active(now) {
 		return (slots*e.probe.bin + bins - 1) / bins
-	case e.limited == 0:
-		return slots
-	default:
-		return e.limitAt(e.limited)
 	}
+	return e.Learned()
+}
+
+// Learned returns the limit without the lower one of a probe, which lasts at most maxProbe. It
+// is 0 before the first call of Limit.
+func (e *Estimator) Learned() int {
+	if e.limited == 0 {
+		return e.slots
+	}
+	return e.limitAt(e.limited)
 }
 
 // decide changes the limit if the curve justifies it.
--- a/core/speed/probe.go
+++ b/core/speed/probe.go
@@ -26,6 +26,7 @@
 	since time.Time // when full became true
 	end   time.Time // of the last probe
 	pause time.Duration
+	phase time.Duration // added to saturatedTime before the first probe
 }
 
 // note records the calls in flight.
@@ -48,6 +49,9 @@
 
 // beginLow begins a probe with half of the slots, ever more rarely.
 func (p *probe) beginLow(now time.Time, latency time.Duration) {
+	if p.pause == 0 && now.Sub(p.since) < saturatedTime+p.phase {
+		return
+	}
 	if p.begin(now, bins/2, p.pause, latency) {
 		p.pause = min(max(firstProbePause, 2*p.pause), maxProbePause)
 	}
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -12,6 +12,7 @@
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/member"
 	"dogwoodsill.org/core/retry"
+	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/entry"
 	"dogwoodsill.org/node/relay"
@@ -239,6 +240,7 @@
 
 func (a *Agent) targetOptions() []relay.TargetOption {
 	opts := []relay.TargetOption{relay.WithCrashes(a.crashes.Registry, a.cfg.Instance.Name, a.log)}
+	opts = append(opts, relay.WithLearnedCapacity(func() bool { return a.effective.Load().Limits.LearnCapacity != setup.LearnOff }))
 	if a.platform == nil {
 		return opts
 	}
--- a/node/agent/reload.go
+++ b/node/agent/reload.go
@@ -43,6 +43,7 @@
 	before := a.effective.Load()
 	now := *before
 	now.Bounds.RetryRatio, now.Bounds.RetrySlack = cfg.Bounds.RetryRatio, cfg.Bounds.RetrySlack
+	now.Limits.LearnCapacity = cfg.Limits.LearnCapacity
 	now.Logging.Level, now.Shutdown = cfg.Logging.Level, cfg.Shutdown
 	a.effective.Store(&now)
 	a.log.SetLevel(hclog.LevelFromString(cfg.Logging.Level))
--- a/node/agent/reload_test.go
+++ b/node/agent/reload_test.go
@@ -40,6 +40,11 @@
 				return ratio == retry.DefaultRatio && minimum == retry.DefaultMinRetries
 			},
 		},
+		{
+			"learned capacity", func(n *setup.Node) { n.Limits.LearnCapacity = setup.LearnOff },
+			"applied=[\"limits.learnCapacity\"] needRestart=[]",
+			func(a *Agent) bool { return a.effective.Load().Limits.LearnCapacity == setup.LearnOff },
+		},
 		{
 			"needs a restart", func(n *setup.Node) { n.Instance.Zone, n.Bounds.RetrySlack = "b", 3 },
 			"applied=[\"bounds.retrySlack\"] needRestart=[\"instance.zone\"]",
--- a/node/agent/statelog.go
+++ b/node/agent/statelog.go
@@ -25,12 +25,13 @@
 	change       store.Change
 	stale        bool // neither the log nor a peer has confirmed the configuration recently
 	epoch        uint64
-	logEra       uint64    // 0 before the first response of the log
-	lease        bool      // the zone lease is valid
-	others       []string  // other alive instances, sorted
-	upstream     string    // service, identifier and state; empty for none
-	rateLimit    float64   // calls per second that the upstream accepts; 0 without a limit
-	droppedLines int64     // number of dropped log lines
+	logEra       uint64   // 0 before the first response of the log
+	lease        bool     // the zone lease is valid
+	others       []string // other alive instances, sorted
+	upstream     string   // service, identifier and state; empty for none
+	rateLimit    float64  // calls per second that the upstream accepts; 0 without a limit
+	droppedLines int64    // number of dropped log lines
+	learned      learnedState
 	at           time.Time // on the clock of package boot
 }
 
@@ -83,6 +84,10 @@
 	default:
 		add(hclog.Warn, "upstream states a rate limit", "perSecond", after.rateLimit, "before", before.rateLimit)
 	}
+	if after.learned != before.learned {
+		add(hclog.Info, "learned capacity of the upstream changed", "limit", after.learned.limit, "before", before.learned.limit,
+			"serviceTime", after.learned.serviceTime, "serviceTimeBefore", before.learned.serviceTime, "workTime", after.learned.workTime, "workTimeBefore", before.learned.workTime)
+	}
 	if n := after.droppedLines - before.droppedLines; n > 0 {
 		add(hclog.Warn, "log lines dropped", "lines", n, "sinceStart", after.droppedLines)
 	}
@@ -97,7 +102,9 @@
 // state returns the state of the node at the given time.
 func (a *Agent) state(now time.Time) nodeState {
 	s := nodeState{config: a.store.Offset(), epoch: a.zones.Adopted(), logEra: a.zones.Era(), others: a.fleet.otherInstances(), droppedLines: a.droppedLines(), at: boot.Now()}
-	s.rateLimit = a.target.Load().Rate
+	load := a.target.Load()
+	s.rateLimit = load.Rate
+	s.learned = learnedState{load.LearnedLimit, load.ServiceTime, load.WorkTime}
 	s.change = a.store.LastChange()
 	s.stale = a.store.Current() != nil && a.store.Age(boot.Now()) > a.staleAfter()
 	a.zones.WithView(func(v zones.View) { s.lease = v.Lease.Valid(now) })
@@ -122,8 +129,11 @@
 // logChanges is the background task that logs changes of the node's state.
 func (a *Agent) logChanges(ctx context.Context) error {
 	var before nodeState
+	var mean learnedState
 	return super.Every(ctx, stateInterval, func(now time.Time) {
 		after := a.state(now)
+		mean.add(after.learned)
+		after.learned = before.learned.next(mean)
 		for _, line := range changes(before, after) {
 			a.log.Log(line.level, line.text, line.args...)
 		}
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -40,6 +41,7 @@
 		s.Upstream = upstreamReport(up)
 		load := a.target.Load()
 		s.Upstream.InFlight, s.Upstream.Limit, s.Upstream.RateLimit = load.Running, load.Limit, load.Rate
+		s.Upstream.LearnedLimit, s.Upstream.ServiceUS, s.Upstream.WorkTime = load.LearnedLimit, load.ServiceTime.Microseconds(), load.WorkTime
 	}
 	return s
 }
@@ -56,6 +58,9 @@
 	a.metrics.SetGauge(metric.Waiting, int64(load.Waiting))
 	a.metrics.SetGauge(metric.ConcurrencyLimit, int64(load.Limit))
 	a.metrics.SetGauge(metric.UpstreamRateLimit, int64(load.Rate))
+	a.metrics.SetGauge(metric.LearnedLimit, int64(load.LearnedLimit))
+	a.metrics.SetGauge(metric.ServiceTime, load.ServiceTime.Microseconds())
+	a.metrics.SetGauge(metric.WorkTime, int64(math.Round(load.WorkTime*100)))
 	a.metrics.SetGauge(metric.CrashingRequests, int64(a.crashes.Refused(time.Now())))
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -36,7 +36,9 @@
 	schedulerLimit *limit.SchedulerLimit
 	fixedSlots     int           // exact number of calls that the upstream serves concurrently; 0 if unknown
 	wake           chan struct{} // wakes poll when a call is queued
-	learned        learnedSpeed
+
+	slots   int // that the upstream announces; 0 if unknown
+	learned learnedSpeed
 }
 
 // waiter is a call at the gate. The gate sends nil to result when the call may
@@ -174,7 +176,9 @@
 	defer g.mu.Unlock()
 	if newProcess {
 		g.limit.Restart()
+		g.learned.restart()
 	}
+	g.slots = u.Slots
 	g.limit.HintSlots(u.Slots)
 	g.fixedSlots = 0
 	if u.FixedSlots {
@@ -207,7 +211,9 @@
 func (g *gate) feedback(customer string, now time.Time) admit.Feedback {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admit.Feedback(now, g.currentLimit(), customer)
+	f := g.admit.Feedback(now, g.currentLimit(), customer)
+	f.ServiceTime = g.learned.serviceTime(now).Microseconds()
+	return f
 }
 
 // Load is the utilization of the local upstream at one moment.
@@ -216,6 +222,10 @@
 	Limit            int     // maximum number of running calls
 	ProcessorBound   bool    // the node's own processor lowers the limit; only measured for fixed slots
 	Rate             float64 // calls per second that the upstream accepts; 0 without a limit
+
+	LearnedLimit int           // limit by the learned capacity; 0 if it is not in use
+	ServiceTime  time.Duration // learned; 0 if unknown
+	WorkTime     float64       // that the upstream reported last, as a multiple of the usual; 0 if unknown
 }
 
 func (g *gate) load() Load {
@@ -226,6 +236,7 @@
 		Rate:    perSecond,
 		Running: g.admit.Running(), Waiting: g.admit.Waiting(), Limit: g.currentLimit(),
 		ProcessorBound: g.fixedSlots > 0 && g.schedulerLimit.Value() < g.fixedSlots,
+		LearnedLimit:   g.learnedLimit(), ServiceTime: g.learned.serviceTime(time.Now()), WorkTime: g.learned.workTime(),
 	}
 }
 
@@ -235,7 +246,7 @@
 // mu.
 func (g *gate) currentLimit() int {
 	if g.fixedSlots > 0 {
-		return min(g.fixedSlots, g.schedulerLimit.Value())
+		return min(g.learned.lower(g.fixedSlots), g.schedulerLimit.Value())
 	}
 	return g.limit.Value()
 }
--- /dev/null
+++ b/node/relay/learn_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/core/speed"
+)
+
+// TestLearnedCapacityInUse guards against a learned limit or service time of upstreams for which
+// nothing asks for it, and against one that outlasts the upstream's process or the setting.
+func TestLearnedCapacityInUse(t *testing.T) {
+	on, off := func() bool { return true }, func() bool { return false }
+	for _, test := range []struct {
+		name       string
+		allowed    func() bool
+		configured bool
+		report     LoadReport
+		newProcess bool
+		inUse      bool
+	}{
+		{"nothing asks for it", on, false, LoadReport{Running: 54, Slots: 54}, false, false},
+		{"work time reported", on, false, LoadReport{Running: 54, Slots: 54, WorkTime: 1}, false, true},
+		{"work time reported, no settings", nil, false, LoadReport{Running: 54, Slots: 54, WorkTime: 1}, false, true},
+		{"configured", on, true, LoadReport{Running: 54, Slots: 54}, false, true},
+		{"off in the settings", off, true, LoadReport{Running: 54, Slots: 54, WorkTime: 1}, false, false},
+		{"new process", on, false, LoadReport{Running: 54, Slots: 54, WorkTime: 1}, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g, now := newGate(), time.Unix(1000, 0)
+			g.learned.allowed = test.allowed
+			up := Upstream{Slots: 54, FixedSlots: true}
+			g.applyHints(up, true, now)
+			// Calls beside more than 32 others take twice as long.
+			for i := range 20_000 {
+				now = now.Add(2 * time.Millisecond)
+				running := 10 + i/200%45
+				s := speed.Sample{Latency: 50 * time.Millisecond, InFlight: running}
+				if running > 32 {
+					s.Latency *= 2
+				}
+				g.reportLoad(test.report, now)
+				g.learned.configured = test.configured
+				g.learned.observe(s, g.slots, now)
+			}
+			if test.newProcess {
+				g.applyHints(up, true, now)
+			}
+			f := g.feedback("c", now)
+			assert.Equal(t, f.Limit < 54, test.inUse, "limit %d", f.Limit)
+			assert.Equal(t, f.ServiceTime > 0, test.inUse, "service time %d", f.ServiceTime)
+			assert.Equal(t, g.load().LearnedLimit > 0, test.inUse)
+			assert.Assert(t, f.Limit >= 27)
+		})
+	}
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -46,6 +46,7 @@
 	t.metrics.Add(metric.Served, 1)
 	resp, refusal := c.roundTrip(c.attempt.ctx, up)
 	sample := c.sample(resp, time.Now())
+	c.learn(sample, resp, time.Now())
 	if refusal != nil {
 		t.gate.leave(sample, 0, time.Now())
 		t.sendRefusal(c.attempt, c.head, ReplyHead{Refusal: refusal, AttemptsLeft: c.active.RemainingAttempts(), Reached: c.conn.Load() != nil})
@@ -159,7 +160,7 @@
 		c.target.recordStatement(up, s, c.began, time.Now())
 	}
 	if r, ok := c.target.protocol.ReadLoad(resp); ok {
-		c.target.gate.learned.report(r, time.Now())
+		c.target.gate.reportLoad(r, time.Now())
 	}
 	return class
 }
