--- a/core/model/objects.go
+++ b/core/model/objects.go
@@ -47,6 +47,9 @@
 	// ColdPerSecond is the number of calls per second, from all nodes together, that a cold upstream
 	// of the service handles; 0 for no limit.
 	ColdPerSecond int `json:"coldPerSecond,omitempty" toml:"coldPerSecond,omitempty"`
+	// LearnCapacity makes the nodes learn how many calls an upstream handles at a time and how
+	// fast it is, also if the upstream reports no work time.
+	LearnCapacity bool `json:"learnCapacity,omitempty" toml:"learnCapacity,omitempty"`
 }
 
 // MaxColdPerSecond is the largest value of ColdPerSecond. A node keeps the time of as many calls.
