core/evac, store, relay, agent, platform, admin: the operator evacuates a zone

Change: core/evac holds which zones are evacuated as of a position (era, offset) of the log and never replaces a state by an older one. Readers see the records with the configuration, followers get the state in each reply. The first configuration takes effect only with the zones known. Calling nodes treat targets of the zone as draining; the upstream's local node refuses calls on arrival, after the queue and before a second sending, as not executed. When an evacuation is cancelled, and after a suspension, the upstream counts as cold until a later report. Nodes of a platform with evacuations read and fail over as for a configuration that may be 5 s old, if no shorter age is set. Reports of an upstream no longer expire after 4 s: on a starved machine a warm upstream would have been limited; the detection of suspensions replaces that. TestEvacuatedZoneGetsNoRequests: with one of two zones evacuated 0 of 40 requests reach its upstream and the other one serves 40; with both, 40 of 40 get 503. Trials: the tests fail without the draining targets, the check after the queue, the one before a second sending, the cold state after a cancellation, and the order by position.

--- a/admin/cmds/status.go
+++ b/admin/cmds/status.go
@@ -16,7 +16,8 @@
 		Short: "Show the fleet as the given nodes see it",
 		Long: `Show the fleet as the given nodes see it: instances, zones, upstreams, epochs, and the
 offset and age of each configuration. An instance that is not among --nodes is shown
-as the others know it, without an age. Differences between the views follow.`,
+as the others know it, without an age. Evacuated zones and differences between the views
+follow.`,
 		Example: "  admin status --nodes 10.0.1.1:9000,10.0.2.1:9000\n  admin status --output json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -54,6 +55,11 @@
 			return err
 		}
 	}
+	for _, z := range f.Evacuated {
+		if _, err := fmt.Fprintln(c.out, show.Clean(z.String())); err != nil {
+			return err
+		}
+	}
 	for _, d := range f.Differences {
 		if _, err := fmt.Fprintf(c.out, "difference: %s\n", show.Clean(d)); err != nil {
 			return err
--- a/admin/nodes/fleet.go
+++ b/admin/nodes/fleet.go
@@ -16,6 +16,7 @@
 	Instances   []Instance `json:"instances"`
 	Differences []string   `json:"differences"`
 	Unreachable []Pending  `json:"unreachable,omitempty"`
+	Evacuated   []ZoneView `json:"evacuated,omitempty"` // zones that at least one node takes for evacuated
 }
 
 // Instance is the state of one instance. Load, Lease and AgeMS are set only if
@@ -64,6 +65,7 @@
 			f.Differences = append(f.Differences, fmt.Sprintf("instance %s: route not in force: %s", r.Doc.Instance, c))
 		}
 	}
+	f.Evacuated = mergeEvacuations(replies)
 	slices.Sort(observers)
 	f.Views = len(observers)
 	for _, name := range slices.Sorted(maps.Keys(all)) {
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -42,6 +42,8 @@
 	Waiting           = "waiting"           // gauge: calls queued for the local upstream
 	ColdRefused       = "coldRefused"       // calls returned because the local upstream is cold
 	Cold              = "cold"              // gauge: 1 while calls to the local upstream are limited because it is cold
+	EvacuatedRefused  = "evacuatedRefused"  // calls returned because the zone of the node is evacuated, or may be after a suspension
+	EvacuatedZones    = "evacuatedZones"    // gauge: zones that are evacuated
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
 
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -1,6 +1,10 @@
 package report
 
-import "dogwoodsill.org/core/super"
+import (
+	"time"
+
+	"dogwoodsill.org/core/super"
+)
 
 // Status is the status document of one node.
 type Status struct {
@@ -19,6 +23,22 @@
 	Members      []Member       `json:"members"`
 	Tasks        []super.Status `json:"duties"`              // background tasks; duties on the wire
 	Conflicts    []string       `json:"conflicts,omitempty"` // routes that are not applied
+	// Evacuation is nil on nodes that don't know which zones are evacuated.
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
+}
+
+// Evacuation is what a node knows of evacuated zones.
+type Evacuation struct {
+	Era    uint64          `json:"era"`    // position of the log as of which the node knows it
+	Offset uint64          `json:"offset"` // as above
+	AgeMS  int64           `json:"ageMs"`  // time since it was last confirmed as the newest
+	Zones  []EvacuatedZone `json:"zones"`
+}
+
+// EvacuatedZone is a zone that is evacuated.
+type EvacuatedZone struct {
+	Zone  string    `json:"zone"`
+	Since time.Time `json:"since"` // when a node read the request of the operator first
 }
 
 // Upstream is the state of the upstream beside a node.
--- a/core/warm/gate.go
+++ b/core/warm/gate.go
@@ -10,9 +10,6 @@
 	// another one stated may have been written before the period began if it arrives less than
 	// reportDelay after it.
 	reportDelay = time.Second
-	// reportExpiry is the age at which a report no longer tells whether the upstream is cold. Reports
-	// arrive every 1.5 s at least; a node that was suspended has older ones.
-	reportExpiry = 4 * time.Second
 	// maxRemaining limits the time for which one report declares an upstream cold.
 	maxRemaining = time.Minute
 )
@@ -57,7 +54,7 @@
 }
 
 // Forget makes the upstream count as cold until a report describes a moment after now. It is called
-// when the upstream may have become cold unnoticed.
+// when the upstream may have become cold unnoticed, as after a suspension of the node.
 func (g *Gate) Forget(now time.Time) {
 	g.since, g.reported = now, time.Time{}
 }
@@ -70,7 +67,7 @@
 
 // Cold reports whether the upstream is cold or may be.
 func (g *Gate) Cold(now time.Time) bool {
-	return g.reported.IsZero() || now.Sub(g.reported) > reportExpiry || now.Before(g.until)
+	return g.reported.IsZero() || now.Before(g.until)
 }
 
 // Wait returns the time until the gate admits a call, 0 if it does now. perSecond is the rate of a
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -74,6 +74,8 @@
 	waitMu       sync.Mutex
 	pendingReads map[*pendingRead]struct{}
 
+	readsEvacuations bool // the platform's source tells which zones are evacuated
+
 	stopping atomic.Bool
 }
 
@@ -228,12 +230,14 @@
 //	├── tokens: watch, sweep, collect
 //	├── claims: flush, follow, watch
 //	├── target: poll
+//	├── evacuation: watch (with a platform's protocols)
 //	├── crashes: spread, sync
 //	├── log: note, load
 //	└── settings: follow
 func (a *Agent) start() {
 	a.tree = super.New(context.Background(), a.cfg.Instance.Name, super.WithErrorHook(a.onTaskError))
 	a.store.OnNews(a.news.signal)
+	a.watchEvacuations()
 	a.store.OnChange(a.checkWait)
 	a.zones.OnNews(a.news.signal)
 	ls := a.tree.NewSubtree("listeners")
@@ -262,6 +266,9 @@
 	ts.Start("sweep", a.tokens.MaintainPools)
 	ts.Start("collect", a.tokens.CollectCapacity)
 	a.tree.NewSubtree("target").Start("poll", a.target.PollQueue)
+	if a.platform != nil {
+		a.tree.NewSubtree("evacuation").Start("watch", a.target.WatchSuspension)
+	}
 	rs := a.tree.NewSubtree("crashes")
 	rs.Start("spread", a.crashes.spread)
 	rs.Start("sync", a.crashes.sync)
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -21,6 +21,9 @@
 	// defaultStaleAfter is the age of the configuration above which a node reads
 	// the log itself, if no limit on the age is configured.
 	defaultStaleAfter = 5 * time.Second
+	// evacuateWithin is the time in which an evacuation takes effect. Nodes read often enough, and
+	// look for another source early enough, for that.
+	evacuateWithin = 5 * time.Second
 	// catchUpDelay is how long a node waits for its own read or its sources
 	// after gossip reported a newer configuration, before it asks a peer. It is
 	// many times the usual response time of the log.
@@ -40,6 +43,9 @@
 	if cur := a.store.Current(); a.platform == nil && cur != nil {
 		p.MaxAge = cur.MaxAge
 	}
+	if a.readsEvacuations && (p.MaxAge == 0 || p.MaxAge > evacuateWithin) {
+		p.MaxAge = evacuateWithin
+	}
 	return p
 }
 
--- a/node/agent/fleet.go
+++ b/node/agent/fleet.go
@@ -38,6 +38,7 @@
 // state.
 type candidates struct {
 	gen  uint64
+	evac uint64 // number of the state of evacuated zones
 	list []relay.Candidate
 }
 
@@ -243,13 +244,14 @@
 	wg.Wait()
 }
 
-// Candidates implements relay.Directory.
+// Candidates implements relay.Directory. The targets of an evacuated zone count as draining.
 func (f *fleet) Candidates(service string) ([]relay.Candidate, uint64) {
+	zones, evacuation := f.agent.store.Evacuation()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	gen := f.machine.ServiceGeneration(service)
-	if c, ok := f.cache[service]; ok && c.gen == gen {
-		return c.list, gen
+	if c, ok := f.cache[service]; ok && c.gen == gen && c.evac == evacuation {
+		return c.list, joinGenerations(gen, evacuation)
 	}
 	var list []relay.Candidate
 	for _, e := range f.machine.Targets(service) {
@@ -260,12 +262,26 @@
 			Addr:        e.Addr,
 			Zone:        e.Zone,
 			Slots:       e.Target.Slots,
-			State:       relayState(e.Target.State),
+			State:       stateInZone(relayState(e.Target.State), zones.Evacuated(e.Zone)),
 			Leaving:     relay.Process{ID: e.Target.LeavingID, StartedMS: e.Target.LeavingStartedMS},
 		})
 	}
-	f.cache[service] = candidates{gen: gen, list: list}
-	return list, gen
+	f.cache[service] = candidates{gen: gen, evac: evacuation, list: list}
+	return list, joinGenerations(gen, evacuation)
+}
+
+// stateInZone returns the state in which calling nodes see a target.
+func stateInZone(s relay.State, evacuated bool) relay.State {
+	if evacuated {
+		return relay.Draining
+	}
+	return s
+}
+
+// joinGenerations returns a number that changes if one of the two does. Evacuations are rare, so the
+// lower bits of their number suffice.
+func joinGenerations(gen, evacuation uint64) uint64 {
+	return gen<<16 | evacuation&0xffff
 }
 
 // memberReports returns the status of the alive nodes that this one knows, itself
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -248,7 +248,7 @@
 	if a.platform == nil {
 		return opts
 	}
-	return append(opts, relay.WithProtocol(a.platform.UpstreamProtocol))
+	return append(opts, relay.WithProtocol(a.platform.UpstreamProtocol), relay.WithZone(a.cfg.Instance.Zone))
 }
 
 func (a *Agent) entryOptions() []entry.Option {
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -36,6 +36,7 @@
 		s.Conflicts = cur.Table.Conflicts
 		s.ConfigDigest = cur.View.Digest()
 	}
+	s.Evacuation = a.evacuationReport()
 	if up, ok := a.target.Upstream(now); ok {
 		s.Upstream = upstreamReport(up)
 		load := a.target.Load()
@@ -57,6 +58,7 @@
 	a.metrics.SetGauge(metric.ConcurrencyLimit, int64(load.Limit))
 	a.metrics.SetGauge(metric.UpstreamRateLimit, int64(load.Rate))
 	a.metrics.SetGauge(metric.Cold, asGauge(a.target.Cold(time.Now())))
+	a.metrics.SetGauge(metric.EvacuatedZones, int64(len(a.evacuatedZones())))
 	a.metrics.SetGauge(metric.CrashingRequests, int64(a.crashes.Refused(time.Now())))
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
--- a/node/relay/cold.go
+++ b/node/relay/cold.go
@@ -142,5 +142,4 @@
 	t.cold.mu.Lock()
 	t.cold.gate.Forget(now)
 	t.cold.mu.Unlock()
-	t.onState()
 }
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -8,6 +8,7 @@
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/chain"
+	"dogwoodsill.org/core/evac"
 	"dogwoodsill.org/core/finish"
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/metric"
@@ -67,6 +68,9 @@
 	crashes  *crashWatch
 	protocol Protocol
 	cold     coldGate
+	zone     string // of the node; empty if its evacuation has no effect
+	watchMu  sync.Mutex
+	watch    evac.Watch
 
 	incarnation uint64
 
@@ -296,11 +300,20 @@
 		return
 	}
 	up, refusal := t.checkCall(h, now)
+	if refusal == nil {
+		refusal = t.checkZone()
+	}
 	if refusal == nil && t.refuseCold(a, h, t.coldWait(h.Service, now)) {
 		return
 	}
 	if refusal == nil {
 		refusal = t.gate.enter(a.ctx, h, now)
+		if refusal == nil {
+			refusal = t.checkZone() // the zone may be evacuated while the call waits
+			if refusal != nil {
+				t.gate.cancel(time.Now())
+			}
+		}
 	}
 	if refusal != nil && errors.Is(context.Cause(a.ctx), errStopped) {
 		refusal = refuse.New(refuse.NoUpstream, "the node of the target stops")
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -163,7 +163,7 @@
 
 // mayRepeat reports whether the request may be sent to the upstream once more.
 func (c *upstreamCall) mayRepeat(now time.Time) bool {
-	return c.head.Repeatable && c.head.ContentLength == 0 && now.Before(c.head.Call.Deadline) && c.target.gate.takeRepeat(now) &&
+	return c.head.Repeatable && c.head.ContentLength == 0 && now.Before(c.head.Call.Deadline) && c.target.checkZone() == nil && c.target.gate.takeRepeat(now) &&
 		c.target.takeCold(c.head.Service, now) == 0
 }
 
--- a/node/store/follow.go
+++ b/node/store/follow.go
@@ -94,6 +94,11 @@
 func (s *Store) ReadSource(ctx context.Context, src Source, wait time.Duration) error {
 	sent, known := boot.Now(), s.Offset()
 	snap, newest, err := src.Next(ctx, wait)
+	if zones, ok := src.(EvacuationSource); ok {
+		s.mu.Lock()
+		s.applyReadings(zones.TakeEvacuations(), sent)
+		s.mu.Unlock()
+	}
 	if err != nil {
 		return err
 	}
--- a/node/store/peer.go
+++ b/node/store/peer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/evac"
 )
 
 // RecordsRequest requests configuration records from a peer.
@@ -21,6 +22,9 @@
 	AgeKnown bool             `msgpack:"known"` // the peer has once confirmed its configuration to be the newest
 	AgeUS    int64            `msgpack:"ageUs"` // microseconds since that was last confirmed
 	Empty    bool             `msgpack:"empty"` // the source had no configuration yet AgeUS ago
+
+	Zones      *evac.State `msgpack:"zones"`      // evacuated zones; nil if not known
+	ZonesAgeUS int64       `msgpack:"zonesAgeUs"` // microseconds since that was last known to be the newest state
 }
 
 // Records returns the reply to the request of a peer.
@@ -28,6 +32,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := RecordsReply{First: req.From, End: s.reader.Offset()}
+	if z, known := s.tracker.State(); known {
+		reply.Zones, reply.ZonesAgeUS = &z, now.Sub(s.tracker.AsOf()).Microseconds()
+	}
 	age, ok := s.reader.Age(now)
 	reply.AgeKnown, reply.AgeUS = ok, age.Microseconds()
 	if !ok && !s.emptyAsOf.IsZero() {
@@ -52,6 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := time.Duration(r.AgeUS)*time.Microsecond + now.Sub(sent)
+	s.mergeZones(r.Zones, sent.Add(-time.Duration(r.ZonesAgeUS)*time.Microsecond))
 	if r.Empty {
 		s.recordEmpty(now.Add(-age))
 		return
--- a/node/store/store.go
+++ b/node/store/store.go
@@ -8,6 +8,7 @@
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/evac"
 	"dogwoodsill.org/core/ring"
 	"dogwoodsill.org/core/route"
 )
@@ -41,6 +42,11 @@
 	failing    bool      // the last read of this node failed
 	held       bool      // the first configuration must not take effect yet
 	emptyAsOf  time.Time // time at which the source was known to have no configuration yet; zero if never
+
+	zones      atomic.Pointer[zonesInEffect]
+	tracker    evac.Tracker
+	needsZones bool // the first configuration must not take effect before the zones are known
+	onZones    []func(before, after evac.State)
 }
 
 // maxRecentRecords is the number of records that are retained for peers. At 4,500
@@ -209,6 +215,9 @@
 	if old == nil && (!confirmed || s.held) && !acceptUnconfirmed {
 		return
 	}
+	if _, known := s.tracker.State(); old == nil && s.needsZones && !known {
+		return
+	}
 	view := s.reader.View()
 	if old != nil && old.View == view {
 		return
