--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -49,6 +49,8 @@
 	CallerConnections = "callerConnections" // gauge: open connections that count towards callerBytes
 	MemoryEvicted     = "memoryEvicted"     // gauge: connections closed since the start to free memory
 	MemoryRefused     = "memoryRefused"     // gauge: connections, heads and bodies refused since the start for lack of memory
+	EvacuatedRefused  = "evacuatedRefused"  // calls returned because the zone of the node is evacuated, or may be after a suspension
+	EvacuatedZones    = "evacuatedZones"    // gauge: zones that are evacuated
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
 
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -37,6 +37,7 @@
 		s.Conflicts = cur.Table.Conflicts
 		s.ConfigDigest = cur.View.Digest()
 	}
+	s.Evacuation = a.evacuationReport()
 	if up, ok := a.target.Upstream(now); ok {
 		s.Upstream = upstreamReport(up)
 		load := a.target.Load()
@@ -62,6 +63,7 @@
 	a.metrics.SetGauge(metric.LearnedLimit, int64(load.LearnedLimit))
 	a.metrics.SetGauge(metric.ServiceTime, load.ServiceTime.Microseconds())
 	a.metrics.SetGauge(metric.WorkTime, int64(math.Round(load.WorkTime*100)))
+	a.metrics.SetGauge(metric.EvacuatedZones, int64(len(a.evacuatedZones())))
 	a.metrics.SetGauge(metric.CrashingRequests, int64(a.crashes.Refused(time.Now())))
 	a.setMemoryGauges()
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
