budget: bodies leave room for ordinary requests and don't make other uploads give way

Cause: buffered bodies could take all of the pool that requests use, and an upload that makes progress could be ended for another that could have been streamed. A call of the local upstream could give way while it waited for its response.

Change: bodies find room up to 5/8 of the pool, and only stalled connections give way to them. Calls at the local listener count their bodies and don't give way. A connection that had to give way is closed after a refusal.

--- a/core/budget/pool.go
+++ b/core/budget/pool.go
@@ -17,11 +17,12 @@
 	// without giving way to others. It is the largest head that the settings permit.
 	SmallBytes = 64 << 10
 
-	// A pool evicts accounts once more than highNumerator of 8 parts are in use, until at most
-	// lowNumerator of 8 parts are. The part above is left to new connections and ordinary heads.
-	highNumerator = 7
-	lowNumerator  = 6
-	parts         = 8
+	// Bodies find room up to bodyParts of 8 parts, heads and requests up to highParts, and new
+	// connections up to all of them, so that bodies leave room for ordinary requests. Beyond
+	// its part each makes stalled accounts give way, until one part is free.
+	bodyParts = 5
+	highParts = 7
+	parts     = 8
 
 	// scanInterval is the least time between two searches for accounts that give way after one
 	// that found none. Each search visits all accounts.
@@ -90,7 +91,7 @@
 func (p *Pool) Open(base int64, evict func(), now time.Time) (*Account, bool) {
 	a := &Account{pool: p, base: base, held: base, evict: evict, progress: now}
 	p.mu.Lock()
-	victims := p.makeRoom(base, 1, nil, now)
+	victims := p.makeRoom(need{bytes: base, accounts: 1, most: p.part(highParts)}, now)
 	ok := p.held+base <= p.limit && (p.maxAccounts == 0 || len(p.accounts) < p.maxAccounts)
 	if ok {
 		p.accounts[a] = struct{}{}
@@ -103,15 +104,28 @@
 	return a, ok
 }
 
-// Grow takes n more bytes and reports whether the pool had room for them below its reserve.
+// Grow takes n more bytes for a head or a request and reports whether the pool had room for them.
 func (a *Account) Grow(n int64, now time.Time) bool {
 	if a == nil || n <= 0 {
 		return true
 	}
-	p := a.pool
+	return a.grow(need{bytes: n, most: a.pool.part(highParts), requester: a}, now)
+}
+
+// GrowBody takes n more bytes for a body and reports whether the pool had room for them. Only
+// stalled accounts give way to it, since a body can be streamed instead.
+func (a *Account) GrowBody(n int64, now time.Time) bool {
+	if a == nil || n <= 0 {
+		return true
+	}
+	return a.grow(need{bytes: n, most: a.pool.part(bodyParts), stalledOnly: true, requester: a}, now)
+}
+
+func (a *Account) grow(r need, now time.Time) bool {
+	p, n := a.pool, r.bytes
 	p.mu.Lock()
-	victims := p.makeRoom(n, 0, a, now)
-	ok := !a.closed && !a.evicted && p.held+n <= p.high()
+	victims := p.makeRoom(r, now)
+	ok := !a.closed && !a.evicted && p.held+n <= r.most
 	if ok {
 		a.held += n
 		p.held += n
@@ -189,7 +203,7 @@
 	}
 	p := a.pool
 	p.mu.Lock()
-	victims := p.makeRoom(n, 0, a, now)
+	victims := p.makeRoom(need{bytes: n, most: p.part(highParts), requester: a}, now)
 	if !a.closed {
 		a.release(-n)
 	}
@@ -206,7 +220,17 @@
 	}
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	return a.pool.held-a.pool.leaving > a.pool.high()
+	return a.pool.held-a.pool.leaving > a.pool.part(highParts)
+}
+
+// Evicted reports whether the account had to give way. Grow then returns false.
+func (a *Account) Evicted() bool {
+	if a == nil {
+		return false
+	}
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	return a.evicted
 }
 
 // SetCustomer sets the customer for which the account holds its bytes.
@@ -238,13 +262,23 @@
 	delete(p.accounts, a)
 }
 
-func (p *Pool) high() int64 { return p.limit / parts * highNumerator }
+// need is a request for memory.
+type need struct {
+	bytes       int64
+	accounts    int
+	most        int64    // bytes that may be in use with it
+	stalledOnly bool     // only stalled accounts give way
+	requester   *Account // never gives way; may be nil
+}
+
+// part returns the given number of parts of the pool in bytes.
+func (p *Pool) part(n int64) int64 { return p.limit / parts * n }
 
-// makeRoom returns the accounts that give way if n more bytes and the given number of accounts
-// don't fit below the reserve. They are marked as evicted. The caller holds mu.
-func (p *Pool) makeRoom(n int64, accounts int, requester *Account, now time.Time) (victims []*Account) {
-	full := p.maxAccounts > 0 && len(p.accounts)-p.gone+accounts > p.maxAccounts
-	if p.held-p.leaving+n <= p.high() && !full {
+// makeRoom returns the accounts that give way if what r needs doesn't fit. They are marked as
+// evicted. The caller holds mu.
+func (p *Pool) makeRoom(r need, now time.Time) (victims []*Account) {
+	full := p.maxAccounts > 0 && len(p.accounts)-p.gone+r.accounts > p.maxAccounts
+	if p.held-p.leaving+r.bytes <= r.most && !full {
 		return nil
 	}
 	if now.Sub(p.scanned) < scanInterval && now.After(p.scanned) {
@@ -254,15 +288,14 @@
 	if full {
 		open -= max(1, p.maxAccounts/parts)
 	}
-	low := p.limit / parts * lowNumerator
-	for _, a := range p.stalled(requester, now) {
-		if p.held-p.leaving+n <= low && len(p.accounts)-p.gone <= open {
+	for _, a := range p.stalled(r.requester, now) {
+		if p.held-p.leaving+r.bytes <= r.most-p.part(1) && len(p.accounts)-p.gone <= open {
 			break
 		}
 		victims = append(victims, p.mark(a))
 	}
-	for p.held-p.leaving+n > p.high() {
-		a := p.largest(requester)
+	for !r.stalledOnly && p.held-p.leaving+r.bytes > r.most {
+		a := p.largest(r.requester)
 		if a == nil {
 			break
 		}
--- a/core/budget/pool_test.go
+++ b/core/budget/pool_test.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// TestBodiesLeaveRoom guards against bodies that leave no room for ordinary requests, and against
+// one that makes progress and has to give way to another although that can be streamed.
+func TestBodiesLeaveRoom(t *testing.T) {
+	const kib = 1 << 10
+	now := time.Unix(1000, 0)
+	p := New(1024*kib, 0)
+	upload, _ := p.Open(kib, func() { t.Error("an upload gave way to another") }, now)
+	for upload.GrowBody(32*kib, now) {
+		upload.Progress(now)
+	}
+	other, ok := p.Open(kib, func() {}, now)
+	assert.Assert(t, ok)
+	assert.Assert(t, !other.GrowBody(32*kib, now))
+	assert.Assert(t, other.Grow(200*kib, now), "no room for an ordinary request: %+v", p.Stats())
+}
+
 // TestBytesReturn guards against bytes that stay counted after their account is closed, and
 // against more accounts than permitted.
 func TestBytesReturn(t *testing.T) {
--- a/node/entry/memory.go
+++ b/node/entry/memory.go
@@ -64,7 +64,17 @@
 
 // reserve takes n bytes and reports whether there was room.
 func (m *requestMemory) reserve(n int64) bool {
-	if !m.account.Grow(n, time.Now()) {
+	return m.count(n, m.account.Grow(n, time.Now()))
+}
+
+// reserveBody takes n bytes for a body and reports whether there was room.
+func (m *requestMemory) reserveBody(n int64) bool {
+	return m.count(n, m.account.GrowBody(n, time.Now()))
+}
+
+// count counts n bytes if they were taken.
+func (m *requestMemory) count(n int64, taken bool) bool {
+	if !taken {
 		return false
 	}
 	m.mu.Lock()
@@ -107,12 +117,15 @@
 	if q.memory.reserve(n) {
 		return nil
 	}
+	if q.memory.account.Evicted() {
+		q.w.Header().Set("Connection", "close") // no request on this connection finds room any more
+	}
 	return memoryRefusal()
 }
 
 // takeStreamMemory takes what a body that is not buffered needs.
 func (q *request) takeStreamMemory() *refuse.Error {
-	if relay.IsBuffered(q.r.ContentLength) || q.memory.reserve(streamBytes) {
+	if relay.IsBuffered(q.r.ContentLength) || q.memory.reserveBody(streamBytes) {
 		return nil
 	}
 	return memoryRefusal()
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -362,7 +362,7 @@
 	}
 	q.body = s.newBody(ctx, q.w, q.r, q.memory)
 	stop := context.AfterFunc(ctx, q.body.interrupt)
-	body, err := relay.NewBody(q.body, q.r.ContentLength, q.trailer, relay.WithReserve(q.memory.reserve))
+	body, err := relay.NewBody(q.body, q.r.ContentLength, q.trailer, relay.WithReserve(q.memory.reserveBody))
 	stop()
 	if err != nil {
 		return q.withUnknownExecutionIfKeyed(bodyError(ctx, err))
--- a/node/local/server.go
+++ b/node/local/server.go
@@ -232,7 +232,20 @@
 	*bodyRead = true
 	rc := http.NewResponseController(w)
 	stopBody := context.AfterFunc(ctx, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
-	body, err := relay.NewBody(r.Body, r.ContentLength, func() http.Header { return relay.EndToEndHeader(r.Trailer) })
+	account, held := conns.Account(r.Context()), int64(0)
+	account.Pin() // a call of a running request doesn't give way
+	defer func() {
+		account.Shrink(held)
+		account.Unpin()
+	}()
+	reserve := func(n int64) bool {
+		ok := account.GrowBody(n, time.Now())
+		if ok {
+			held += n
+		}
+		return ok
+	}
+	body, err := relay.NewBody(r.Body, r.ContentLength, func() http.Header { return relay.EndToEndHeader(r.Trailer) }, relay.WithReserve(reserve))
 	stopBody()
 	if err != nil && errors.Is(context.Cause(ctx), errStopped) {
 		return refuse.New(refuse.NotReady, "the node stopped while the body arrived")
