core/speed: decisions wait until calls have settled, and the limit is found by steps

Cause: right after a change of the limit, calls that end have spent most of their time beside the former number of others, and those that end first are the short ones. Limits below half of the slots were ruled out only by the place of the first one. Change: nothing is decided for two typical latencies after a change, nor from the first 1.5 s. A limit begins in the middle of those with a gain and moves by a twentieth of the slots: down while calls at it are slow, up while they are as fast as beside fewer others, and it ends above nine tenths. Calls that are shed count beside those that they met. Differences need five standard errors.

--- a/core/speed/curve.go
+++ b/core/speed/curve.go
@@ -13,10 +13,10 @@
 	curveHalfLife = 10 * time.Second
 	curveStep     = 100 * time.Millisecond // between two decays and between two decisions
 
-	minWeight = 30 // calls on either side of a knee; with a spread of 0.5 their mean is right to a tenth
+	minWeight = 60 // calls on either side of a knee; with a spread of 0.5 their mean is right to a tenth
 	// minSignificance is the difference in standard errors that counts. With nine candidates ten
 	// times a second, 3 would be exceeded by chance every few seconds.
-	minSignificance = 4.0
+	minSignificance = 5.0
 	// sameKnee is the fraction of the best explanation from which on a knee may be the right one.
 	sameKnee = 0.95
 	// minGain is the factor by which a limit must raise the calls that end well per second.
@@ -29,6 +29,8 @@
 	// more of the calls above it, by minShedding.
 	firstShedKnee = bins / 4
 	minShedding   = 0.2
+	// minSuccess bounds the gain over a state in which nearly no call ends well.
+	minSuccess = 0.01
 )
 
 // cell holds decaying sums over the time in which the number of running requests was in one
@@ -107,7 +109,17 @@
 type knee struct {
 	bin    int     // first bin above it; 0 without a knee
 	factor float64 // by which calls take longer above it
-	gain   float64 // factor by which a limit at the knee raises the calls that end well
+	gain   float64 // factor by which more calls would end well per second if all were like those below it
+	sheds  bool    // more calls are shed above it
+}
+
+// least returns the lowest bin of a limit with a gain of minGain over all slots.
+func (k knee) least() int {
+	first := firstKnee
+	if k.sheds {
+		first = firstShedKnee
+	}
+	return max(first, int(math.Ceil(bins*minGain/max(minGain, k.gain))))
 }
 
 // split compares the calls below a bin with the others.
@@ -152,16 +164,16 @@
 		k.factor = high.mean() / low.mean()
 	}
 	child := (low.child + high.child) / max(1, low.calls+high.calls)
-	k.gain = float64(bin) / bins * low.success() / max(0.01, high.success()) *
-		(k.factor*low.mean() + child) / (low.mean() + child)
+	k.sheds = sheds
+	k.gain = low.success() / max(minSuccess, high.success()) * (k.factor*low.mean() + child) / (low.mean() + child)
 	weight := nl * nh / (nl + nh)
 	difference := math.Log(k.factor) + max(0, moreShed)
 	return k, weight * difference * difference, true
 }
 
-// find returns the lowest and the highest knee of those that explain the calls best, without
-// regard to their gain. They differ if few calls ran at the bins in between.
-func (c *curve) find() (low, high knee) {
+// find returns the knee that explains the calls best, without regard to its gain. If few calls
+// ran at several bins in between, it is the lowest of these.
+func (c *curve) find() knee {
 	var knees [bins]knee
 	var explained [bins]float64
 	most := 0.0
@@ -172,12 +184,9 @@
 		}
 	}
 	for bin, part := range explained {
-		if part == 0 || part < sameKnee*most {
-			continue
-		}
-		if high = knees[bin]; low.bin == 0 {
-			low = high
+		if part > 0 && part >= sameKnee*most {
+			return knees[bin]
 		}
 	}
-	return low, high
+	return knee{}
 }
--- a/core/speed/estimator.go
+++ b/core/speed/estimator.go
@@ -11,27 +11,35 @@
 	serviceSamples = 200
 	// minServiceSamples is the number of calls after which the service time is known.
 	minServiceSamples = 20
-	// firstSamples is the number of first calls without effect on the limit: those that end
-	// first are the short ones.
-	firstSamples = 100
+	// startTime is the time after the first call of Limit in which calls have no effect on the
+	// limit: those that end first are the short ones, and began beside fewer others.
+	startTime = 1500 * time.Millisecond
 	// maxLatencyRatio bounds the weight of a single slow call: a latency of more than this
 	// multiple of the mean counts as this multiple.
 	maxLatencyRatio = 4.0
 	// maxWorkRatio bounds the effect of a reported work time.
 	maxWorkRatio = 8.0
 
+	// settleLatencies is the number of typical latencies after a change of the limit in which
+	// nothing is decided: calls that end then have spent most of their time beside the former
+	// number of others.
+	settleLatencies = 2
+	// leastError is by how many bins the lowest limit with a gain may be wrong: the slowdown is
+	// underestimated while calls that ran on both sides of the knee are among few.
+	leastError = 2
 	// adjustWeight is the number of calls at the limit by which it is adjusted. Their mean is right
 	// to a tenth. A wrong step costs a twentieth of the slots until the next one.
 	adjustWeight = 100
-	// minSlowdown is the least factor that counts as slower when the limit is adjusted.
-	minSlowdown = 1.3
+	// minSlowdown is the least factor that counts as slower when the limit is adjusted: its root
+	// is three standard errors of the mean of adjustWeight calls above 1.
+	minSlowdown = 1.7
 	// reportExpiry is the age from which on a reported work time counts no more than the mean of
 	// all, since a slow phase takes about a second.
 	reportExpiry = time.Second
 
 	// firstHold is how long a limit holds before more calls are tried again. Each time that
 	// they are slow again the time doubles, up to maxHold.
-	firstHold, maxHold = 15 * time.Second, time.Minute
+	firstHold, maxHold = 8 * time.Second, time.Minute
 )
 
 // Sample describes a finished call.
@@ -47,6 +55,7 @@
 // Estimator estimates the service time and the limit of one upstream. Without samples, the limit
 // is the number of slots and the service time is unknown. It is not safe for concurrent use.
 type Estimator struct {
+	since    time.Time // first call of Limit with these slots
 	slots    int
 	running  series    // calls in flight
 	work     series    // work time of the machine, without the part that is due to the running requests
@@ -59,9 +68,11 @@
 	known   knee // found last, with or without a gain
 	limited int  // bin of the limit; 0 without one
 	ceiling int  // bin that the limit doesn't reach before the end of the hold; 0 if there is none
-	former  int  // bin of the last limit, which was located
+	least   int  // lowest bin of a limit with a gain, as far as is known
 	held    time.Time
-	fast    float64 // mean time of a call beside no more others than the limit, in seconds
+	settled bool      // calls at the limit have been fast since it began
+	changed time.Time // when the limit changed last
+	fast    float64   // mean time of a call beside no more others than the limit, in seconds
 	hold    time.Duration
 
 	serviceTime moments // in seconds, at the usual work time and below the knee
@@ -119,11 +130,11 @@
 	if s.Failed || e.slots == 0 || s.Latency <= 0 {
 		return
 	}
-	began, end := now.Add(-s.Latency), &e.curve.cells[binOf(float64(s.InFlight), e.slots)]
 	if s.Shed {
-		end.shed++
+		e.curve.cells[binOf(float64(s.InFlight-1), e.slots)].shed++ // it ran beside that many at most
 		return
 	}
+	began, end := now.Add(-s.Latency), &e.curve.cells[binOf(float64(s.InFlight), e.slots)]
 	own := max(s.Latency-s.ChildTime, time.Microsecond).Seconds()
 	work := e.work.mean(began, now, 1)
 	if e.work.n > 0 {
@@ -136,7 +147,7 @@
 	}
 	e.latency.add(s.Latency.Seconds(), serviceSamples)
 	e.serviceTime.add(own/slowdown, serviceSamples)
-	if e.serviceTime.n < firstSamples {
+	if now.Sub(e.since) < startTime {
 		return
 	}
 	end.calls++
@@ -172,7 +183,7 @@
 // Limit returns the number of calls that the upstream should run at a time, at most slots.
 func (e *Estimator) Limit(now time.Time, slots int) int {
 	if slots != e.slots {
-		*e = Estimator{slots: slots, work: e.work, reported: e.reported, trust: e.trust, jumps: e.jumps, steep: e.steep, serviceTime: e.serviceTime, latency: e.latency, phase: e.phase, probe: probe{phase: e.phase}}
+		*e = Estimator{slots: slots, since: now, work: e.work, reported: e.reported, trust: e.trust, jumps: e.jumps, steep: e.steep, serviceTime: e.serviceTime, latency: e.latency, phase: e.phase, probe: probe{phase: e.phase}}
 	}
 	if e.curve.decay(now) {
 		e.decide(now)
@@ -195,46 +206,58 @@
 // decide changes the limit if the curve justifies it.
 func (e *Estimator) decide(now time.Time) {
 	e.probe.step(now)
-	k, highest := e.curve.find()
+	settle := settleLatencies * e.typicalLatency()
+	if e.limited == 0 && now.Sub(e.probe.end) < settle {
+		return
+	}
+	if e.limited != 0 && now.Sub(e.changed) < settle {
+		e.curve.cells[e.limitBin()] = cell{}
+		return
+	}
+	k := e.curve.find()
 	if k.bin != 0 || e.curve.covers(e.known.bin) {
 		e.known = k
 	}
-	justified := k.bin != 0 && highest.bin <= lastKnee && k.gain >= minGain
-	located := highest.bin-k.bin < 2 || k.bin <= e.former && e.former <= highest.bin
 	few, _ := e.curve.split(firstKnee)
 	switch {
-	case e.limited == 0 && !located && max(k.gain, highest.gain) >= minGain:
-		e.probe.begin(now, min(lastKnee+1, (k.bin+highest.bin+1)/2), saturatedTime, e.typicalLatency())
-	case e.limited == 0 && located && justified:
-		e.cut(now, k)
-	case e.limited == 0 && few.calls < minWeight:
-		e.probe.beginLow(now, e.typicalLatency())
-	case e.limited != 0 && e.refuted():
-		e.curve.forgetFrom(e.limited)
-		e.limited = 0
-	case justified && highest.bin < e.limited:
-		e.limited, e.ceiling = highest.bin, e.limited
 	case e.limited != 0:
 		e.adjust(now)
+	case k.bin != 0 && !now.Before(e.held) && k.least() <= lastKnee:
+		e.begin(now, k)
+	case few.calls < minWeight:
+		e.probe.beginLow(now, e.typicalLatency())
 	}
-	if e.known.bin == 0 {
-		e.former = 0
+}
+
+// begin sets the limit to the middle of those with a gain. From there it is raised or lowered to
+// the knee, while an upstream that was slow for another reason keeps most of its load.
+func (e *Estimator) begin(now time.Time, k knee) {
+	low, _ := e.curve.split(k.bin)
+	e.fast, e.least = low.mean(), k.least()
+	e.limited, e.ceiling, e.changed, e.settled = (e.least+lastKnee)/2, 0, now, false
+	if k.sheds {
+		e.limited = min(lastKnee, k.bin) // above it, a limit isn't reached
 	}
 }
 
-// cut sets the limit to a knee.
-func (e *Estimator) cut(now time.Time, k knee) {
-	if now.Sub(e.held) > maxHold {
+// release ends the limit. Another one follows only after a hold.
+func (e *Estimator) release(now time.Time) {
+	e.curve.forgetFrom(e.limited)
+	e.limited = 0
+	e.extendHold(now)
+}
+
+// extendHold doubles the hold, or begins with the first one if the last one is long over.
+func (e *Estimator) extendHold(now time.Time) {
+	e.hold = min(2*e.hold, maxHold)
+	if e.hold == 0 || now.Sub(e.held) > maxHold {
 		e.hold = firstHold
 	}
-	e.limited, e.former, e.ceiling, e.held = k.bin, k.bin, 0, now.Add(e.hold)
-	low, _ := e.curve.split(k.bin)
-	e.fast = low.mean()
-	e.curve.cells[e.limitBin()] = cell{}
+	e.held = now.Add(e.hold)
 }
 
 // adjust raises the limit by one bin if calls at the limit are as fast as beside fewer others,
-// and otherwise lowers it by one bin, below which it then stays for the time of the hold.
+// and otherwise lowers it by one bin, where it then stays for the time of the hold.
 func (e *Estimator) adjust(now time.Time) {
 	if e.ceiling != 0 && !now.Before(e.held) {
 		e.ceiling = 0
@@ -242,42 +265,48 @@
 	bin := e.limitBin()
 	at := e.curve.cells[bin]
 	if at.calls+at.shed < adjustWeight {
+		if now.Sub(e.changed) > firstHold {
+			e.release(now) // it isn't reached, so that it has no effect
+		}
 		return
 	}
 	low, _ := e.curve.split(bin)
-	if low.calls >= minWeight {
+	if low.calls >= adjustWeight {
 		e.fast = low.mean()
 	}
-	sheds := at.shedding()-low.shedding() > minShedding
-	slow := sheds || at.mean() > math.Sqrt(max(e.known.factor, minSlowdown))*e.fast
-	if slow && (e.limited > firstKnee || sheds && e.limited > firstShedKnee) {
-		e.hold = min(2*e.hold, maxHold)
-		e.ceiling, e.held = e.limited, now.Add(e.hold)
-		e.limited--
-		e.former = e.limited
-		return
-	}
+	sheds, floor := at.shedding()-low.shedding() > minShedding, firstKnee
 	if sheds {
-		return
+		floor = firstShedKnee
 	}
-	e.fast = at.mean()
-	if e.ceiling == 0 || e.limited+1 < e.ceiling {
-		e.raise()
+	slow := sheds || at.mean() > math.Sqrt(max(e.known.factor, minSlowdown))*e.fast
+	switch {
+	case slow && (e.limited < e.least-leastError || e.limited <= floor):
+		e.release(now)
+	case slow:
+		if e.settled {
+			e.extendHold(now)
+		} else {
+			e.held = now.Add(firstHold)
+		}
+		e.ceiling, e.changed = e.limited, now
+		e.limited--
+	case e.ceiling == 0 || e.limited+1 < e.ceiling:
+		e.settled = true
+		e.raise(now)
+	default:
+		e.settled, e.fast = true, at.mean()
 	}
 }
 
 // raise raises the limit to the next bin that is a larger number of calls.
-func (e *Estimator) raise() {
+func (e *Estimator) raise(now time.Time) {
+	e.changed = now
 	for before := e.limitAt(e.limited); e.limitAt(e.limited) == before; {
 		e.limited++
 	}
 	if e.limited > lastKnee {
-		e.curve.forgetFrom(e.limited)
-		e.limited = 0
-		return
+		e.release(now)
 	}
-	e.former = e.limited
-	e.curve.cells[e.limitBin()] = cell{}
 }
 
 // limitAt returns the number of calls up to a bin.
@@ -286,13 +315,6 @@
 // limitBin returns the bin of the calls that run while the limit is in use.
 func (e *Estimator) limitBin() int { return binOf(float64(e.limitAt(e.limited)), e.slots) }
 
-// refuted reports whether the calls at the limit have become as slow as those above it, so that
-// the number of running requests is not the cause.
-func (e *Estimator) refuted() bool {
-	low, high := e.curve.split(e.limited)
-	return low.calls >= minWeight && high.calls >= minWeight && low.mean() >= high.mean()*float64(e.limited)/bins*minGain
-}
-
 // ServiceTime returns the time that the upstream currently needs for a typical call beside
 // the running ones, without child calls, or 0 if it is not known.
 func (e *Estimator) ServiceTime(now time.Time) time.Duration {
--- a/core/speed/probe.go
+++ b/core/speed/probe.go
@@ -9,11 +9,11 @@
 	saturated     = 0.9 // fraction of the slots that counts as all of them
 	// minProbe and maxProbe bound the time of a probe. Calls that began before it must end
 	// first; probeLatencies typical latencies are enough for that.
-	minProbe, maxProbe = 200 * time.Millisecond, time.Second
+	minProbe, maxProbe = 200 * time.Millisecond, 800 * time.Millisecond
 	probeLatencies     = 3
 	// firstProbePause is the time between two probes. It doubles after each, up to
 	// maxProbePause, so that probes of an upstream without a knee cost less than 1%: half of
-	// the throughput for up to a second in two minutes.
+	// the throughput for less than a second in two minutes.
 	firstProbePause, maxProbePause = 10 * time.Second, 2 * time.Minute
 )
 
