core/picker: choice by expected completion where service times are known

Cause: the choice compares loads in relation to limits and knows nothing of speeds, so slow upstreams get as much as fast ones; zones are crossed on the first full target and back.

Change: for services whose targets send admit.Feedback.ServiceTime, candidates are drawn by limit/serviceTime and compared by expected completion. Load above 92% of the limits of the own zone spills to zones with room by an integrating fraction. Without service times the choice and its random numbers are unchanged.

--- a/core/picker/health.go
+++ b/core/picker/health.go
@@ -17,6 +17,7 @@
 	t.inFlight = max(0, t.inFlight-1)
 	if f != nil {
 		t.feedback, t.feedbackAt, t.inFlightAtFeedback = *f, now, t.inFlight
+		s.recordCapacity(now, t)
 	}
 	if s.trackQuality {
 		t.quality.recordResult(now, r)
@@ -31,6 +32,9 @@
 	case Failed:
 		t.recordResponse(now)
 		s.recordFailure(now, t)
+		if f == nil {
+			t.zone.recordFailure(now)
+		}
 	case Unknown:
 		if t.inFlight == 0 {
 			t.inactiveSince = time.Time{}
--- a/core/picker/set.go
+++ b/core/picker/set.go
@@ -56,6 +56,9 @@
 	Tried     []string // targets that this call has already tried
 	NoProbe   bool     // the call must not serve as a probe of an ejected target
 	LargeBody bool
+	// LatencyGoal is the response time up to which the response has its full value;
+	// 0 if not known.
+	LatencyGoal time.Duration
 }
 
 // Set holds the targets of one service as one node sees them. It is not safe
@@ -69,6 +72,16 @@
 	trackQuality        bool           // consider the speed and failures of targets
 	targets             []*targetState // ordered by identifier
 	ownZone, otherZones []*targetState // buffers of Pick
+
+	// The choice by expected completion applies until timedUntil.
+	timedUntil   time.Time
+	meanCapacity float64   // moving average over feedback with a service time
+	ownWeights   []float64 // buffer of Pick: sums of the weights of ownZone
+	zones        []*zoneState
+	spilled      float64 // sum of the fractions that spill over
+	maxZoneSpill float64 // largest of them
+	spillAt      time.Time
+	partsAt      time.Time
 }
 
 type targetState struct {
@@ -81,6 +94,8 @@
 	inFlightAtFeedback  int       // value of inFlight when the feedback arrived
 	quality             quality
 	pace                pace
+	zone                *zoneState
+	capacity            float64 // calls per second, from feedback; 0 if not known
 
 	ejected bool
 	backoff time.Duration
@@ -138,11 +153,12 @@
 		if st == nil {
 			st = &targetState{}
 		}
-		st.Target = t
+		st.Target, st.zone = t, s.zoneOf(t.Zone)
 		next = append(next, st)
 	}
 	slices.SortFunc(next, func(a, b *targetState) int { return strings.Compare(a.ID, b.ID) })
 	s.targets = slices.CompactFunc(next, func(a, b *targetState) bool { return a.ID == b.ID })
+	s.removeZones()
 	s.limitEjected()
 }
 
@@ -172,6 +188,20 @@
 		return t.ID, true
 	}
 	s.candidates(now, q)
+	t := s.pickCandidate(now, q, rng)
+	if t == nil {
+		return "", false
+	}
+	t.startCall(now)
+	return t.ID, true
+}
+
+// pickCandidate chooses among the candidates, by expected completion if service
+// times are known.
+func (s *Set) pickCandidate(now time.Time, q Query, rng *rand.Rand) *targetState {
+	if s.byCompletion(now) {
+		return s.pickByCompletion(now, q, rng)
+	}
 	t := choose(now, s.ownZone, rng)
 	switch {
 	case t == nil || t.overloaded(now, q.Rank):
@@ -183,30 +213,36 @@
 			t = o
 		}
 	}
-	if t == nil {
-		return "", false
-	}
-	t.startCall(now)
-	return t.ID, true
+	return t
+}
+
+// byCompletion reports whether a target has sent its service time recently.
+func (s *Set) byCompletion(now time.Time) bool {
+	return !s.timedUntil.IsZero() && !now.After(s.timedUntil)
 }
 
 // candidates fills ownZone and otherZones with the targets that may be chosen.
 // Targets whose pace is exhausted are among them only if there are no others.
 func (s *Set) candidates(now time.Time, q Query) {
-	s.listCandidates(q, func(t *targetState) bool { return !t.pace.exhausted(now) })
+	s.listCandidates(now, q, func(t *targetState) bool { return !t.pace.exhausted(now) })
 	if len(s.ownZone)+len(s.otherZones) == 0 {
-		s.listCandidates(q, func(*targetState) bool { return true })
+		s.listCandidates(now, q, func(*targetState) bool { return true })
 	}
 }
 
-func (s *Set) listCandidates(q Query, accept func(t *targetState) bool) {
-	s.ownZone, s.otherZones = s.ownZone[:0], s.otherZones[:0]
+func (s *Set) listCandidates(now time.Time, q Query, accept func(t *targetState) bool) {
+	s.ownZone, s.otherZones, s.ownWeights = s.ownZone[:0], s.otherZones[:0], s.ownWeights[:0]
+	weighted, sum := s.byCompletion(now), 0.0
 	for _, t := range s.targets {
 		if t.Draining || t.ejected || slices.Contains(q.Tried, t.ID) || !accept(t) {
 			continue
 		}
 		if t.Zone == s.zone {
 			s.ownZone = append(s.ownZone, t)
+			if weighted {
+				sum += t.weight(now, s.meanCapacity)
+				s.ownWeights = append(s.ownWeights, sum)
+			}
 		} else {
 			s.otherZones = append(s.otherZones, t)
 		}
