relay, agent: calls spilled to other zones in status, metrics and log

Cause: nothing showed how many calls leave their zone. The picker didn't know the latency goal of a call.

Queries carry the latency goal.

Result: go test -run TestSpillLog ./node/agent passes; the values appear only for services whose targets send service times.

--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -40,6 +40,7 @@
 	InFlight          = "inFlight"          // gauge: calls running at the local upstream
 	UpstreamRateLimit = "upstreamRateLimit" // gauge: calls per second that the local upstream accepts; 0 without a limit
 	Waiting           = "waiting"           // gauge: calls queued for the local upstream
+	Spilled           = "spilled."          // gauge, followed by service and zone: thousandths of the recent calls to the service that went to that other zone
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
 
--- a/core/picker/picker_test.go
+++ b/core/picker/picker_test.go
@@ -257,5 +257,6 @@
 		assert.Equal(t, ids[0], ids[1], "call %d", i)
 	}
 	assert.Equal(t, rngs[0].Uint64(), rngs[1].Uint64())
-	assert.Equal(t, len(expired.Spilled(now)), 0)
+	assert.DeepEqual(t, expired.Spilled(now), []ZonePart{{Zone: "b"}})
+	assert.Equal(t, len(never.Spilled(now)), 0)
 }
--- a/core/picker/spill.go
+++ b/core/picker/spill.go
@@ -211,9 +211,11 @@
 }
 
 // Spilled returns the fraction of the recent calls that went to each other zone,
-// ordered by zone. It is empty for a service without service times.
+// ordered by zone: calls that spill over, that avoid a slow target, and that
+// explore. It is empty for a service that never had service times, and all
+// fractions are 0 if its last one has expired.
 func (s *Set) Spilled(now time.Time) []ZonePart {
-	if !s.byCompletion(now) {
+	if s.timedUntil.IsZero() {
 		return nil
 	}
 	total := 0.0
@@ -222,8 +224,12 @@
 	}
 	var parts []ZonePart
 	for _, z := range s.zones {
-		if z.name != s.zone && total > 0 {
-			parts = append(parts, ZonePart{Zone: z.name, Fraction: z.calls / total})
+		part := ZonePart{Zone: z.name}
+		if total > 0 && s.byCompletion(now) {
+			part.Fraction = z.calls / total
+		}
+		if z.name != s.zone {
+			parts = append(parts, part)
 		}
 	}
 	slices.SortFunc(parts, func(a, b ZonePart) int { return strings.Compare(a.Zone, b.Zone) })
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -19,6 +19,15 @@
 	Members      []Member       `json:"members"`
 	Tasks        []super.Status `json:"duties"`              // background tasks; duties on the wire
 	Conflicts    []string       `json:"conflicts,omitempty"` // routes that are not applied
+	Spilled      []Spill        `json:"spilled,omitempty"`   // services whose targets are chosen by expected completion
+}
+
+// Spill is the fraction of a node's recent calls to a service that went to
+// another zone.
+type Spill struct {
+	Service  string  `json:"service"`
+	Zone     string  `json:"zone"`
+	Fraction float64 `json:"fraction"`
 }
 
 // Upstream is the state of the upstream beside a node.
--- a/node/agent/load.go
+++ b/node/agent/load.go
@@ -38,7 +38,9 @@
 // logs nothing while there are no requests.
 func (a *Agent) logLoad(ctx context.Context) error {
 	var before loadCounts
-	return super.Every(ctx, loadInterval, func(time.Time) {
+	spills := spillLog{}
+	return super.Every(ctx, loadInterval, func(now time.Time) {
+		spills.log(a.log, a.caller.Spilled(now))
 		after := a.readCounts()
 		if !after.sameRequests(before) {
 			load := a.target.Load()
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -41,6 +41,7 @@
 		load := a.target.Load()
 		s.Upstream.InFlight, s.Upstream.Limit, s.Upstream.RateLimit = load.Running, load.Limit, load.Rate
 	}
+	s.Spilled = spillReports(a.caller.Spilled(now))
 	return s
 }
 
@@ -57,6 +58,7 @@
 	a.metrics.SetGauge(metric.ConcurrencyLimit, int64(load.Limit))
 	a.metrics.SetGauge(metric.UpstreamRateLimit, int64(load.Rate))
 	a.metrics.SetGauge(metric.CrashingRequests, int64(a.crashes.Refused(time.Now())))
+	a.setSpillGauges(time.Now())
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
 }
--- a/node/relay/balance.go
+++ b/node/relay/balance.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -115,7 +116,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	set := b.updatedSet(req.Service, list, gen, now)
-	id, ok := set.picker.Pick(now, picker.Query{Rank: req.Call.Rank, Tried: tried, NoProbe: !req.Repeatable, LargeBody: req.ContentLength > largeBody}, b.rng)
+	id, ok := set.picker.Pick(now, picker.Query{Rank: req.Call.Rank, Tried: tried, NoProbe: !req.Repeatable, LargeBody: req.ContentLength > largeBody, LatencyGoal: req.Call.LatencyGoal}, b.rng)
 	if !ok {
 		return Candidate{}, false
 	}
@@ -194,6 +195,27 @@
 	b.sets[service].picker.RecordLatency(now, id, took)
 }
 
+// Spill is the fraction of the recent calls of this node to a service that went
+// to another zone.
+type Spill struct {
+	Service string
+	picker.ZonePart
+}
+
+// Spilled returns the fractions for the services whose targets are chosen by
+// expected completion, ordered by service and zone.
+func (b *Balancer) Spilled(now time.Time) []Spill {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var spills []Spill
+	for _, service := range slices.Sorted(maps.Keys(b.sets)) {
+		for _, part := range b.sets[service].picker.Spilled(now) {
+			spills = append(spills, Spill{Service: service, ZonePart: part})
+		}
+	}
+	return spills
+}
+
 // recordFirst counts the first attempt of a call for the retry ratio.
 func (b *Balancer) recordFirst(service string, now time.Time) {
 	b.mu.Lock()
