--- a/core/picker/completion.go
+++ b/core/picker/completion.go
@@ -17,8 +17,8 @@
 	// reached. The fastest upstream of a service is up to 3.4 times as fast as
 	// the slowest one, which must get calls before the fastest one is full.
 	crowdedCost = 2.4
-	// refusalCost is the cost of a target that refuses calls of this rank in relation
-	// to one that runs them. It exceeds the ratio of the speeds.
+	// refusalCost is the cost of a target that refuses a call in relation to one that
+	// runs it. It exceeds the ratio of the speeds.
 	refusalCost = 4
 	// weightRecovery is the time in which the weight of a target without fresh
 	// feedback returns to the mean, so that a target that was slow is tried again.
@@ -68,7 +68,7 @@
 func (t *targetState) completion(now time.Time, q *Query, used float64) float64 {
 	crowded := max(0, min(used, 1)-crowdedFrom) / (1 - crowdedFrom)
 	rounds := 1 + crowdedCost*crowded*crowded + max(0, used-1)
-	if q.Rank > t.feedback.Level {
+	if t.refusesAt(q, used) {
 		rounds *= refusalCost
 	}
 	if t.quality.failureRate > 0 {
@@ -276,7 +276,12 @@
 	if !t.timed(now) {
 		return t.overloaded(now, q.Rank)
 	}
-	return q.Rank > t.feedback.Level || t.serviceTime()*(t.used(now)-1) > q.maxWait().Seconds()
+	return t.refusesAt(q, t.used(now))
+}
+
+// refusesAt is refuses for a timed target with a used fraction of its limit.
+func (t *targetState) refusesAt(q *Query, used float64) bool {
+	return q.Rank > t.feedback.Level || t.serviceTime()*(used-1) > q.maxWait().Seconds()
 }
 
 // maxWait returns the time for which the queue of a target holds the call.
