bench: spread plays loads against the choice of targets

Cause: the player of the loads was larger than a test of core/picker should be, and its figures could only be read from a test's log.

Change: package bench/spread with the player, the loads and their test, command 'bench spread'. The tests of single rules stay in core/picker.

--- a/bench/main.go
+++ b/bench/main.go
@@ -21,6 +21,6 @@
 		Use:   "bench",
 		Short: "Demo, measurements and load tool of dogwoodsill",
 	}
-	root.AddCommand(newDemoCommand(), newPolicyCommand(), newMatrixCommand(), newSoakCommand(), newCostCommand(), newServeCommand())
+	root.AddCommand(newDemoCommand(), newPolicyCommand(), newSpreadCommand(), newMatrixCommand(), newSoakCommand(), newCostCommand(), newServeCommand())
 	return root
 }
