--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -51,6 +51,7 @@
 	MemoryRefused     = "memoryRefused"     // gauge: connections, heads and bodies refused since the start for lack of memory
 	EvacuatedRefused  = "evacuatedRefused"  // calls returned because the zone of the node is evacuated, or may be after a suspension
 	EvacuatedZones    = "evacuatedZones"    // gauge: zones that are evacuated
+	Spilled           = "spilled."          // gauge, followed by service and zone: thousandths of the recent calls to the service that went to that other zone
 	Processor         = "processorMs"       // gauge: processor time of the process since its start
 )
 
--- a/core/picker/set.go
+++ b/core/picker/set.go
@@ -57,6 +57,9 @@
 	Tried     []string // targets that this call has already tried
 	NoProbe   bool     // the call must not serve as a probe of an ejected target
 	LargeBody bool
+	// LatencyGoal is the response time up to which the response has its full value;
+	// 0 if not known.
+	LatencyGoal time.Duration
 }
 
 // Set holds the targets of one service as one node sees them. It is not safe
@@ -70,6 +73,14 @@
 	trackQuality        bool           // consider the speed and failures of targets
 	targets             []*targetState // ordered by identifier
 	ownZone, otherZones []*targetState // buffers of Pick
+
+	// The choice by expected completion applies until timedUntil.
+	timedUntil   time.Time
+	meanCapacity float64 // moving average over feedback with a service time
+	zones        []*zoneState
+	spilled      float64 // sum of the fractions that spill over
+	maxZoneSpill float64 // largest of them
+	spillAt      time.Time
 }
 
 type targetState struct {
@@ -84,6 +95,10 @@
 	pace                pace
 	listedCold          bool      // value of Cold that was last applied to pace
 	fullUntil           time.Time // a cold target takes no call before
+	zone                *zoneState
+	capacity            float64 // calls per second, from feedback; 0 if not known
+	meanOthers          float64 // moving average of the calls of other nodes at the target
+	meanOthersAt        time.Time
 
 	ejected bool
 	backoff time.Duration
@@ -141,11 +156,12 @@
 		if st == nil {
 			st = &targetState{}
 		}
-		st.Target = t
+		st.Target, st.zone = t, s.zoneOf(t.Zone)
 		next = append(next, st)
 	}
 	slices.SortFunc(next, func(a, b *targetState) int { return strings.Compare(a.ID, b.ID) })
 	s.targets = slices.CompactFunc(next, func(a, b *targetState) bool { return a.ID == b.ID })
+	s.removeZones()
 	s.limitEjected()
 }
 
@@ -175,6 +191,20 @@
 		return t.ID, true
 	}
 	s.candidates(now, q)
+	t := s.pickCandidate(now, q, rng)
+	if t == nil {
+		return "", false
+	}
+	t.startCall(now)
+	return t.ID, true
+}
+
+// pickCandidate chooses among the candidates, by expected completion if service
+// times are known.
+func (s *Set) pickCandidate(now time.Time, q Query, rng *rand.Rand) *targetState {
+	if s.byCompletion(now) {
+		return s.pickByCompletion(now, &q, rng)
+	}
 	t := choose(now, s.ownZone, rng)
 	switch {
 	case t == nil || t.overloaded(now, q.Rank):
@@ -186,11 +216,12 @@
 			t = o
 		}
 	}
-	if t == nil {
-		return "", false
-	}
-	t.startCall(now)
-	return t.ID, true
+	return t
+}
+
+// byCompletion reports whether a target has sent its service time recently.
+func (s *Set) byCompletion(now time.Time) bool {
+	return !s.timedUntil.IsZero() && !now.After(s.timedUntil)
 }
 
 // candidates fills ownZone and otherZones with the targets that may be chosen.
--- a/core/report/status.go
+++ b/core/report/status.go
@@ -23,6 +23,7 @@
 	Members      []Member       `json:"members"`
 	Tasks        []super.Status `json:"duties"`              // background tasks; duties on the wire
 	Conflicts    []string       `json:"conflicts,omitempty"` // routes that are not applied
+	Spilled      []Spill        `json:"spilled,omitempty"`   // services whose targets are chosen by expected completion
 	// Evacuation is nil on nodes that don't know which zones are evacuated.
 	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
@@ -41,6 +42,14 @@
 	Since time.Time `json:"since"` // when a node read the request of the operator first
 }
 
+// Spill is the fraction of a node's recent calls to a service that went to
+// another zone.
+type Spill struct {
+	Service  string  `json:"service"`
+	Zone     string  `json:"zone"`
+	Fraction float64 `json:"fraction"`
+}
+
 // Upstream is the state of the upstream beside a node.
 type Upstream struct {
 	ID        string  `json:"id,omitempty"` // process ID, if the platform provides one
--- a/node/agent/status.go
+++ b/node/agent/status.go
@@ -44,6 +44,7 @@
 		s.Upstream.InFlight, s.Upstream.Limit, s.Upstream.RateLimit = load.Running, load.Limit, load.Rate
 		s.Upstream.LearnedLimit, s.Upstream.ServiceUS, s.Upstream.WorkTime = load.LearnedLimit, load.ServiceTime.Microseconds(), load.WorkTime
 	}
+	s.Spilled = spillReports(a.caller.Spilled(now))
 	return s
 }
 
@@ -66,6 +67,7 @@
 	a.metrics.SetGauge(metric.EvacuatedZones, int64(len(a.evacuatedZones())))
 	a.metrics.SetGauge(metric.CrashingRequests, int64(a.crashes.Refused(time.Now())))
 	a.setMemoryGauges()
+	a.setSpillGauges(time.Now())
 	a.metrics.SetGauge(metric.Processor, a.processorTime().Milliseconds())
 	return a.metrics
 }
