--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -14,6 +14,10 @@
 	// Chain describes the calls behind one call of the service; empty if they are not known.
 	Chain []ChainShare `msgpack:"chain"`
 
+	// Success is the fraction of the calls of the target that it serves at present; set by the
+	// target itself, which sends it in Chain.
+	Success float64 `msgpack:"-"`
+
 	RateLimited bool `msgpack:"-"` // the upstream states a rate limit; set by the receiver, which knows it from the reply
 }
 
@@ -21,5 +25,5 @@
 type ChainShare struct {
 	Service string  `msgpack:"service"`
 	Calls   float64 `msgpack:"calls"`   // calls of the service behind one call, at all depths
-	Success float64 `msgpack:"success"` // fraction of the calls of the service that succeed at present
+	Success float64 `msgpack:"success"` // fraction of the calls of the service that succeed at present; 0 if unknown
 }
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -47,6 +47,9 @@
 	Level  *LevelController
 	Shares *Shares
 	Rate   Rate
+	// Outcomes are those of the calls within the admission level. Finish doesn't record them;
+	// the user of the gate knows whether the upstream shed a call.
+	Outcomes Outcomes
 
 	queue              *Queue[T]
 	running            int
@@ -138,6 +141,7 @@
 		PathLevel: level,
 		InFlight:  g.running + g.queue.Len(),
 		Limit:     limit,
+		Success:   g.Outcomes.Success(now),
 		Demand:    g.Shares.Demand(now, customer, g.capacity.value(now, level, g.Level.Throughput(now))),
 	}
 }
@@ -148,8 +152,11 @@
 }
 
 func (g *Gate[T]) recordRefusals(now time.Time, dropped []Dropped[T]) {
-	for range dropped {
+	for _, d := range dropped {
 		g.Level.RecordRefusal(now)
+		if d.Cause != MissesDeadline && d.Item.Rank <= g.Level.Value(now) {
+			g.Outcomes.Record(now, false) // throttles know that calls above the level are refused
+		}
 	}
 }
 
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -51,6 +51,7 @@
 	cutoff    uint32
 	cutoffAt  time.Time
 	sorted    []uint32
+	chain     chainState
 }
 
 type levelReport struct {
@@ -86,7 +87,7 @@
 func (t *Throttle) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{targets: map[string]levelReport{}, customers: map[string]*customerState{}, children: map[string]*decayingCount{}, cutoff: OpenLevel}
+		s = &serviceState{targets: map[string]levelReport{}, customers: map[string]*customerState{}, children: map[string]*decayingCount{}, cutoff: OpenLevel, chain: newChainState()}
 		t.services[name] = s
 	}
 	return s
@@ -129,6 +130,7 @@
 		f.PathLevel = min(f.PathLevel, t.Level(now, child))
 		f.Demand = max(f.Demand, t.recentDemand(now, child, customer))
 	}
+	f.Chain = t.chainBehind(now, name, f)
 	return f
 }
 
@@ -136,6 +138,7 @@
 func (t *Throttle) RecordFeedback(now time.Time, name, target, customer string, f Feedback) {
 	s := t.service(name)
 	s.targets[target] = levelReport{level: min(f.Level, f.PathLevel), limited: f.RateLimited, at: now}
+	t.recordChain(now, name, target, f.Chain)
 	if c := s.customer(customer); c != nil && f.Demand > 0 {
 		c.recordDemand(now, f.Demand)
 	}
