core/admit: the level of a target at the end of chains rises gradually

Cause: after an interval without refusals the level rose to the highest rank of the last second, which the refused chains had left there. Entries then admitted chains whose calls arrived for seconds and didn't fit.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -115,10 +115,12 @@
 	return run, dropped
 }
 
-// SetUrgentFirst sets whether new requests of a more important class than all queued calls of
-// running requests run before these (Queue).
-func (g *Gate[T]) SetUrgentFirst(on bool) {
+// SetChains sets whether the gate takes whole chains into account: new requests of a more important
+// class than all queued calls of running requests run before these (Queue), and the level rises
+// gradually.
+func (g *Gate[T]) SetChains(on bool) {
 	g.queue.UrgentFirst = on
+	g.Level.gradual = on
 }
 
 // Running returns the number of requests that the upstream is processing.
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -233,12 +233,11 @@
 	return g.admit.Feedback(now, g.currentLimit(), customer)
 }
 
-// setUrgentFirst sets whether new requests of a more important class run before queued calls of
-// running requests.
-func (g *gate) setUrgentFirst(on bool) {
+// setChains sets whether the gate takes whole chains into account (admit.Gate.SetChains).
+func (g *gate) setChains(on bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.admit.SetUrgentFirst(on)
+	g.admit.SetChains(on)
 }
 
 // Load is the utilization of the local upstream at one moment.
