--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -63,13 +63,13 @@
 }
 
 func (c *upstreamCall) roundTrip(ctx context.Context, up Upstream) (*http.Response, *refuse.Error) {
-	req, err := c.request(ctx, up)
+	connecting, stop := c.limitConnecting(ctx)
+	defer stop()
+	req, err := c.request(connecting, up)
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
-	connecting, stop := c.limitConnecting(ctx)
-	resp, err := c.send(c.target.client.transport(c.head.Repeatable), req.WithContext(connecting), up)
-	stop()
+	resp, err := c.send(c.target.client.transport(c.head.Repeatable), req, up)
 	if err != nil {
 		refusal := c.target.failureRefusal(connecting, err, c.conn.Load() != nil)
 		if errors.Is(context.Cause(ctx), errStopped) {
