--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -57,17 +57,20 @@
 	if ok {
 		t.crashes.responded(c)
 	}
+	if ok && resp.StatusCode < http.StatusBadRequest && !c.active.ChildFailed() {
+		t.balancer.RecordCompleted(c.head.Service, c.active.Children(), time.Now())
+	}
 	t.gate.leave(sample, c.successDuration(ok && !sample.Shed), time.Now())
 }
 
 func (c *upstreamCall) roundTrip(ctx context.Context, up Upstream) (*http.Response, *refuse.Error) {
-	req, err := c.request(ctx, up)
+	connecting, stop := c.limitConnecting(ctx)
+	defer stop()
+	req, err := c.request(connecting, up)
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, "request can't be forwarded: %v", err)
 	}
-	connecting, stop := c.limitConnecting(ctx)
-	resp, err := c.send(c.target.client.transport(c.head.Repeatable), req.WithContext(connecting), up)
-	stop()
+	resp, err := c.send(c.target.client.transport(c.head.Repeatable), req, up)
 	if err != nil {
 		refusal := c.target.failureRefusal(connecting, err, c.conn.Load() != nil)
 		if errors.Is(context.Cause(ctx), errStopped) {
