Revert the admission of whole chains

Cause: callers are served less with it. Feedback.Chain goes with it. Measured: go test of core/admit, core/chain, node/relay and node/entry passes.

--- a/core/admit/feedback.go
+++ b/core/admit/feedback.go
@@ -11,19 +11,6 @@
 	// ServiceTime is the time in microseconds that the upstream currently needs for a typical
 	// call, without its child calls; 0 if the target has not learned it.
 	ServiceTime int64 `msgpack:"serviceUs"`
-	// Chain describes the calls behind one call of the service; empty if they are not known.
-	Chain []ChainShare `msgpack:"chain"`
-
-	// Success is the fraction of the calls of the target that it serves at present; set by the
-	// target itself, which sends it in Chain.
-	Success float64 `msgpack:"-"`
 
 	RateLimited bool `msgpack:"-"` // the upstream states a rate limit; set by the receiver, which knows it from the reply
 }
-
-// ChainShare describes the calls of one service behind a call of another one.
-type ChainShare struct {
-	Service string  `msgpack:"service"`
-	Calls   float64 `msgpack:"calls"`   // calls of the service behind one call, at all depths
-	Success float64 `msgpack:"success"` // fraction of the calls of the service that succeed at present; 0 if unknown
-}
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -47,9 +47,6 @@
 	Level  *LevelController
 	Shares *Shares
 	Rate   Rate
-	// Outcomes are those of the calls within the admission level. Finish doesn't record them;
-	// the user of the gate knows whether the upstream shed a call.
-	Outcomes Outcomes
 
 	queue              *Queue[T]
 	running            int
@@ -115,14 +112,6 @@
 	return run, dropped
 }
 
-// SetChains sets whether the gate takes whole chains into account: new requests of a more important
-// class than all queued calls of running requests run before these (Queue), and the level rises
-// gradually.
-func (g *Gate[T]) SetChains(on bool) {
-	g.queue.UrgentFirst = on
-	g.Level.gradual = on
-}
-
 // Running returns the number of requests that the upstream is processing.
 func (g *Gate[T]) Running() int {
 	return g.running
@@ -149,7 +138,6 @@
 		PathLevel: level,
 		InFlight:  g.running + g.queue.Len(),
 		Limit:     limit,
-		Success:   g.Outcomes.Success(now),
 		Demand:    g.Shares.Demand(now, customer, g.capacity.value(now, level, g.Level.Throughput(now))),
 	}
 }
@@ -160,11 +148,8 @@
 }
 
 func (g *Gate[T]) recordRefusals(now time.Time, dropped []Dropped[T]) {
-	for _, d := range dropped {
+	for range dropped {
 		g.Level.RecordRefusal(now)
-		if d.Cause != MissesDeadline && d.Item.Rank <= g.Level.Value(now) {
-			g.Outcomes.Record(now, false) // throttles know that calls above the level are refused
-		}
 	}
 }
 
--- a/core/admit/level.go
+++ b/core/admit/level.go
@@ -21,10 +21,6 @@
 	// target were set to OpenLevel at once, all demand would be admitted until
 	// the entries received a lower level.
 	spareIntervals = 5
-	// gradualRise is the part by which a gradual level raises the covered demand in an interval.
-	// The calls of a chain arrive for seconds after its admission. Refused ranks of the last
-	// second would raise the level to the top and so admit chains that don't fit.
-	gradualRise = 0.02
 	// spareFraction is the largest fraction of the limit, or of the burst of a
 	// rate, in use at which a target has spare capacity.
 	spareFraction = 0.7
@@ -36,7 +32,6 @@
 // requests in the order of its queue.
 type LevelController struct {
 	level           uint32
-	gradual         bool // the level rises by gradualRise in an interval
 	intervals       [levelIntervals]intervalStats
 	currentInterval int64 // index of the newest interval
 	spareCount      int   // consecutive intervals with spare capacity
@@ -157,36 +152,11 @@
 		l.level = OpenLevel
 		return
 	}
-	ranks := l.recentRanks()
-	switch {
-	case len(ranks) == 0:
-	case l.gradual:
-		l.raiseGradually(ranks)
-	default:
+	if ranks := l.recentRanks(); len(ranks) > 0 {
 		l.level = max(l.level, ranks[len(ranks)-1].rank)
 	}
 }
 
-// raiseGradually raises the level so that it covers gradualRise more of the given ranks.
-func (l *LevelController) raiseGradually(ranks []weightedRank) {
-	below, total := 0.0, 0.0
-	for _, r := range ranks {
-		total += r.weight
-		if r.rank <= l.level {
-			below = total
-		}
-	}
-	covered := 0.0
-	for _, r := range ranks {
-		covered += r.weight
-		if covered > below*(1+gradualRise) {
-			l.level = max(l.level, r.rank)
-			return
-		}
-	}
-	l.level = max(l.level, ranks[len(ranks)-1].rank)
-}
-
 // updateLevel sets the level to the rank up to which the requests of the last
 // second would have fitted its throughput. If all would have fitted, it doesn't
 // lower the level.
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"slices"
 	"sort"
 	"time"
 )
@@ -35,13 +34,7 @@
 
 // Queue is a bounded queue. Calls made for running requests come first.
 // Otherwise items are ordered by rank, and first in, first out within a rank.
-//
-// With UrgentFirst, a new request of a more important class than all queued calls
-// of running requests runs before these. It doesn't displace any: such requests
-// have as many places as the queue besides.
 type Queue[T any] struct {
-	UrgentFirst bool
-
 	maxWait time.Duration
 	items   []queueEntry[T] // by decreasing order, then by decreasing sequence number; the next to run is last
 	seq     uint64
@@ -73,35 +66,35 @@
 	q.items = append(q.items, e)
 	copy(q.items[i+1:], q.items[i:])
 	q.items[i] = e
-	roots, kept := q.newRequests(), 0
-	if q.UrgentFirst {
-		kept = min(q.urgent(), max(0, size))
-	}
-	n := len(q.items) - kept - max(0, size)
+	n := len(q.items) - max(0, size)
 	if n <= 0 {
 		return nil
 	}
 	dropped := make([]Dropped[T], 0, n)
-	front := min(n, roots-kept)
-	dropped = q.drop(dropped, roots, n-front)
-	return q.drop(dropped, 0, front)
-}
-
-// drop drops n items from an index on and appends them to dropped.
-func (q *Queue[T]) drop(dropped []Dropped[T], from, n int) []Dropped[T] {
-	for _, e := range q.items[from : from+n] {
+	for _, e := range q.items[:n] {
 		dropped = append(dropped, Dropped[T]{Item: e.item, Cause: QueueFull})
 	}
-	q.items = slices.Delete(q.items, from, from+n) // clears the freed elements, so that they don't retain values
+	q.remove(n)
 	return dropped
 }
 
+// remove deletes the first n items. It clears the freed elements so that they
+// don't retain values.
+func (q *Queue[T]) remove(n int) {
+	m := copy(q.items, q.items[n:])
+	clear(q.items[m:])
+	q.items = q.items[:m]
+}
+
 // Pop removes and returns the first item in the order of the queue. Items that
 // can't meet their deadline with the expected service time, or that have
 // exceeded their maximum wait, are dropped instead.
 func (q *Queue[T]) Pop(now time.Time, expected time.Duration) (it Item[T], ok bool, dropped []Dropped[T]) {
 	for len(q.items) > 0 {
-		e := q.removeNext()
+		last := len(q.items) - 1
+		e := q.items[last]
+		q.items[last] = queueEntry[T]{}
+		q.items = q.items[:last]
 		cause, drop := q.overdue(now, expected, e)
 		if !drop {
 			return e.item, true, dropped
@@ -111,34 +104,6 @@
 	return Item[T]{}, false, dropped
 }
 
-// removeNext removes the item that runs next.
-func (q *Queue[T]) removeNext() queueEntry[T] {
-	next := len(q.items) - 1
-	if q.UrgentFirst && q.urgent() > 0 {
-		next = q.newRequests() - 1
-	}
-	e := q.items[next]
-	q.items = slices.Delete(q.items, next, next+1)
-	return e
-}
-
-// newRequests returns the number of items that are no calls of running requests. They are the
-// first ones.
-func (q *Queue[T]) newRequests() int {
-	return sort.Search(len(q.items), func(i int) bool { return q.items[i].item.ChildCall })
-}
-
-// urgent returns the number of new requests of a more important class than all queued calls of
-// running requests, or 0 if there are no such calls.
-func (q *Queue[T]) urgent() int {
-	n := q.newRequests()
-	if n == len(q.items) {
-		return 0
-	}
-	class := q.items[len(q.items)-1].item.Rank >> classShift
-	return n - sort.Search(n, func(i int) bool { return q.items[i].item.Rank>>classShift < class })
-}
-
 // RemoveOverdue drops every item that Pop would drop.
 func (q *Queue[T]) RemoveOverdue(now time.Time, expected time.Duration) []Dropped[T] {
 	var dropped []Dropped[T]
--- a/core/admit/throttle.go
+++ b/core/admit/throttle.go
@@ -51,7 +51,6 @@
 	cutoff    uint32
 	cutoffAt  time.Time
 	sorted    []uint32
-	chain     chainState
 }
 
 type levelReport struct {
@@ -87,7 +86,7 @@
 func (t *Throttle) service(name string) *serviceState {
 	s := t.services[name]
 	if s == nil {
-		s = &serviceState{targets: map[string]levelReport{}, customers: map[string]*customerState{}, children: map[string]*decayingCount{}, cutoff: OpenLevel, chain: newChainState()}
+		s = &serviceState{targets: map[string]levelReport{}, customers: map[string]*customerState{}, children: map[string]*decayingCount{}, cutoff: OpenLevel}
 		t.services[name] = s
 	}
 	return s
@@ -130,7 +129,6 @@
 		f.PathLevel = min(f.PathLevel, t.Level(now, child))
 		f.Demand = max(f.Demand, t.recentDemand(now, child, customer))
 	}
-	f.Chain = t.chainBehind(now, name, f)
 	return f
 }
 
@@ -138,7 +136,6 @@
 func (t *Throttle) RecordFeedback(now time.Time, name, target, customer string, f Feedback) {
 	s := t.service(name)
 	s.targets[target] = levelReport{level: min(f.Level, f.PathLevel), limited: f.RateLimited, at: now}
-	t.recordChain(now, name, target, f.Chain)
 	if c := s.customer(customer); c != nil && f.Demand > 0 {
 		c.recordDemand(now, f.Demand)
 	}
@@ -244,7 +241,7 @@
 	s := t.service(name)
 	s.recordRank(rank)
 	if s.cutoffAt.IsZero() || now.Sub(s.cutoffAt) >= cutoffRefresh {
-		s.cutoff = s.cutoffRank(t.chainLevel(now, s))
+		s.cutoff = s.cutoffRank(s.level(now), t.margin)
 		s.cutoffAt = now
 	}
 	pass := rank <= s.cutoff
--- a/core/chain/active.go
+++ b/core/chain/active.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -23,11 +22,11 @@
 
 	mu              sync.Mutex
 	attempts        int
-	runningChildren int            // child calls in progress
-	maxParallel     int            // largest number of child calls in progress at the same time
-	children        map[string]int // calls by service
-	childrenSince   time.Time      // when runningChildren last became 1
-	childTime       time.Duration  // time with at least one child call in progress, up to childrenSince
+	runningChildren int             // child calls in progress
+	maxParallel     int             // largest number of child calls in progress at the same time
+	children        map[string]bool // services called
+	childrenSince   time.Time       // when runningChildren last became 1
+	childTime       time.Duration   // time with at least one child call in progress, up to childrenSince
 	childFailed     bool
 }
 
@@ -49,8 +48,8 @@
 	if a.runningChildren == 1 {
 		a.childrenSince = now
 	}
-	first = a.children[service] == 0
-	a.children[service]++
+	first = !a.children[service]
+	a.children[service] = true
 	return attempts, first
 }
 
@@ -66,13 +65,6 @@
 	}
 }
 
-// Children returns the number of child calls to each service.
-func (a *ActiveCall) Children() map[string]int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return maps.Clone(a.children)
-}
-
 // ChildTime returns the time during which at least one child call was in
 // progress.
 func (a *ActiveCall) ChildTime(now time.Time) time.Duration {
--- a/core/chain/table.go
+++ b/core/chain/table.go
@@ -37,7 +37,7 @@
 func (t *Table) Begin(ctx context.Context, route, id string, c model.Call) *ActiveCall {
 	a := &ActiveCall{
 		Token: rand.Text(), Call: c, table: t, route: route, requestID: id, ctx: ctx,
-		attempts: c.Attempts, children: map[string]int{},
+		attempts: c.Attempts, children: map[string]bool{},
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/metric/set.go
+++ b/core/metric/set.go
@@ -16,7 +16,6 @@
 	Admitted          = "admitted"          // requests admitted by their entry node
 	Refused           = "refused."          // refusals, followed by the reason
 	RefusedInsideRate = "refusedInsideRate" // requests refused and not run although inside the customer's rate
-	ChainRefused      = "chainRefused."     // requests refused because their chain was unlikely to complete, followed by the service that lacks room
 	Attempts          = "attempts"          // attempts sent to targets
 	LogLinesDropped   = "logLinesLeftOut"   // gauge: lines dropped since the start
 	Retries           = "retries"           // attempts after the first of a call
--- a/node/entry/conns_test.go
+++ b/node/entry/conns_test.go
@@ -17,7 +17,6 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"dogwoodsill.org/core/admit"
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/chain"
@@ -44,10 +43,6 @@
 
 func (stubRanker) Admit(string, string, uint32, time.Time) (float64, bool) { return 1, true }
 
-func (stubRanker) AdmitChain(string, string, uint32, time.Time) (admit.ChainOutlook, bool) {
-	return admit.ChainOutlook{}, true
-}
-
 func (stubRanker) StartChild(string, string, time.Time) {}
 
 // stubCounter ignores its requests.
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -290,9 +289,6 @@
 	if q.callerRetry {
 		q.call.Rank = admit.RetryRank(q.call.Rank)
 	}
-	if outlook, ok := s.ranker.AdmitChain(service, q.call.Customer, q.call.Rank, q.now); !ok {
-		return nil, q.chainRefusal(outlook)
-	}
 	weight, ok := s.ranker.Admit(service, q.call.Customer, q.call.Rank, q.now)
 	if !ok {
 		return nil, refuse.New(refuse.Overloaded, "service %q admits only more important requests", service).WithRetryAfter(time.Second)
@@ -315,14 +311,6 @@
 	return release, nil
 }
 
-// chainRefusal returns the refusal of a request whose chain is unlikely to complete.
-func (q *request) chainRefusal(o admit.ChainOutlook) *refuse.Error {
-	q.server.metrics.Add(metric.ChainRefused+o.Service, 1)
-	after := admit.ChainRetryAfter(q.call.Deadline.Sub(q.now), rand.Float64())
-	return refuse.New(refuse.Overloaded, "service %q behind %q lacks room: the calls of the request complete with a probability of %.3f",
-		o.Service, q.route.Route.Service, o.Probability).WithRetryAfter(after)
-}
-
 // tokenPatience returns how long the request may wait for a token that has not accrued
 // yet. A short wait costs the caller less than a refusal and a retry.
 func (q *request) tokenPatience() time.Duration {
--- a/node/entry/server.go
+++ b/node/entry/server.go
@@ -11,7 +11,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 
-	"dogwoodsill.org/core/admit"
 	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/burn"
 	"dogwoodsill.org/core/chain"
@@ -77,9 +76,6 @@
 	// stands for, so that the weights of the admitted requests add up to the
 	// demand.
 	Admit(service, customer string, rank uint32, now time.Time) (weight float64, ok bool)
-	// AdmitChain reports whether a request to a service should be sent in view of the calls of
-	// other services behind it, and the outlook of these. It records a request that it refuses.
-	AdmitChain(service, customer string, rank uint32, now time.Time) (admit.ChainOutlook, bool)
 	// StartChild records that a request of service calls the service child for
 	// the first time.
 	StartChild(service, child string, now time.Time)
--- a/node/relay/balance.go
+++ b/node/relay/balance.go
@@ -109,23 +109,6 @@
 	b.throttle.RecordChild(now, service, child)
 }
 
-// AdmitChain reports whether a root request to a service should be sent in view of the chain behind
-// it, and the outlook of the chain.
-func (b *Balancer) AdmitChain(service, customer string, rank uint32, now time.Time) (admit.ChainOutlook, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	ratio, _ := b.retryLimits()
-	return b.throttle.AdmitChain(now, service, customer, rank, ratio)
-}
-
-// RecordCompleted records that the local upstream completed a call of the given service, and the
-// number of calls that it made to each service.
-func (b *Balancer) RecordCompleted(service string, children map[string]int, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.throttle.RecordCompleted(now, service, children)
-}
-
 // MergeFeedback combines the feedback of the local target with the state of the
 // services that it calls.
 func (b *Balancer) MergeFeedback(service, customer string, f admit.Feedback, now time.Time) admit.Feedback {
--- a/node/relay/gate.go
+++ b/node/relay/gate.go
@@ -128,9 +128,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limit.Observe(now, s, g.admit.Running())
-	if !s.Failed {
-		g.admit.Outcomes.Record(now, !s.Shed)
-	}
 	g.releaseSlot(now, took)
 }
 
@@ -240,13 +237,6 @@
 	return f
 }
 
-// setChains sets whether the gate takes whole chains into account (admit.Gate.SetChains).
-func (g *gate) setChains(on bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.admit.SetChains(on)
-}
-
 // Load is the utilization of the local upstream at one moment.
 type Load struct {
 	Running, Waiting int     // number of calls
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -397,9 +397,7 @@
 
 func (t *Target) feedback(h *CallHead) Feedback {
 	now := time.Now()
-	f := t.gate.feedback(h.Call.Customer, now)
-	t.gate.setChains(f.ServiceTime > 0)
-	f = t.balancer.MergeFeedback(h.Service, h.Call.Customer, f, now) // reads the service time
+	f := t.balancer.MergeFeedback(h.Service, h.Call.Customer, t.gate.feedback(h.Call.Customer, now), now)
 	cold, wait := t.coldFeedback(h.Service, now)
 	return Feedback{Feedback: f, Draining: t.drainer.Draining(), Cold: cold, FullUS: wait.Microseconds()}
 }
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -57,9 +57,6 @@
 	if ok {
 		t.crashes.responded(c)
 	}
-	if ok && resp.StatusCode < http.StatusBadRequest && !c.active.ChildFailed() {
-		t.balancer.RecordCompleted(c.head.Service, c.active.Children(), time.Now())
-	}
 	t.gate.leave(sample, c.successDuration(ok && !sample.Shed), time.Now())
 }
 
