core/speed: the first probe comes when calls beside all others are known

Cause: the first probe came after a second with all slots in use, while calls of the first 1.5 s have no effect on the limit. Change: a probe needs 2.5 s with all slots in use and lasts four typical latencies. Shorter bursts no longer cause one.

--- a/core/speed/probe.go
+++ b/core/speed/probe.go
@@ -3,14 +3,15 @@
 import "time"
 
 const (
-	// saturatedTime is how long all slots must have been in use before a probe. Load that lasts
-	// shorter costs less than the probe.
-	saturatedTime = time.Second
+	// saturatedTime is how long all slots must have been in use before a probe. It lets short
+	// bursts pass, and is a second longer than startTime, so that calls beside all others are known
+	// before the first probe.
+	saturatedTime = 2500 * time.Millisecond
 	saturated     = 0.9 // fraction of the slots that counts as all of them
 	// minProbe and maxProbe bound the time of a probe. Calls that began before it must end
 	// first; probeLatencies typical latencies are enough for that.
 	minProbe, maxProbe = 200 * time.Millisecond, 800 * time.Millisecond
-	probeLatencies     = 3
+	probeLatencies     = 4
 	// firstProbePause is the time between two probes. It doubles after each, up to
 	// maxProbePause, so that probes of an upstream without a knee cost less than 1%: half of
 	// the throughput for less than a second in two minutes.
