core/setup: a test of an invalid limits.learnCapacity

Cause: a misspelt value would leave the learned capacity on although the operator meant to switch it off. Change: a case of TestParse. Measured: go test ./core/setup passes.

--- a/core/setup/setup_test.go
+++ b/core/setup/setup_test.go
@@ -43,6 +43,7 @@
 		{"bad duration", `url =`, "timeout = \"5 parsecs\"\nurl =", "log.timeout", 12},
 		{"short secret", `"sixteen bytes or more"`, `"short"`, "peers.secret", 15},
 		{"missing name", `name = "bole-orders-0"`, "", "instance.name", 0},
+		{"odd learning", "[log]", "[limits]\nlearnCapacity = \"no\"\n\n[log]", "limits.learnCapacity", 12},
 		{"certificate without key", "[log]", "[callersTls]\ncert = \"a.pem\"\n\n[log]", "callersTls", 11},
 	} {
 		t.Run(c.name, func(t *testing.T) {
