core/picker: a call that its caller ends doesn't make a zone silent

Cause: a zone counted as cut off 3 s after a call that its caller had ended, until another call to it was answered; nodes with few calls left it out for long.

Change: a call that ends without feedback ends the wait for a response of its zone.

--- a/core/picker/health.go
+++ b/core/picker/health.go
@@ -18,6 +18,8 @@
 	if f != nil {
 		t.feedback, t.feedbackAt, t.inFlightAtFeedback = *f, now, t.inFlight
 		s.recordCapacity(now, t)
+	} else {
+		t.zone.sentAt = time.Time{}
 	}
 	if s.trackQuality {
 		t.quality.recordResult(now, r)
--- a/core/picker/spill.go
+++ b/core/picker/spill.go
@@ -32,7 +32,8 @@
 	fullZonePart = 0.05
 	// spillGain is the change per second of the fraction that spills over, for
 	// each unit of used fraction. The effect is visible after a call and the
-	// feedback, about 0.7 s; a gain above 0.5 overshoots.
+	// feedback, about 0.7 s. An integral loop with that delay doesn't overshoot up
+	// to a gain of 1/(0.7e) = 0.53.
 	spillGain = 0.5
 	// spillInterval is the time between two changes of that fraction.
 	spillInterval = 100 * time.Millisecond
@@ -47,7 +48,7 @@
 	// more. Exploration gives a node a few samples of other zones in that time.
 	usedExpiry = 10 * time.Second
 	// cutOffFailures is the number of consecutive failed calls after which a zone
-	// counts as cut off. One upstream that crashes fails fewer in a row.
+	// counts as cut off. While only one upstream fails, others answer in between.
 	cutOffFailures = 3
 	// cutOffTime is how long a zone counts as cut off after a failed call.
 	cutOffTime = 5 * time.Second
@@ -65,7 +66,7 @@
 	failures   int       // calls that failed without feedback since the last feedback
 	failedAt   time.Time // of the last of them
 	answeredAt time.Time // of the last feedback
-	sentAt     time.Time // of the first call since then
+	sentAt     time.Time // of the first call since then, or since a call ended without feedback; zero if there is none
 
 	calls float64 // decaying number of calls sent there
 }
