store, agent: followers can decode the state of evacuated zones

Cause: the reply to followers held the beginning of evacuations as time.Time, which msgpack encodes as an extension type that frame.Decode rejects. While a zone was evacuated no follower got anything from its readers, and a node without a path to the store learned nothing. The nodes of the tests had read the store themselves. A test with readers that are cut off from the store found it (their state was still old after 15 s). Change: the reply has Unix milliseconds. A node with a stale state asks up to three nodes in a row while each replies with a stale state itself, and a failed pull is logged (debug). A call that a cold target returns goes to the next target without a pause. Two tests in virtual time end after the checks for crashed upstreams: one run of TestRepeatCountsAtColdUpstream ended in "blocked goroutines remain" for that reason.

--- a/core/evac/state.go
+++ b/core/evac/state.go
@@ -7,9 +7,9 @@
 
 // State tells which zones are evacuated as of an offset of the log.
 type State struct {
-	Era    uint64               `msgpack:"era"`    // of the log; it rises when the log comes back from a copy
-	Offset uint64               `msgpack:"offset"` // all earlier records are included
-	Zones  map[string]time.Time `msgpack:"zones"`  // evacuated zones, and when a node read that first
+	Era    uint64               // of the log; it rises when the log comes back from a copy
+	Offset uint64               // all earlier records are included
+	Zones  map[string]time.Time // evacuated zones, and when a node read that first
 }
 
 // Evacuated reports whether a zone is evacuated.
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -21,6 +21,9 @@
 	// defaultStaleAfter is the age of the configuration above which a node reads
 	// the log itself, if no limit on the age is configured.
 	defaultStaleAfter = 5 * time.Second
+	// maxPullsPerTurn is the number of nodes that are asked in a row while each replies with a state
+	// that is too old itself, as the readers of a zone do that are cut off together.
+	maxPullsPerTurn = 3
 	// evacuateWithin is the time in which an evacuation takes effect. Nodes read often enough, and
 	// look for another source early enough, for that.
 	evacuateWithin = 5 * time.Second
@@ -63,12 +66,15 @@
 func (a *Agent) pullConfig(ctx context.Context) error {
 	started, turn := time.Now(), 0
 	return super.Every(ctx, config.PullInterval, func(now time.Time) {
-		turn++
-		if a.store.StateAge(boot.Now()) <= a.staleAfter() {
-			return
-		}
-		if addr, ok := a.fleet.peerAddr(turn); ok {
-			a.pullFrom(ctx, addr, now.Sub(started) > startupPeerWait)
+		for range maxPullsPerTurn {
+			turn++
+			if a.store.StateAge(boot.Now()) <= a.staleAfter() {
+				return
+			}
+			addr, ok := a.fleet.peerAddr(turn)
+			if !ok || !a.pullFrom(ctx, addr, now.Sub(started) > startupPeerWait) {
+				return
+			}
 		}
 	})
 }
@@ -91,14 +97,19 @@
 	}
 }
 
-func (a *Agent) pullFrom(ctx context.Context, addr string, acceptUnconfirmed bool) {
+// pullFrom requests records from a node and applies them. It reports whether the node replied; its
+// state may be as old as that of this node.
+func (a *Agent) pullFrom(ctx context.Context, addr string, acceptUnconfirmed bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, config.PullInterval)
 	defer cancel()
 	sent := boot.Now()
 	reply, err := callPeer[store.RecordsRequest, store.RecordsReply](ctx, a.links, addr, relay.KindRecords, store.RecordsRequest{From: a.store.Offset()})
 	if err == nil {
 		a.store.ApplyPeerReply(reply, acceptUnconfirmed, sent, boot.Now())
+	} else if ctx.Err() == nil {
+		a.log.Debug("pulling the configuration failed", "addr", addr, "error", err)
 	}
+	return err == nil
 }
 
 // appendSnapshots is the background task that appends snapshots of the
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -260,7 +260,8 @@
 		Deadline:   state.req.Call.Deadline,
 	}, now)
 	c.logAttempt(state, target, fail.refusal, decision.Retry(), now)
-	return decision.Retry() && super.Pause(ctx, decision.Delay)
+	// A cold target says nothing about the load of others, so there is no reason to wait.
+	return decision.Retry() && (fail.cold && ctx.Err() == nil || super.Pause(ctx, decision.Delay))
 }
 
 // logAttempt logs why an attempt failed and whether the call is retried.
--- a/node/relay/cold_test.go
+++ b/node/relay/cold_test.go
@@ -144,6 +144,7 @@
 			return "bytes of no response\r\n\r\n"
 		}}, time.Minute)
 		dir := fakeNodes{"one": newSession(t, target.Serve)}
+		defer time.Sleep(time.Minute) // the checks whether the upstream has ended are over by then
 		time.Sleep(time.Second)
 		for i := range 2 * testColdRate {
 			c := NewCaller(NewBalancer(dir, "a", 1), dir, metric.New())
--- a/node/relay/zone_test.go
+++ b/node/relay/zone_test.go
@@ -19,9 +19,9 @@
 
 // evacuate makes zone "a" evacuated in the store of a target, or cancels that.
 func evacuate(target *Target, offset uint64, evacuated bool) {
-	s := evac.State{Era: 1, Offset: offset, Zones: map[string]time.Time{}}
+	s := store.ZonesReply{Era: 1, Offset: offset, SinceMS: map[string]int64{}}
 	if evacuated {
-		s.Zones["a"] = time.Now()
+		s.SinceMS["a"] = time.Now().UnixMilli()
 	}
 	now := boot.Now()
 	target.store.ApplyPeerReply(store.RecordsReply{End: target.store.Offset(), Zones: &s}, false, now, now)
@@ -53,6 +53,7 @@
 					}
 					return own
 				}
+				defer time.Sleep(time.Minute) // the checks whether the upstream has ended are over by then
 				target := timedTarget(t, u, func() time.Duration { return 0 })
 				WithZone("a")(target)
 				target.Announce(Upstream{Service: "s", Addr: "127.0.0.1:1", State: Ready, TTLMS: time.Minute.Milliseconds(), Slots: 1, FixedSlots: true}, time.Now())
--- a/node/store/evacuate.go
+++ b/node/store/evacuate.go
@@ -49,6 +49,33 @@
 	gen uint64
 }
 
+// ZonesReply is a state of the zones as it is sent to peers.
+type ZonesReply struct {
+	Era     uint64           `msgpack:"era"`
+	Offset  uint64           `msgpack:"offset"`
+	SinceMS map[string]int64 `msgpack:"since"` // evacuated zones with Unix times in milliseconds; frame.Decode accepts no other form of a time
+}
+
+func newZonesReply(s evac.State) *ZonesReply {
+	z := &ZonesReply{Era: s.Era, Offset: s.Offset, SinceMS: map[string]int64{}}
+	for zone, since := range s.Zones {
+		z.SinceMS[zone] = since.UnixMilli()
+	}
+	return z
+}
+
+// state returns the state of a reply, nil if z is nil.
+func (z *ZonesReply) state() *evac.State {
+	if z == nil {
+		return nil
+	}
+	s := &evac.State{Era: z.Era, Offset: z.Offset, Zones: map[string]time.Time{}}
+	for zone, ms := range z.SinceMS {
+		s.Zones[zone] = time.UnixMilli(ms)
+	}
+	return s
+}
+
 // applyReadings applies the reads of a source that were sent at the given time. The caller holds mu.
 func (s *Store) applyReadings(list []evac.Reading, sent time.Time) {
 	changed := false
--- a/node/store/peer.go
+++ b/node/store/peer.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"dogwoodsill.org/core/config"
-	"dogwoodsill.org/core/evac"
 )
 
 // RecordsRequest requests configuration records from a peer.
@@ -23,7 +22,7 @@
 	AgeUS    int64            `msgpack:"ageUs"` // microseconds since that was last confirmed
 	Empty    bool             `msgpack:"empty"` // the source had no configuration yet AgeUS ago
 
-	Zones      *evac.State `msgpack:"zones"`      // evacuated zones; nil if not known
+	Zones      *ZonesReply `msgpack:"zones"`      // evacuated zones; nil if not known
 	ZonesAgeUS int64       `msgpack:"zonesAgeUs"` // microseconds since that was last known to be the newest state
 }
 
@@ -33,7 +32,7 @@
 	defer s.mu.Unlock()
 	reply := RecordsReply{First: req.From, End: s.reader.Offset()}
 	if z, known := s.tracker.State(); known {
-		reply.Zones, reply.ZonesAgeUS = &z, now.Sub(s.tracker.AsOf()).Microseconds()
+		reply.Zones, reply.ZonesAgeUS = newZonesReply(z), now.Sub(s.tracker.AsOf()).Microseconds()
 	}
 	age, ok := s.reader.Age(now)
 	reply.AgeKnown, reply.AgeUS = ok, age.Microseconds()
@@ -59,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	age := time.Duration(r.AgeUS)*time.Microsecond + now.Sub(sent)
-	s.mergeZones(r.Zones, sent.Add(-time.Duration(r.ZonesAgeUS)*time.Microsecond))
+	s.mergeZones(r.Zones.state(), sent.Add(-time.Duration(r.ZonesAgeUS)*time.Microsecond))
 	if r.Empty {
 		s.recordEmpty(now.Add(-age))
 		return
