relay: a test in which a cancelled evacuation, a burst and a restart of all nodes meet

Cause: the bound on cold upstreams must hold when both disruptions come together; no test had that. Change: TestColdUpstreamsAfterEvacuationAndRestart, 70 callers with 40 calls each in virtual time, three upstreams. Measured: go test -race -count=3 -run ColdUpstreamsAfter ./node/relay: at most 16 arrivals in any second at each upstream, none during the evacuation.

--- a/node/relay/cold_test.go
+++ b/node/relay/cold_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +19,8 @@
 
 	"dogwoodsill.org/core/boot"
 	"dogwoodsill.org/core/config"
+	"dogwoodsill.org/core/evac"
+	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
@@ -181,3 +185,100 @@
 		assert.Equal(t, state(), Cold)
 	})
 }
+
+// replaceableNodes is a fakeNodes whose nodes may restart.
+type replaceableNodes struct {
+	mu     sync.Mutex
+	starts uint64
+	fakeNodes
+}
+
+// start replaces the process of a node by another one.
+func (n *replaceableNodes) start(node int, s *frame.Session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	prefix := fmt.Sprint("node", node, "#")
+	maps.DeleteFunc(n.fakeNodes, func(id string, _ *frame.Session) bool { return strings.HasPrefix(id, prefix) })
+	n.starts++
+	n.fakeNodes[fmt.Sprint(prefix, n.starts)] = s
+}
+
+// Session implements Links.
+func (n *replaceableNodes) Session(_ context.Context, addr string) (*frame.Session, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if s := n.fakeNodes[addr]; s != nil {
+		return s, nil
+	}
+	return nil, errNoRoute
+}
+
+// Candidates implements Directory.
+func (n *replaceableNodes) Candidates(service string) ([]Candidate, uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list, _ := n.fakeNodes.Candidates(service)
+	return list, n.starts
+}
+
+// Guards against cold upstreams that receive too much when both disruptions meet in a burst: the
+// evacuation of their zone is cancelled, and all nodes restart at the same time.
+func TestColdUpstreamsAfterEvacuationAndRestart(t *testing.T) {
+	const (
+		callers   = 70
+		each      = 40 // requests of a caller, 100 ms apart
+		begin     = 1000 * time.Millisecond
+		cancelled = 2000 * time.Millisecond
+		restarted = 3300 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		dir := &replaceableNodes{fakeNodes: fakeNodes{}}
+		var upstreams []*arrivals
+		var targets []*Target
+		start := func(i int) {
+			target := coldTarget(t, &timedUpstream{respond: upstreams[i].respond}, 0)
+			WithZone("a")(target)
+			target.store.OnEvacuation(func(_, after evac.State) {
+				if !after.Evacuated("a") {
+					target.ForgetCold(time.Now())
+				}
+			})
+			dir.start(i, newSession(t, target.Serve))
+			targets[i] = target
+		}
+		for i := range 3 {
+			upstreams, targets = append(upstreams, &arrivals{}), append(targets, nil)
+			start(i)
+			evacuate(targets[i], 1, true)
+		}
+		var wg sync.WaitGroup
+		for i := range callers {
+			c := NewCaller(NewBalancer(dir, "a", uint64(i), WithColdLimit(func(string) bool { return true })), dir, metric.New())
+			for j := range each {
+				wg.Go(func() {
+					time.Sleep(begin + time.Duration(j)*100*time.Millisecond)
+					req := timedRequest(t, strconv.Itoa(i*each+j), true, time.Now().Add(5*time.Second))
+					if resp, _, e := c.Do(t.Context(), req); e == nil {
+						assertRan(t, resp, e)
+					}
+				})
+			}
+		}
+		time.Sleep(cancelled)
+		for i, u := range upstreams {
+			assert.Check(t, len(u.times) == 0, "upstream %d of the evacuated zone received %d", i, len(u.times))
+			evacuate(targets[i], 2, false)
+		}
+		time.Sleep(restarted - cancelled)
+		for i := range targets {
+			start(i)
+			targets[i].ForgetCold(time.Now()) // its upstream has not reported to the new process yet
+			evacuate(targets[i], 2, false)
+		}
+		wg.Wait()
+		for i, u := range upstreams {
+			assert.Check(t, u.mostPerSecond() <= testColdRate, "upstream %d received %d in a second", i, u.mostPerSecond())
+			assert.Check(t, len(u.times) >= 2*testColdRate, "upstream %d received %d", i, len(u.times))
+		}
+	})
+}
