relay, agent, setup: the state of zones is confirmed after a suspension only where evacuation has a bound

Cause: on every deployment a node that was suspended refused calls to its upstream, and all nodes read as for a configuration of at most 5 s, though only some platforms state a bound for evacuations (EvacuateS). Without the bound a node serves after a suspension as before. Measured: go test of node/relay, node/agent, core/setup and of the settings in platform passes.

--- a/core/setup/load.go
+++ b/core/setup/load.go
@@ -98,6 +98,7 @@
 		{"bounds.retrySlack", notNegative(int64(n.Bounds.RetrySlack))},
 		{"bounds.coldOver", notNegative(int64(n.Bounds.ColdOver * 100))},
 		{"bounds.coldSlack", notNegative(int64(n.Bounds.ColdSlack))},
+		{"bounds.evacuateWithin", notNegative(int64(n.Bounds.EvacuateWithin))},
 		{"shutdown.linger", notNegative(int64(n.Shutdown.Linger))},
 		{"log.url", httpURL(n.Log.URL)},
 		{"log.timeout", positive(int64(n.Log.Timeout))},
--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -58,6 +58,9 @@
 	// times ColdOver plus ColdSlack.
 	ColdOver  float64 `toml:"coldOver"`
 	ColdSlack float64 `toml:"coldSlack"`
+	// EvacuateWithin is the maximum time from the operator's request to evacuate a zone until no more
+	// calls reach its upstreams; 0 for no limit.
+	EvacuateWithin Duration `toml:"evacuateWithin"`
 }
 
 // Log configures access to the platform's log service.
--- a/node/agent/config.go
+++ b/node/agent/config.go
@@ -24,9 +24,6 @@
 	// maxPullsPerTurn is the number of nodes that are asked in a row while each replies with a state
 	// that is too old itself, as the readers of a zone do that are cut off together.
 	maxPullsPerTurn = 3
-	// evacuateWithin is the time in which an evacuation takes effect. Nodes read often enough, and
-	// look for another source early enough, for that.
-	evacuateWithin = 5 * time.Second
 	// catchUpDelay is how long a node waits for its own read or its sources
 	// after gossip reported a newer configuration, before it asks a peer. It is
 	// many times the usual response time of the log.
@@ -46,8 +43,10 @@
 	if cur := a.store.Current(); a.platform == nil && cur != nil {
 		p.MaxAge = cur.MaxAge
 	}
-	if a.readsEvacuations && (p.MaxAge == 0 || p.MaxAge > evacuateWithin) {
-		p.MaxAge = evacuateWithin
+	// Nodes read often enough, and look for another source early enough, that an evacuation takes
+	// effect in time.
+	if within := a.cfg.Bounds.EvacuateWithin.D(); a.readsEvacuations && within > 0 && (p.MaxAge == 0 || p.MaxAge > within) {
+		p.MaxAge = within
 	}
 	return p
 }
--- a/node/agent/platform.go
+++ b/node/agent/platform.go
@@ -250,7 +250,11 @@
 	if a.platform == nil {
 		return opts
 	}
-	return append(opts, relay.WithProtocol(a.platform.UpstreamProtocol), relay.WithZone(a.cfg.Instance.Zone))
+	opts = append(opts, relay.WithProtocol(a.platform.UpstreamProtocol), relay.WithZone(a.cfg.Instance.Zone))
+	if a.cfg.Bounds.EvacuateWithin > 0 {
+		opts = append(opts, relay.WithZoneConfirmation())
+	}
+	return opts
 }
 
 func (a *Agent) entryOptions() []entry.Option {
--- a/node/relay/target.go
+++ b/node/relay/target.go
@@ -57,20 +57,21 @@
 // Target admits the calls for the local upstream and dispatches them to it. It is
 // safe for concurrent use.
 type Target struct {
-	store    *store.Store
-	calls    *chain.Table
-	balancer *Balancer
-	metrics  *metric.Set
-	client   *upstreamClient
-	onState  func()
-	gate     *gate
-	attempts *attemptTable
-	crashes  *crashWatch
-	protocol Protocol
-	cold     coldGate
-	zone     string // of the node; empty if its evacuation has no effect
-	watchMu  sync.Mutex
-	watch    evac.Watch
+	store        *store.Store
+	calls        *chain.Table
+	balancer     *Balancer
+	metrics      *metric.Set
+	client       *upstreamClient
+	onState      func()
+	gate         *gate
+	attempts     *attemptTable
+	crashes      *crashWatch
+	protocol     Protocol
+	cold         coldGate
+	zone         string // of the node; empty if its evacuation has no effect
+	confirmsZone bool
+	watchMu      sync.Mutex
+	watch        evac.Watch
 
 	incarnation uint64
 
--- a/node/relay/zone.go
+++ b/node/relay/zone.go
@@ -18,6 +18,13 @@
 	return func(t *Target) { t.zone = zone }
 }
 
+// WithZoneConfirmation makes the target refuse new calls after a suspension of the process until the
+// state of the zones is confirmed again. It is for platforms that bound the time in which an
+// evacuation takes effect.
+func WithZoneConfirmation() TargetOption {
+	return func(t *Target) { t.confirmsZone = true }
+}
+
 // checkZone returns a refusal if the zone of the node is evacuated. Directly after a suspension of
 // the process it may be, until the state of the zones is confirmed again.
 func (t *Target) checkZone() *refuse.Error {
@@ -30,7 +37,7 @@
 		t.metrics.Add(metric.EvacuatedRefused, 1)
 		return refuse.New(refuse.NoUpstream, "zone %q is evacuated", t.zone).WithRetryAfter(time.Second)
 	}
-	if !suspended {
+	if !suspended || !t.confirmsZone {
 		return nil
 	}
 	asOf, _ := t.store.EvacuationKnown()
--- a/node/relay/zone_test.go
+++ b/node/relay/zone_test.go
@@ -91,6 +91,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		target := coldTarget(t, slowUpstream(0), 0)
 		WithZone("a")(target)
+		WithZoneConfirmation()(target)
 		evacuate(target, 1, false)
 		assert.Assert(t, target.checkZone() == nil)
 		assert.Assert(t, !target.Cold(time.Now()))
