admin, opsapi, picker: explain where a request would go now, and why

Cause: operators could only infer from logs and metrics why a request goes to a target. Change: admin explain PATH asks nodes (GET /explain) for the route, the service, the admitted fraction and, for each target, its chance to be chosen and the figures that decide it, or why it is left out. The picks are made on a copy of the node's knowledge; nothing is sent or counted. Measured: TestExplain (three nodes in one process: chances add up to 1, no request is recorded), TestExplainChangesNothing.

--- a/admin/cmds/root.go
+++ b/admin/cmds/root.go
@@ -105,7 +105,7 @@
 	f.DurationVar(&c.timeout, "timeout", defaultTimeout, "time for the whole command, --wait included")
 	_ = cmd.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"table", "json"}, cobra.ShellCompDirectiveNoFileComp))
 	cmd.AddCommand(c.applyCommand(), c.customerCommand(), c.keyCommand(), c.serviceCommand(), c.routeCommand(),
-		c.importanceCommand(), c.fleetCommand(), c.statusCommand(), c.reportCommand(), c.logCommand())
+		c.importanceCommand(), c.fleetCommand(), c.statusCommand(), c.explainCommand(), c.reportCommand(), c.logCommand())
 	return cmd
 }
 
--- a/admin/nodes/nodes.go
+++ b/admin/nodes/nodes.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -70,6 +71,11 @@
 	return fetchAll[burn.Document](ctx, c, "/burn")
 }
 
+// Explanations asks every node where it would send a request, in the order of the addresses.
+func (c *Client) Explanations(ctx context.Context, q url.Values) []Reply[report.Explanation] {
+	return fetchAll[report.Explanation](ctx, c, "/explain?"+q.Encode())
+}
+
 // fetchAll requests a document from every node.
 func fetchAll[T any](ctx context.Context, c *Client, path string) []Reply[T] {
 	out := make([]Reply[T], len(c.addrs))
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -216,7 +216,7 @@
 	a.peers = newPeerServer(a, auth)
 	a.entry = entry.New(a.store, a.entryDependencies(), a.metrics, a.cfg.Limits, a.entryOptions()...)
 	a.local = local.New(a.store, a.calls, a.target, a.caller, a.claims, a.metrics, a.cfg.Limits.HeaderBytes, local.WithLogger(a.log), local.WithPool(a.memory))
-	a.ops = opsapi.New(a.Status, a.BurnCounts, a.Metrics)
+	a.ops = opsapi.New(a)
 	return nil
 }
 
--- a/node/relay/balance.go
+++ b/node/relay/balance.go
@@ -124,13 +124,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	set := b.updatedSet(req.Service, list, gen, now)
-	id, ok := set.picker.Pick(now, picker.Query{Rank: req.Call.Rank, Tried: tried, NoProbe: !req.Repeatable, LargeBody: req.ContentLength > largeBody, LatencyGoal: req.Call.LatencyGoal}, b.rng)
+	id, ok := set.picker.Pick(now, queryOf(req, tried), b.rng)
 	if !ok {
 		return Candidate{}, false
 	}
 	return set.byID[id], true
 }
 
+func queryOf(req *Request, tried []string) picker.Query {
+	q := QueryOf(req.ContentLength, req.Call.LatencyGoal)
+	q.Rank, q.Tried, q.NoProbe = req.Call.Rank, tried, !req.Repeatable
+	return q
+}
+
 // updatedSet returns the targets of a service after it applied the current list
 // of candidates. The caller holds mu.
 func (b *Balancer) updatedSet(service string, list []Candidate, gen uint64, now time.Time) *targetSet {
