core/speed: a very short latency doesn't invalidate the estimate

Cause: the mean work time during a call is the difference of two integrals since the start of the node. After months, their rounding error exceeds the value for a call of a few nanoseconds, so that the mean can be 0. Its logarithm then makes the trust in the report and the service time NaN until the estimator is reset.

Change: the mean work time stays within the bounds of a report.

Result: go test -run TestShortLatencyAfterLongRun ./core/speed passes; without the change the service time is -2562047h47m16s after a run of 200 days.

--- a/core/speed/estimator.go
+++ b/core/speed/estimator.go
@@ -136,7 +136,8 @@
 	}
 	began, end := now.Add(-s.Latency), &e.curve.cells[binOf(float64(s.InFlight), e.slots)]
 	own := max(s.Latency-s.ChildTime, time.Microsecond).Seconds()
-	work := e.work.mean(began, now, 1)
+	// After a long run, the integrals are too coarse for the mean over a few nanoseconds, which may even be 0.
+	work := min(maxWorkRatio, max(1/maxWorkRatio, e.work.mean(began, now, 1)))
 	if e.work.n > 0 {
 		e.trust.add(work, own)
 	}
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -181,3 +182,25 @@
 		})
 	}
 }
+
+// TestShortLatencyAfterLongRun guards against a service time that stays invalid after a call with a
+// latency of a few nanoseconds at a node that has run for long: the mean work time of so short a
+// time is the difference of two large integrals.
+func TestShortLatencyAfterLongRun(t *testing.T) {
+	e, now := New(), time.Unix(1000, 0)
+	for i := range 1000 {
+		if i == 500 {
+			now = now.Add(200*24*time.Hour + 1234567*time.Nanosecond)
+		}
+		now = now.Add(2*time.Millisecond + 7*time.Nanosecond)
+		s := Sample{Latency: 50 * time.Millisecond, InFlight: 10}
+		if i > 500 && i < 600 {
+			s.Latency = time.Duration(i%10 + 1)
+		}
+		e.Report(now, LoadReport{Running: 10, Slots: 54, WorkTime: 1.37 + float64(i%7)/100})
+		e.Limit(now, 54)
+		e.Observe(now, s)
+	}
+	x := e.ServiceTime(now)
+	assert.Assert(t, !math.IsNaN(e.trust.value()) && x > 0 && x < time.Second, "service time %v", x)
+}
