core/picker: a target that leaves doesn't make its zone silent

Cause: a zone counts as cut off if a call to it was sent and neither feedback nor the end of a call has followed for 3 s. The end of a call to a target that has left the list isn't recorded, so a zone without other calls in that time stayed cut off, and got no spilled calls, until exploration or a fallback reached it.

Change: Update forgets the call in flight of the zones of removed targets.

Result: go test -run TestZoneOfRemovedTarget ./core/picker fails without the change (cutOff is true 6 s later) and passes with it.

--- a/core/picker/completion_test.go
+++ b/core/picker/completion_test.go
@@ -81,3 +81,21 @@
 	assert.Assert(t, crossed[1] > 0)
 	assert.DeepEqual(t, crossed[4:], make([]int, 6))
 }
+
+// Guards against a zone that counts as cut off because the only call to it that
+// was in flight went to a target that has left the list, so that its end is not
+// recorded.
+func TestZoneOfRemovedTarget(t *testing.T) {
+	s := newTestSet(4, 2)
+	f := &admit.Feedback{Level: admit.OpenLevel, Limit: 100, InFlight: 20, ServiceTime: 300_000}
+	for _, st := range s.targets {
+		s.Done(start, st.ID, OK, f)
+	}
+	now := start.Add(time.Millisecond)
+	id, _ := s.Pick(now, Query{Tried: []string{"t000", "t001", "t003"}}, newRNG())
+	assert.Equal(t, id, "t002")
+	zone := s.find(id).zone
+	s.Update([]Target{s.targets[0].Target, s.targets[1].Target, s.targets[3].Target})
+	s.Done(now, id, Failed, nil)
+	assert.Assert(t, !zone.cutOff(now.Add(2*DefaultUnreachableAfter)))
+}
--- a/core/picker/set.go
+++ b/core/picker/set.go
@@ -160,7 +160,13 @@
 		next = append(next, st)
 	}
 	slices.SortFunc(next, func(a, b *targetState) int { return strings.Compare(a.ID, b.ID) })
+	before := s.targets
 	s.targets = slices.CompactFunc(next, func(a, b *targetState) bool { return a.ID == b.ID })
+	for _, t := range before {
+		if t.inFlight > 0 && s.find(t.ID) == nil {
+			t.zone.sentAt = time.Time{} // the end of its calls won't be recorded
+		}
+	}
 	s.removeZones()
 	s.limitEjected()
 }
