relay: a mismatched response isn't learned as a fast call

Cause: a response that belongs to another request, such as a second copy of an earlier one, arrives at once. It was recorded as a finished call, and as shed if it was a 503, though the outcome of the call is unknown.

Change: a call that ends with a refusal of unknown outcome counts as failed, which says nothing about the speed.

Result: go test -run TestMismatchedResponseHasNoSpeed ./node/relay fails without the change (a service time of 181 us after 30 such calls) and passes with it.

--- a/node/relay/learn.go
+++ b/node/relay/learn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodsill.org/core/limit"
+	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/speed"
 )
 
@@ -110,13 +111,15 @@
 	g.learned.observe(s, g.slots, now)
 }
 
-// learn records the call for the learned limit and service time.
-func (c *upstreamCall) learn(s limit.Sample, resp *http.Response, now time.Time) {
+// learn records the call for the learned limit and service time. A response that belongs to another
+// request, after which the outcome of the call is unknown, says nothing about the speed.
+func (c *upstreamCall) learn(s limit.Sample, resp *http.Response, refusal *refuse.Error, now time.Time) {
 	cur := c.target.store.Current()
 	configured := cur != nil && cur.View.Services[c.head.Service].LearnCapacity
+	mismatched := refusal != nil && refusal.Executed == refuse.ExecutionUnknown
 	c.target.gate.learn(speed.Sample{
 		Latency: s.Latency, ChildTime: s.ChildTime, Goal: c.head.Call.LatencyGoal, Shed: s.Shed,
 		// An error is often returned without the work of a response.
-		Failed: s.Failed || resp.StatusCode >= http.StatusBadRequest && !s.Shed,
+		Failed: s.Failed || mismatched || resp.StatusCode >= http.StatusBadRequest && !s.Shed,
 	}, configured, now)
 }
--- a/node/relay/learn_test.go
+++ b/node/relay/learn_test.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/speed"
 )
 
@@ -56,3 +58,34 @@
 		})
 	}
 }
+
+// mismatchProtocol is a Protocol in which no response belongs to its request.
+type mismatchProtocol struct{ defaultProtocol }
+
+// ClassifyResponse implements Protocol.
+func (mismatchProtocol) ClassifyResponse(*CallHead, *http.Response) ResponseClass {
+	return ResponseMismatched
+}
+
+// TestMismatchedResponseHasNoSpeed guards against a response that belongs to another request, such
+// as a second copy that arrives at once, and counts as a fast call.
+func TestMismatchedResponseHasNoSpeed(t *testing.T) {
+	var target *Target
+	u := &refusingUpstream{status: http.StatusServiceUnavailable, how: refuseOnce}
+	c := callerToUpstream(t, u, WithProtocol(mismatchProtocol{}), func(t *Target) { target = t })
+	g := target.gate
+	now := time.Now()
+	g.applyHints(Upstream{Slots: 54, FixedSlots: true}, false, now)
+	g.reportLoad(LoadReport{Running: 1, Slots: 54, WorkTime: 1}, now)
+	for range 30 {
+		body, err := NewBody(http.NoBody, 0, nil)
+		assert.NilError(t, err)
+		_, _, e := c.Do(t.Context(), &Request{
+			Service: "s", Method: http.MethodPost, URI: "/", Body: body, RequestID: "one",
+			Call: model.Call{Attempts: 1, Deadline: now.Add(10 * time.Second)},
+		})
+		assert.Assert(t, e != nil)
+	}
+	assert.Equal(t, u.ran.Load(), int64(30))
+	assert.Equal(t, g.feedback("c", time.Now()).ServiceTime, int64(0))
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -46,7 +46,7 @@
 	t.metrics.Add(metric.Served, 1)
 	resp, refusal := c.roundTrip(c.attempt.ctx, up)
 	sample := c.sample(resp, time.Now())
-	c.learn(sample, resp, time.Now())
+	c.learn(sample, resp, refusal, time.Now())
 	if refusal != nil {
 		t.gate.leave(sample, 0, time.Now())
 		t.sendRefusal(c.attempt, c.head, ReplyHead{Refusal: refusal, AttemptsLeft: c.active.RemainingAttempts(), Reached: c.conn.Load() != nil})
