relay: cold targets don't delay the retry after an error response

Cause: the backoff before a retry after a 5xx response counted each target that had returned the call because its upstream is cold. After six of them the delay is up to 500 ms instead of 10 ms, so that a call with less time left isn't retried.

Change: these targets don't count, as in handleFailure.

Result: go test -run TestColdTargetsDoNotDelayRetry ./node/relay fails without the change (no retry with 15 ms left) and passes with it.

--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -188,7 +188,7 @@
 	decision := c.decideRetry(state.req.Service, retry.Attempt{
 		Outcome:    retry.Failed,
 		Idempotent: state.req.Repeatable,
-		Retries:    len(state.tried),
+		Retries:    state.usualTried(),
 		TokensLeft: state.budget.Remaining(),
 		Deadline:   state.req.Call.Deadline,
 	}, time.Now())
--- a/node/relay/cold_test.go
+++ b/node/relay/cold_test.go
@@ -24,6 +24,7 @@
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/retry"
 )
 
 const testColdRate = 16
@@ -282,3 +283,25 @@
 		}
 	})
 }
+
+// Guards against a call that isn't retried after an error response because targets with cold
+// upstreams returned it before: each of them would double the delay before the retry.
+func TestColdTargetsDoNotDelayRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := fakeNodes{"one": nil, "two": nil}
+		c := NewCaller(NewBalancer(dir, "a", 1, WithRetryLimits(func() (float64, int) { return 1, 100 })), dir, metric.New())
+		for range 20 {
+			now := time.Now()
+			state := &callState{req: timedRequest(t, "one", true, now.Add(15*time.Millisecond)), budget: retry.NewBudget(10)}
+			for i := range 12 {
+				state.tried = append(state.tried, fmt.Sprint("cold", i))
+				state.coldTried++
+			}
+			_, ok := state.budget.Begin()
+			assert.Assert(t, ok)
+			_, again := c.retryErrorResponse(t.Context(), state, Candidate{ID: "one"}, &Response{Status: http.StatusInternalServerError, Body: http.NoBody})
+			assert.Assert(t, again)
+			assert.Assert(t, time.Since(now) <= retry.DefaultBackoff().Base)
+		}
+	})
+}
