core/picker: one target far above its limit doesn't crowd its zone

Cause: the used fraction of a zone is a mean over feedback without a bound on a single sample. A target whose limit falls to 1 while 54 calls are there counts as 54 times its limit, so calls spill over although the other targets of the zone have room.

Change: a sample counts as at most twice the limit.

--- a/core/picker/completion_test.go
+++ b/core/picker/completion_test.go
@@ -99,3 +99,23 @@
 	s.Done(now, id, Failed, nil)
 	assert.Assert(t, !zone.cutOff(now.Add(2*DefaultUnreachableAfter)))
 }
+
+// Guards against a zone that counts as crowded because a single target of it holds
+// many times its limit, as after a sharp fall of the limit, while the others have
+// room.
+func TestOneFullTargetKeepsZone(t *testing.T) {
+	for _, inFlight := range []int{54, 200, 1 << 20} {
+		s, rng, most := newTestSet(8, 4), newRNG(), 0.0
+		for i := range 20_000 {
+			now := start.Add(time.Duration(i) * 5 * time.Millisecond)
+			id, _ := s.Pick(now, Query{LatencyGoal: time.Second}, rng)
+			f := &admit.Feedback{Level: admit.OpenLevel, Limit: 100, InFlight: 20, ServiceTime: 300_000}
+			if id == "t000" {
+				f.Limit, f.InFlight = 1, inFlight
+			}
+			s.Done(now, id, OK, f)
+			most = max(most, s.spilled)
+		}
+		assert.Check(t, most < 0.1, "%d in flight: up to %.2f of the calls spill over", inFlight, most)
+	}
+}
--- a/core/picker/spill.go
+++ b/core/picker/spill.go
@@ -44,6 +44,9 @@
 	trialSpill = 0.02
 	// usedTimeConstant is that of the mean used fraction of a zone.
 	usedTimeConstant = 500 * time.Millisecond
+	// maxUsedSample bounds the part of one target in that mean. A target whose limit
+	// falls sharply holds many times its limit while others of its zone have room.
+	maxUsedSample = 2.0
 	// usedExpiry is the age at which the used fraction of a zone is not known any
 	// more. Exploration gives a node a few samples of other zones in that time.
 	usedExpiry = 10 * time.Second
@@ -97,7 +100,7 @@
 
 // recordUsed records the load that feedback states.
 func (z *zoneState) recordUsed(now time.Time, inFlight, limit int) {
-	used := float64(inFlight) / float64(limit)
+	used := min(float64(inFlight)/float64(limit), maxUsedSample)
 	z.used += (used - z.used) * sampleWeight(now.Sub(z.usedAt), usedTimeConstant)
 	z.usedAt = now
 }
