core/picker, core/speed, relay: clearer comments

No change of behaviour: the doc comment of cheaper is wrapped evenly, that of cell says what it is compared with, and the comment in resume says why a refusal by the same process can be relied on. A variable in a test is named after what it is.

--- a/core/picker/completion.go
+++ b/core/picker/completion.go
@@ -131,9 +131,9 @@
 // cheaper returns one of two targets, mostly that which is expected to complete
 // a call first. If all nodes sent all calls to it, it would be full before they
 // learn of each other's calls; so the odds are the square of the ratio of the
-// costs. It
-// compares the scores if the service time of one is not known, or if both are
-// full: then calls wait longest at the fastest target, until it refuses them.
+// costs. It compares the scores if the service time of one is not known, or if
+// both are full: then calls wait longest at the fastest target, until it refuses
+// them.
 func cheaper(now time.Time, q *Query, a, b *targetState, rng *rand.Rand) *targetState {
 	usedA, usedB := 0.0, 0.0
 	known := a.timed(now) && b.timed(now)
--- a/core/speed/curve.go
+++ b/core/speed/curve.go
@@ -35,8 +35,8 @@
 
 // cell holds decaying sums over the time in which the number of running requests was in one
 // bin. The mean time of a call is the time that calls spent in the bin over the number of calls
-// that ended there. Other than the mean over those calls, it doesn't depend on what calls took
-// in other bins before, and not on how long a call stays in one bin.
+// that ended there. Unlike the mean latency of those calls, it depends neither on what calls took
+// in other bins before nor on how long a call stays in one bin.
 type cell struct {
 	calls float64 // that ended well in the bin
 	own   float64 // time that calls spent in it in seconds, without child calls, at the usual work time
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -14,7 +14,7 @@
 // slots. It guards against a limit that misses a knee, and against one that takes load off an
 // upstream which handles it.
 func TestLimit(t *testing.T) {
-	liar := rand.New(rand.NewPCG(3, 3))
+	random := rand.New(rand.NewPCG(3, 3))
 	for _, test := range []struct {
 		name    string
 		change  func(u *simUpstream)
@@ -37,7 +37,7 @@
 		{"child calls", func(u *simUpstream) { u.child = 300 * time.Millisecond }, 0.9, 0.97, 27, 0.1},
 		{"failures", func(u *simUpstream) { u.failures = 0.2 }, 0.5, 0.97, 27, 0.1},
 		{"false report, stuck", func(u *simUpstream) { u.states = func(float64) float64 { return 5 } }, 0.9, 0.97, 27, 0.1},
-		{"false report, random", func(u *simUpstream) { u.states = func(float64) float64 { return 0.3 + 3*liar.Float64() } }, 0.9, 0.97, 27, 0.1},
+		{"false report, random", func(u *simUpstream) { u.states = func(float64) float64 { return 0.3 + 3*random.Float64() } }, 0.9, 0.97, 27, 0.1},
 		{"sheds above 40%", func(u *simUpstream) {
 			u.shed = func(running int) float64 {
 				if running > 21 {
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -335,7 +335,8 @@
 			return s, reply, nil
 		}
 		if fail.feedback != nil && kind == KindCall && h.Incarnation != 0 && fail.refusal.Executed == refuse.NotExecuted {
-			// The process that received the first stream, if it did, knows the attempt.
+			// The reply is from the process that the attempt was sent to. It registers each
+			// attempt once, so it won't run the first stream either, should that still arrive.
 			return nil, reply, fail
 		}
 		fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
