--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,7 +14,7 @@
 // slots. It guards against a limit that misses a knee, and against one that takes load off an
 // upstream which handles it.
 func TestLimit(t *testing.T) {
-	liar := rand.New(rand.NewPCG(3, 3))
+	random := rand.New(rand.NewPCG(3, 3))
 	for _, test := range []struct {
 		name    string
 		change  func(u *simUpstream)
@@ -36,7 +37,7 @@
 		{"child calls", func(u *simUpstream) { u.child = 300 * time.Millisecond }, 0.9, 0.97, 27, 0.1},
 		{"failures", func(u *simUpstream) { u.failures = 0.2 }, 0.5, 0.97, 27, 0.1},
 		{"false report, stuck", func(u *simUpstream) { u.states = func(float64) float64 { return 5 } }, 0.9, 0.97, 27, 0.1},
-		{"false report, random", func(u *simUpstream) { u.states = func(float64) float64 { return 0.3 + 3*liar.Float64() } }, 0.9, 0.97, 27, 0.1},
+		{"false report, random", func(u *simUpstream) { u.states = func(float64) float64 { return 0.3 + 3*random.Float64() } }, 0.9, 0.97, 27, 0.1},
 		{"sheds above 40%", func(u *simUpstream) {
 			u.shed = func(running int) float64 {
 				if running > 21 {
@@ -181,3 +182,25 @@
 		})
 	}
 }
+
+// TestShortLatencyAfterLongRun guards against a service time that stays invalid after a call with a
+// latency of a few nanoseconds at a node that has run for long: the mean work time of so short a
+// time is the difference of two large integrals.
+func TestShortLatencyAfterLongRun(t *testing.T) {
+	e, now := New(), time.Unix(1000, 0)
+	for i := range 1000 {
+		if i == 500 {
+			now = now.Add(200*24*time.Hour + 1234567*time.Nanosecond)
+		}
+		now = now.Add(2*time.Millisecond + 7*time.Nanosecond)
+		s := Sample{Latency: 50 * time.Millisecond, InFlight: 10}
+		if i > 500 && i < 600 {
+			s.Latency = time.Duration(i%10 + 1)
+		}
+		e.Report(now, LoadReport{Running: 10, Slots: 54, WorkTime: 1.37 + float64(i%7)/100})
+		e.Limit(now, 54)
+		e.Observe(now, s)
+	}
+	x := e.ServiceTime(now)
+	assert.Assert(t, !math.IsNaN(e.trust.value()) && x > 0 && x < time.Second, "service time %v", x)
+}
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -188,7 +188,7 @@
 	decision := c.decideRetry(state.req.Service, retry.Attempt{
 		Outcome:    retry.Failed,
 		Idempotent: state.req.Repeatable,
-		Retries:    len(state.tried),
+		Retries:    state.usualTried(),
 		TokensLeft: state.budget.Remaining(),
 		Deadline:   state.req.Call.Deadline,
 	}, time.Now())
@@ -335,7 +335,8 @@
 			return s, reply, nil
 		}
 		if fail.feedback != nil && kind == KindCall && h.Incarnation != 0 && fail.refusal.Executed == refuse.NotExecuted {
-			// The process that received the first stream, if it did, knows the attempt.
+			// The reply is from the process that the attempt was sent to. It registers each
+			// attempt once, so it won't run the first stream either, should that still arrive.
 			return nil, reply, fail
 		}
 		fail.refusal = fail.refusal.WithExecuted(refuse.ExecutionUnknown)
