budget: idle connections give way to bodies only where that makes room

Cause: a body that found no room in the part of bodies made all connections that had been idle for a second give way, also where uploads in progress occupied the part and the memory of the idle connections (12 KiB each) could not make room. Ordinary keep-alive connections were closed although three eighths of the pool were free.

Change: idle accounts give way to a body only if closing all stalled accounts frees a part of the pool. Idle connections that themselves occupy the part of bodies still give way.

Measured: go test -race -p 2 ./core/budget. Before the change, TestBodiesSpareIdleConnections failed with 4 idle connections evicted; with it, all tests of the package pass.

--- a/core/budget/pool.go
+++ b/core/budget/pool.go
@@ -113,7 +113,8 @@
 }
 
 // GrowBody takes n more bytes for a body and reports whether the pool had room for them. Only
-// stalled accounts give way to it, since a body can be streamed instead.
+// stalled accounts give way to it, since a body can be streamed instead, and idle ones only if that
+// frees a part of the pool.
 func (a *Account) GrowBody(n int64, now time.Time) bool {
 	if a == nil || n <= 0 {
 		return true
@@ -288,7 +289,11 @@
 	if full {
 		open -= max(1, p.maxAccounts/parts)
 	}
-	for _, a := range p.stalled(r.requester, now) {
+	stalled := p.stalled(r.requester, now)
+	if r.stalledOnly && !p.freesPart(stalled, r) {
+		stalled = slices.DeleteFunc(stalled, (*Account).isIdle)
+	}
+	for _, a := range stalled {
 		if p.held-p.leaving+r.bytes <= r.most-p.part(1) && len(p.accounts)-p.gone <= open {
 			break
 		}
@@ -307,6 +312,20 @@
 	return victims
 }
 
+// freesPart reports whether one part is free for r once the given accounts are closed. Otherwise
+// others use the memory, and closing idle connections would not help for long. The caller holds mu.
+func (p *Pool) freesPart(accounts []*Account, r need) bool {
+	left := p.held - p.leaving
+	for _, a := range accounts {
+		left -= a.held
+	}
+	return left+r.bytes <= r.most-p.part(1)
+}
+
+// isIdle reports whether the account holds nothing beyond its own cost. The caller holds
+// Pool.mu.
+func (a *Account) isIdle() bool { return a.held <= a.base }
+
 // mark marks an account as evicted. The caller holds mu.
 func (p *Pool) mark(a *Account) *Account {
 	a.evicted = true
@@ -325,13 +344,13 @@
 			out = append(out, a)
 		}
 	}
-	isIdle := func(a *Account) int {
-		if a.held > a.base {
-			return 0
+	idle := func(a *Account) int {
+		if a.isIdle() {
+			return 1
 		}
-		return 1
+		return 0
 	}
-	slices.SortFunc(out, func(a, b *Account) int { return cmp.Or(isIdle(a)-isIdle(b), a.progress.Compare(b.progress)) })
+	slices.SortFunc(out, func(a, b *Account) int { return cmp.Or(idle(a)-idle(b), a.progress.Compare(b.progress)) })
 	return out
 }
 
--- a/core/budget/pool_test.go
+++ b/core/budget/pool_test.go
@@ -79,6 +79,46 @@
 	assert.Assert(t, other.Grow(200*kib, now), "no room for an ordinary request: %+v", p.Stats())
 }
 
+// TestBodiesSpareIdleConnections guards against uploads in progress that use the part of bodies, so
+// that each further body closes idle connections, whose memory would not make room for it.
+func TestBodiesSpareIdleConnections(t *testing.T) {
+	const kib = 1 << 10
+	start := time.Unix(1000, 0)
+	p := New(1024*kib, 0)
+	evicted := 0
+	for range 4 {
+		_, ok := p.Open(kib, func() { evicted++ }, start)
+		assert.Assert(t, ok)
+	}
+	now := start.Add(10 * time.Second)
+	upload, _ := p.Open(kib, func() { t.Error("an upload gave way to another") }, now)
+	for upload.GrowBody(32*kib, now) {
+		upload.Progress(now)
+	}
+	assert.Equal(t, evicted, 0, "idle connections gave way to a body: %+v", p.Stats())
+}
+
+// TestIdleConnectionsMakeRoomForBodies guards against idle connections that occupy the part of
+// bodies and keep all bodies out.
+func TestIdleConnectionsMakeRoomForBodies(t *testing.T) {
+	const kib = 1 << 10
+	start := time.Unix(1000, 0)
+	p := New(1024*kib, 0)
+	var idle []*Account
+	for range 64 {
+		var a *Account
+		a, ok := p.Open(10*kib, func() { idle = append(idle, a) }, start)
+		assert.Assert(t, ok)
+	}
+	now := start.Add(10 * time.Second)
+	upload, _ := p.Open(kib, func() {}, now)
+	upload.GrowBody(32*kib, now)
+	for _, a := range idle {
+		a.Close()
+	}
+	assert.Assert(t, upload.GrowBody(32*kib, now), "no room for a body: %+v", p.Stats())
+}
+
 // TestBytesReturn guards against bytes that stay counted after their account is closed, and
 // against more accounts than permitted.
 func TestBytesReturn(t *testing.T) {
