conns: a request that has just arrived is answered when its connection gives way

Cause: a connection that was idle before gave way while the head of a request had been read and its handler had not begun. It was closed, and the caller got no answer to a request that it had sent completely. The same held for the time between the choice of the connection and its end.

--- a/node/conns/memory.go
+++ b/node/conns/memory.go
@@ -94,8 +94,21 @@
 }
 
 // giveWay ends what the connection does, so that its memory is free for others. A request that
-// is being handled is ended by its handler, which responds.
+// is being handled is ended by its handler, which responds. If data has just arrived, it may be a
+// whole request that net/http has not passed on yet, and the connection gets time to refuse it.
 func (c *conn) giveWay() {
+	if c.isArriving(time.Now()) {
+		time.AfterFunc(arrivedTimeout, func() {
+			if !c.isRunning() {
+				c.giveWayNow()
+			}
+		})
+		return
+	}
+	c.giveWayNow()
+}
+
+func (c *conn) giveWayNow() {
 	c.mu.Lock()
 	abort, idle := c.memory.abort, !c.received && !c.arrivals.running && !c.memory.http2
 	c.mu.Unlock()
@@ -109,6 +122,21 @@
 	}
 }
 
+// isArriving reports whether data of a request that is not handled yet was received within
+// arrivedTimeout.
+func (c *conn) isArriving(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received && !c.arrivals.running && !c.memory.http2 && now.Sub(c.arrivals.last) < arrivedTimeout
+}
+
+// isRunning reports whether a request of an HTTP/1 connection is handled.
+func (c *conn) isRunning() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrivals.running
+}
+
 // countReceived counts received bytes. It returns false if the head finds no room.
 func (c *conn) countReceived(n int, now time.Time) bool {
 	if n == 0 || c.account == nil {
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -115,6 +115,9 @@
 		}
 		defer c.end(conn)
 		c.AnnounceClose(w.Header())
+		if r.ProtoMajor == 1 && Account(r.Context()).Evicted() {
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 		if r.ProtoMajor == 1 && w.Header().Get("Connection") == "close" {
 			if c := unwrap(conn); c != nil {
