conns: requests over HTTP/2 count as progress, and each connection is counted

Cause: only HTTP/1 requests counted as progress. Between two requests, an HTTP/2 connection with frequent small requests seemed stalled, and as it holds more than its base cost it was the first to give way, with a close that cuts requests under way.

Change: the begin and the end of each HTTP/2 request count as progress. A connection whose cost was not taken from the pool tries again at the next request.

Measured: go test -race -p 2 ./node/conns ./node/entry. Before the change, TestHTTP2RequestsAreProgress failed with 1 evicted connection, and TestHTTP2WithoutRoom with a request served without room; with it, all tests of both packages pass.

--- a/node/conns/memory.go
+++ b/node/conns/memory.go
@@ -38,10 +38,11 @@
 
 // connMemory is what a connection occupies. conn.mu guards it.
 type connMemory struct {
-	head    int64  // bytes received of the head of the next or current request
-	charged int64  // bytes taken from the pool for the head
-	http2   bool   // heads are not counted
-	abort   func() // ends the request that is being handled; nil if there is none
+	head         int64  // bytes received of the head of the next or current request
+	charged      int64  // bytes taken from the pool for the head
+	http2        bool   // heads are not counted
+	http2Counted bool   // http2Bytes were taken from the pool
+	abort        func() // ends the request that is being handled; nil if there is none
 }
 
 // Listen listens on a TCP address for connections whose receive buffer in the kernel is limited.
@@ -171,24 +172,32 @@
 	c.memory.head, c.memory.charged = 0, 0
 }
 
-// beginHTTP2 records that the connection uses HTTP/2. It returns false if there is no room.
+// beginHTTP2 records that a request is handled on an HTTP/2 connection. It returns false if there
+// is no room for the connection. Calls must not overlap.
 func (c *conn) beginHTTP2(now time.Time) bool {
+	c.account.Progress(now)
 	if c.becomeHTTP2() {
-		return c.account.Grow(http2Bytes, now)
+		return true
 	}
+	// The account is used without mu: making room may lock another connection.
+	if !c.account.Grow(http2Bytes, now) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.http2Counted = true
 	return true
 }
 
-// becomeHTTP2 reports whether the connection was not known to use HTTP/2.
-func (c *conn) becomeHTTP2() bool {
+// becomeHTTP2 records that the connection uses HTTP/2, and reports whether that is counted already.
+func (c *conn) becomeHTTP2() (counted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.memory.http2 {
-		return false
+	if !c.memory.http2 {
+		c.releaseHead()
+		c.memory.http2 = true
 	}
-	c.releaseHead()
-	c.memory.http2 = true
-	return true
+	return c.memory.http2Counted
 }
 
 // closeNow closes the connection and its account.
--- a/node/conns/memory_test.go
+++ b/node/conns/memory_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"dogwoodsill.org/core/budget"
+	"dogwoodsill.org/core/metric"
 )
 
 // TestGivingWayAnswersArrivedRequest guards against a request that is cut without an answer because
@@ -39,3 +42,21 @@
 	_, err = caller.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// TestHTTP2WithoutRoom guards against an HTTP/2 connection that found no room at its first request
+// and is then served without being counted.
+func TestHTTP2WithoutRoom(t *testing.T) {
+	now := time.Now()
+	pool := budget.New(128<<10, 0)
+	other, _ := pool.Open(0, func() {}, now)
+	c, _ := acceptedConn(t)
+	assert.Assert(t, c.openAccount(pool, now))
+	assert.Assert(t, other.Take(100<<10, now))
+	tracker := newTracker(metric.New())
+	tracker.withConn(t.Context(), c)
+	assert.Assert(t, !tracker.begin(c, true, false))
+	assert.Assert(t, !tracker.begin(c, true, false), "served without room")
+	other.Close()
+	assert.Assert(t, tracker.begin(c, true, false))
+	assert.Equal(t, pool.Stats().Bytes, int64(connBytes+http2Bytes))
+}
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -194,8 +194,13 @@
 func (c *Tracker) end(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cc := c.byConn[conn]; cc != nil {
-		cc.requests--
+	cc := c.byConn[conn]
+	if cc == nil {
+		return
+	}
+	cc.requests--
+	if cc.conn != nil && cc.http2 {
+		cc.conn.account.Progress(time.Now()) // for HTTP/1, becomeIdle records it
 	}
 }
 
--- a/node/entry/memory_test.go
+++ b/node/entry/memory_test.go
@@ -88,3 +88,22 @@
 	assert.NilError(t, err)
 	return resp.StatusCode
 }
+
+// TestHTTP2RequestsAreProgress guards against an HTTP/2 connection with frequent small requests that
+// gives way as if it had stalled.
+func TestHTTP2RequestsAreProgress(t *testing.T) {
+	pool := budget.New(1<<20, 0)
+	s := newServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		return okResponse(), 0, nil
+	}, WithPool(pool))
+	addr := serve(t, s)
+	client := http2Client(t)
+	get(t, client, addr)
+	time.Sleep(budget.StallTime + 100*time.Millisecond)
+	get(t, client, addr)
+	other, ok := pool.Open(0, func() {}, time.Now())
+	assert.Assert(t, ok)
+	for other.Grow(32<<10, time.Now()) {
+	}
+	assert.Equal(t, pool.Stats().Evicted, int64(0), "a connection with a request just now gave way")
+}
