entry: an ended request no longer pins the account of its connection

Cause: the read of a body that reaches its end signals this before it pins the account, and over HTTP/2 the end of a request does not wait for it at all. If the request ended in between, it released its memory first, and the pin stayed until the connection was closed. Such a connection never gave way.

Change: a request that has released its memory pins nothing.

Measured: go test -race -p 2 ./node/entry. Before the change, TestEndedRequestHoldsNothing failed with "the account of an ended request is still pinned"; with it, all tests of the package pass.

--- a/node/entry/memory.go
+++ b/node/entry/memory.go
@@ -49,9 +49,10 @@
 type requestMemory struct {
 	account *budget.Account // nil for no limit
 
-	mu     sync.Mutex
-	held   int64
-	pinned bool
+	mu       sync.Mutex
+	held     int64
+	pinned   bool
+	released bool // release was called; a read of the body may end after that
 }
 
 func newRequestMemory(r *http.Request) *requestMemory {
@@ -87,7 +88,7 @@
 func (m *requestMemory) pin() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.pinned {
+	if !m.pinned && !m.released {
 		m.pinned = true
 		m.account.Pin()
 	}
@@ -101,7 +102,7 @@
 	if m.pinned {
 		m.account.Unpin()
 	}
-	m.held, m.pinned = 0, false
+	m.held, m.pinned, m.released = 0, false, true
 }
 
 // takeMemory takes what the request needs before its body. It returns a refusal if there is no room.
--- a/node/entry/memory_test.go
+++ b/node/entry/memory_test.go
@@ -107,3 +107,19 @@
 	}
 	assert.Equal(t, pool.Stats().Evicted, int64(0), "a connection with a request just now gave way")
 }
+
+// TestEndedRequestHoldsNothing guards against a body read that ends together with its request and
+// keeps the account of the connection from giving way for as long as that is open.
+func TestEndedRequestHoldsNothing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	pool := budget.New(1<<20, 0)
+	evicted := false
+	account, ok := pool.Open(1, func() { evicted = true }, start)
+	assert.Assert(t, ok)
+	m := &requestMemory{account: account}
+	m.release()
+	m.pin()
+	other, _ := pool.Open(0, func() {}, start)
+	other.Grow(1<<20, start.Add(time.Hour))
+	assert.Assert(t, evicted, "the account of an ended request is still pinned")
+}
