budget: a failed search for a body no longer delays the search for a request

Searches for bodies consider stalled accounts only. With uploads that are all in progress, their failed searches kept requests, heads and new connections from making others give way, so these were refused although the largest account had to give way to them.

Change: the two kinds of searches are limited separately. A failed search for a request still also delays searches for bodies, which consider fewer accounts.

Measured: go test -race -p 2 ./core/budget. Before the change, TestBodySearchLeavesRequestSearch failed with 0 evicted accounts; with it, all tests of the package pass.

--- a/core/budget/pool.go
+++ b/core/budget/pool.go
@@ -36,13 +36,37 @@
 
 	mu       sync.Mutex
 	accounts map[*Account]struct{}
-	held     int64     // bytes of all accounts
-	leaving  int64     // of these, bytes of evicted accounts
-	gone     int       // number of evicted accounts
-	scanned  time.Time // of the last search that found no account to evict; zero after a success
+	held     int64 // bytes of all accounts
+	leaving  int64 // of these, bytes of evicted accounts
+	gone     int   // number of evicted accounts
+	scanned  scans
 	stats    Stats
 }
 
+// scans holds the times of the last searches that found no account to evict. Searches for bodies
+// consider fewer accounts, so one of them says nothing about requests.
+type scans struct {
+	bodies, requests time.Time
+}
+
+// isRecent reports whether a search for r was made less than scanInterval before.
+func (s *scans) isRecent(r need, now time.Time) bool {
+	last := s.requests
+	if r.stalledOnly && s.bodies.After(last) {
+		last = s.bodies
+	}
+	return now.Sub(last) < scanInterval && now.After(last)
+}
+
+// record records a search for r that found no account.
+func (s *scans) record(r need, now time.Time) {
+	if r.stalledOnly {
+		s.bodies = now
+	} else {
+		s.requests = now
+	}
+}
+
 // Stats counts what a pool did. Bytes and Accounts are current, the other fields grow.
 type Stats struct {
 	Bytes    int64 // in use
@@ -282,7 +306,7 @@
 	if p.held-p.leaving+r.bytes <= r.most && !full {
 		return nil
 	}
-	if now.Sub(p.scanned) < scanInterval && now.After(p.scanned) {
+	if p.scanned.isRecent(r, now) {
 		return nil
 	}
 	open := len(p.accounts) - p.gone
@@ -307,7 +331,7 @@
 		victims = append(victims, p.mark(a))
 	}
 	if len(victims) == 0 {
-		p.scanned = now
+		p.scanned.record(r, now)
 	}
 	return victims
 }
--- a/core/budget/pool_test.go
+++ b/core/budget/pool_test.go
@@ -119,6 +119,22 @@
 	assert.Assert(t, upload.GrowBody(32*kib, now), "no room for a body: %+v", p.Stats())
 }
 
+// TestBodySearchLeavesRequestSearch guards against a body that found no account to give way and
+// keeps the pool from searching for a request, for which more accounts give way.
+func TestBodySearchLeavesRequestSearch(t *testing.T) {
+	const kib = 1 << 10
+	now := time.Unix(1000, 0)
+	p := New(1024*kib, 0)
+	evicted := 0
+	large, _ := p.Open(0, func() { evicted++ }, now)
+	assert.Assert(t, large.Grow(896*kib, now))
+	other, _ := p.Open(0, func() {}, now)
+	assert.Assert(t, !other.GrowBody(32*kib, now))
+	now = now.Add(time.Millisecond)
+	other.Grow(32*kib, now)
+	assert.Equal(t, evicted, 1, "the largest account did not give way: %+v", p.Stats())
+}
+
 // TestBytesReturn guards against bytes that stay counted after their account is closed, and
 // against more accounts than permitted.
 func TestBytesReturn(t *testing.T) {
