entry: a response that its caller doesn't read ends after limits.progressTimeout

Cause: no deadline applied to writing a response. A caller that reads none of a response which exceeds the buffers of the kernel kept its connection, its goroutine and its account without limit. Its request has been sent completely, so the account is pinned and did not give way; such callers could fill the pool until the process ends.

The deadline is removed after the response.

--- a/node/entry/body.go
+++ b/node/entry/body.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dogwoodsill.org/node/relay"
 )
 
 // lingerTimeout is how long the rest of a body is read and discarded after the response.
@@ -170,3 +172,31 @@
 		<-reading
 	}
 }
+
+// progressWriter writes a response to a caller that must read a part of it within each timeout. A
+// caller that doesn't would otherwise keep the memory of its request for as long as it likes.
+type progressWriter struct {
+	http.ResponseWriter
+	rc      *http.ResponseController
+	timeout time.Duration
+}
+
+// Write implements io.Writer.
+func (p *progressWriter) Write(b []byte) (int, error) {
+	_ = p.rc.SetWriteDeadline(time.Now().Add(p.timeout))
+	return p.ResponseWriter.Write(b)
+}
+
+// Unwrap returns the underlying writer, for http.ResponseController.
+func (p *progressWriter) Unwrap() http.ResponseWriter { return p.ResponseWriter }
+
+// writeResponse writes a response. The write deadline must not apply to the next request of the
+// connection.
+func (q *request) writeResponse(resp *relay.Response) error {
+	w := &progressWriter{ResponseWriter: q.w, rc: http.NewResponseController(q.w), timeout: q.server.limits.ProgressTimeout.D()}
+	if err := WriteResponse(w, resp); err != nil {
+		return err
+	}
+	_ = w.rc.SetWriteDeadline(time.Time{})
+	return nil
+}
--- a/node/entry/memory_test.go
+++ b/node/entry/memory_test.go
@@ -16,6 +16,7 @@
 
 	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/relay"
 )
 
@@ -123,3 +124,36 @@
 	other.Grow(1<<20, start.Add(time.Hour))
 	assert.Assert(t, evicted, "the account of an ended request is still pinned")
 }
+
+// TestUnreadResponseReleasesMemory guards against a caller that doesn't read its response and keeps
+// the memory of its request, which doesn't give way.
+func TestUnreadResponseReleasesMemory(t *testing.T) {
+	const size = 64 << 20 // more than the kernel buffers
+	pool := budget.New(1<<20, 0)
+	s := newServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		resp := okResponse()
+		resp.ContentLength, resp.Body = size, io.NopCloser(io.LimitReader(zeros{}, size))
+		return resp, 0, nil
+	}, WithPool(pool))
+	s.limits.ProgressTimeout = setup.Duration(200 * time.Millisecond)
+	conn := dial(t, serve(t, s))
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: press.example\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if left := pool.Stats(); left.Bytes != 0 {
+			return poll.Continue("still counted: %+v", left)
+		}
+		return poll.Success()
+	}, poll.WithDelay(10*time.Millisecond))
+}
+
+// zeros is an endless reader.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/node/entry/request.go
+++ b/node/entry/request.go
@@ -377,7 +377,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	q.announceClose()
-	if err := WriteResponse(q.w, resp); err != nil {
+	if err := q.writeResponse(resp); err != nil {
 		q.abort(err)
 	}
 	return nil
