--- a/core/budget/pool.go
+++ b/core/budget/pool.go
@@ -36,13 +36,37 @@
 
 	mu       sync.Mutex
 	accounts map[*Account]struct{}
-	held     int64     // bytes of all accounts
-	leaving  int64     // of these, bytes of evicted accounts
-	gone     int       // number of evicted accounts
-	scanned  time.Time // of the last search that found no account to evict; zero after a success
+	held     int64 // bytes of all accounts
+	leaving  int64 // of these, bytes of evicted accounts
+	gone     int   // number of evicted accounts
+	scanned  scans
 	stats    Stats
 }
 
+// scans holds the times of the last searches that found no account to evict. Searches for bodies
+// consider fewer accounts, so one of them says nothing about requests.
+type scans struct {
+	bodies, requests time.Time
+}
+
+// isRecent reports whether a search for r was made less than scanInterval before.
+func (s *scans) isRecent(r need, now time.Time) bool {
+	last := s.requests
+	if r.stalledOnly && s.bodies.After(last) {
+		last = s.bodies
+	}
+	return now.Sub(last) < scanInterval && now.After(last)
+}
+
+// record records a search for r that found no account.
+func (s *scans) record(r need, now time.Time) {
+	if r.stalledOnly {
+		s.bodies = now
+	} else {
+		s.requests = now
+	}
+}
+
 // Stats counts what a pool did. Bytes and Accounts are current, the other fields grow.
 type Stats struct {
 	Bytes    int64 // in use
@@ -113,7 +137,8 @@
 }
 
 // GrowBody takes n more bytes for a body and reports whether the pool had room for them. Only
-// stalled accounts give way to it, since a body can be streamed instead.
+// stalled accounts give way to it, since a body can be streamed instead, and idle ones only if that
+// frees a part of the pool.
 func (a *Account) GrowBody(n int64, now time.Time) bool {
 	if a == nil || n <= 0 {
 		return true
@@ -281,14 +306,18 @@
 	if p.held-p.leaving+r.bytes <= r.most && !full {
 		return nil
 	}
-	if now.Sub(p.scanned) < scanInterval && now.After(p.scanned) {
+	if p.scanned.isRecent(r, now) {
 		return nil
 	}
 	open := len(p.accounts) - p.gone
 	if full {
 		open -= max(1, p.maxAccounts/parts)
 	}
-	for _, a := range p.stalled(r.requester, now) {
+	stalled := p.stalled(r.requester, now)
+	if r.stalledOnly && !p.freesPart(stalled, r) {
+		stalled = slices.DeleteFunc(stalled, (*Account).isIdle)
+	}
+	for _, a := range stalled {
 		if p.held-p.leaving+r.bytes <= r.most-p.part(1) && len(p.accounts)-p.gone <= open {
 			break
 		}
@@ -302,11 +331,25 @@
 		victims = append(victims, p.mark(a))
 	}
 	if len(victims) == 0 {
-		p.scanned = now
+		p.scanned.record(r, now)
 	}
 	return victims
 }
 
+// freesPart reports whether one part is free for r once the given accounts are closed. Otherwise
+// others use the memory, and closing idle connections would not help for long. The caller holds mu.
+func (p *Pool) freesPart(accounts []*Account, r need) bool {
+	left := p.held - p.leaving
+	for _, a := range accounts {
+		left -= a.held
+	}
+	return left+r.bytes <= r.most-p.part(1)
+}
+
+// isIdle reports whether the account holds nothing beyond its own cost. The caller holds
+// Pool.mu.
+func (a *Account) isIdle() bool { return a.held <= a.base }
+
 // mark marks an account as evicted. The caller holds mu.
 func (p *Pool) mark(a *Account) *Account {
 	a.evicted = true
@@ -325,13 +368,13 @@
 			out = append(out, a)
 		}
 	}
-	isIdle := func(a *Account) int {
-		if a.held > a.base {
-			return 0
+	idle := func(a *Account) int {
+		if a.isIdle() {
+			return 1
 		}
-		return 1
+		return 0
 	}
-	slices.SortFunc(out, func(a, b *Account) int { return cmp.Or(isIdle(a)-isIdle(b), a.progress.Compare(b.progress)) })
+	slices.SortFunc(out, func(a, b *Account) int { return cmp.Or(idle(a)-idle(b), a.progress.Compare(b.progress)) })
 	return out
 }
 
--- a/node/conns/memory.go
+++ b/node/conns/memory.go
@@ -38,10 +38,11 @@
 
 // connMemory is what a connection occupies. conn.mu guards it.
 type connMemory struct {
-	head    int64  // bytes received of the head of the next or current request
-	charged int64  // bytes taken from the pool for the head
-	http2   bool   // heads are not counted
-	abort   func() // ends the request that is being handled; nil if there is none
+	head         int64  // bytes received of the head of the next or current request
+	charged      int64  // bytes taken from the pool for the head
+	http2        bool   // heads are not counted
+	http2Counted bool   // http2Bytes were taken from the pool
+	abort        func() // ends the request that is being handled; nil if there is none
 }
 
 // Listen listens on a TCP address for connections whose receive buffer in the kernel is limited.
@@ -94,8 +95,21 @@
 }
 
 // giveWay ends what the connection does, so that its memory is free for others. A request that
-// is being handled is ended by its handler, which responds.
+// is being handled is ended by its handler, which responds. If data has just arrived, it may be a
+// whole request that net/http has not passed on yet, and the connection gets time to refuse it.
 func (c *conn) giveWay() {
+	if c.isArriving(time.Now()) {
+		time.AfterFunc(arrivedTimeout, func() {
+			if !c.isRunning() {
+				c.giveWayNow()
+			}
+		})
+		return
+	}
+	c.giveWayNow()
+}
+
+func (c *conn) giveWayNow() {
 	c.mu.Lock()
 	abort, idle := c.memory.abort, !c.received && !c.arrivals.running && !c.memory.http2
 	c.mu.Unlock()
@@ -109,6 +123,21 @@
 	}
 }
 
+// isArriving reports whether data of a request that is not handled yet was received within
+// arrivedTimeout.
+func (c *conn) isArriving(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received && !c.arrivals.running && !c.memory.http2 && now.Sub(c.arrivals.last) < arrivedTimeout
+}
+
+// isRunning reports whether a request of an HTTP/1 connection is handled.
+func (c *conn) isRunning() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrivals.running
+}
+
 // countReceived counts received bytes. It returns false if the head finds no room.
 func (c *conn) countReceived(n int, now time.Time) bool {
 	if n == 0 || c.account == nil {
@@ -143,24 +172,32 @@
 	c.memory.head, c.memory.charged = 0, 0
 }
 
-// beginHTTP2 records that the connection uses HTTP/2. It returns false if there is no room.
+// beginHTTP2 records that a request is handled on an HTTP/2 connection. It returns false if there
+// is no room for the connection. Calls must not overlap.
 func (c *conn) beginHTTP2(now time.Time) bool {
+	c.account.Progress(now)
 	if c.becomeHTTP2() {
-		return c.account.Grow(http2Bytes, now)
+		return true
+	}
+	// The account is used without mu: making room may lock another connection.
+	if !c.account.Grow(http2Bytes, now) {
+		return false
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.http2Counted = true
 	return true
 }
 
-// becomeHTTP2 reports whether the connection was not known to use HTTP/2.
-func (c *conn) becomeHTTP2() bool {
+// becomeHTTP2 records that the connection uses HTTP/2, and reports whether that is counted already.
+func (c *conn) becomeHTTP2() (counted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.memory.http2 {
-		return false
+	if !c.memory.http2 {
+		c.releaseHead()
+		c.memory.http2 = true
 	}
-	c.releaseHead()
-	c.memory.http2 = true
-	return true
+	return c.memory.http2Counted
 }
 
 // closeNow closes the connection and its account.
--- a/node/conns/tracker.go
+++ b/node/conns/tracker.go
@@ -115,6 +115,9 @@
 		}
 		defer c.end(conn)
 		c.AnnounceClose(w.Header())
+		if r.ProtoMajor == 1 && Account(r.Context()).Evicted() {
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 		if r.ProtoMajor == 1 && w.Header().Get("Connection") == "close" {
 			if c := unwrap(conn); c != nil {
@@ -191,8 +194,13 @@
 func (c *Tracker) end(conn net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cc := c.byConn[conn]; cc != nil {
-		cc.requests--
+	cc := c.byConn[conn]
+	if cc == nil {
+		return
+	}
+	cc.requests--
+	if cc.conn != nil && cc.http2 {
+		cc.conn.account.Progress(time.Now()) // for HTTP/1, becomeIdle records it
 	}
 }
 
--- a/node/entry/memory_test.go
+++ b/node/entry/memory_test.go
@@ -16,6 +16,7 @@
 
 	"dogwoodsill.org/core/budget"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/setup"
 	"dogwoodsill.org/node/relay"
 )
 
@@ -88,3 +89,71 @@
 	assert.NilError(t, err)
 	return resp.StatusCode
 }
+
+// TestHTTP2RequestsAreProgress guards against an HTTP/2 connection with frequent small requests that
+// gives way as if it had stalled.
+func TestHTTP2RequestsAreProgress(t *testing.T) {
+	pool := budget.New(1<<20, 0)
+	s := newServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		return okResponse(), 0, nil
+	}, WithPool(pool))
+	addr := serve(t, s)
+	client := http2Client(t)
+	get(t, client, addr)
+	time.Sleep(budget.StallTime + 100*time.Millisecond)
+	get(t, client, addr)
+	other, ok := pool.Open(0, func() {}, time.Now())
+	assert.Assert(t, ok)
+	for other.Grow(32<<10, time.Now()) {
+	}
+	assert.Equal(t, pool.Stats().Evicted, int64(0), "a connection with a request just now gave way")
+}
+
+// TestEndedRequestHoldsNothing guards against a body read that ends together with its request and
+// keeps the account of the connection from giving way for as long as that is open.
+func TestEndedRequestHoldsNothing(t *testing.T) {
+	start := time.Unix(1000, 0)
+	pool := budget.New(1<<20, 0)
+	evicted := false
+	account, ok := pool.Open(1, func() { evicted = true }, start)
+	assert.Assert(t, ok)
+	m := &requestMemory{account: account}
+	m.release()
+	m.pin()
+	other, _ := pool.Open(0, func() {}, start)
+	other.Grow(1<<20, start.Add(time.Hour))
+	assert.Assert(t, evicted, "the account of an ended request is still pinned")
+}
+
+// TestUnreadResponseReleasesMemory guards against a caller that doesn't read its response and keeps
+// the memory of its request, which doesn't give way.
+func TestUnreadResponseReleasesMemory(t *testing.T) {
+	const size = 64 << 20 // more than the kernel buffers
+	pool := budget.New(1<<20, 0)
+	s := newServer(t, func(context.Context, *relay.Request) (*relay.Response, int, *refuse.Error) {
+		resp := okResponse()
+		resp.ContentLength, resp.Body = size, io.NopCloser(io.LimitReader(zeros{}, size))
+		return resp, 0, nil
+	}, WithPool(pool))
+	s.limits.ProgressTimeout = setup.Duration(200 * time.Millisecond)
+	conn := dial(t, serve(t, s))
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: press.example\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if left := pool.Stats(); left.Bytes != 0 {
+			return poll.Continue("still counted: %+v", left)
+		}
+		return poll.Success()
+	}, poll.WithDelay(10*time.Millisecond))
+}
+
+// zeros is an endless reader.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
