--- a/core/setup/node.go
+++ b/core/setup/node.go
@@ -101,7 +101,7 @@
 	MemoryMB             int      `toml:"memoryMb"`    // of the process; 0 if unknown
 	HeaderTimeout        Duration `toml:"headerTimeout"`
 	IdleTimeout          Duration `toml:"idleTimeout"`
-	ProgressTimeout      Duration `toml:"progressTimeout"` // a body without progress for this long is aborted
+	ProgressTimeout      Duration `toml:"progressTimeout"` // a body without progress, or a response that isn't read, for this long is aborted
 	RevokeGrace          Duration `toml:"revokeGrace"`     // a body is aborted this long after its key was revoked
 	LearnCapacity        string   `toml:"learnCapacity"`   // LearnAuto or LearnOff
 }
