--- a/bench/cli/help_test.go
+++ b/bench/cli/help_test.go
@@ -19,7 +19,7 @@
 	for _, line := range []string{
 		"apply", "customer create", "customer set", "customer list", "customer delete", "key issue", "key withdraw", "key list",
 		"service set", "service list", "service delete", "route set", "route list", "route delete",
-		"importance set", "importance list", "importance delete", "fleet set", "fleet list", "status", "report burn", "log tail",
+		"importance set", "importance list", "importance delete", "fleet set", "fleet list", "status", "explain /orders", "report burn", "log tail",
 	} {
 		assert.Assert(t, cmp.Contains(e.ok(line+" --help"), "Examples:\n  admin "+line), line)
 	}
