--- a/admin/cmds/explain.go
+++ b/admin/cmds/explain.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/url"
 	"strconv"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -85,14 +84,7 @@
 		rows.Add(e.Instance, e.Service, "refused: "+e.Refused, "", "", "", "", "", "", "", "", "")
 	}
 	for _, t := range e.Targets {
-		limit, serviceTime := "-", "-"
-		if t.Limit > 0 {
-			limit = strconv.Itoa(t.Limit)
-		}
-		if t.ServiceUS > 0 {
-			serviceTime = (time.Duration(t.ServiceUS) * time.Microsecond).String()
-		}
 		rows.Add(e.Instance, e.Service, fmt.Sprintf("%.3f", e.Admitted), t.ID, t.Zone, fmt.Sprintf("%.3f", t.Chance), t.InFlight,
-			fmt.Sprintf("%.1f", t.Load), limit, serviceTime, fmt.Sprintf("%.2f", t.Attempts), t.Excluded)
+			fmt.Sprintf("%.1f", t.Load), limitOrDash(t.Limit), serviceTime(t.ServiceUS), fmt.Sprintf("%.2f", t.Attempts), t.Excluded)
 	}
 }
--- a/admin/cmds/status.go
+++ b/admin/cmds/status.go
@@ -58,20 +58,30 @@
 		return show.WriteJSON(c.out, i)
 	}
 	rows := &show.Rows{Header: []string{"INSTANCE", "SERVICE", "UPSTREAM", "LOAD", "SLOTS", "LEARNED LIMIT", "SERVICE TIME", "WORK TIME"}}
-	learned, serviceTime, workTime := "-", "-", "-"
-	if i.Capacity.LearnedLimit > 0 {
-		learned = strconv.Itoa(i.Capacity.LearnedLimit)
-	}
-	if i.Capacity.ServiceUS > 0 {
-		serviceTime = (time.Duration(i.Capacity.ServiceUS) * time.Microsecond).String()
-	}
+	workTime := "-"
 	if i.Capacity.WorkTime > 0 {
 		workTime = fmt.Sprintf("%.2f", i.Capacity.WorkTime)
 	}
-	rows.Add(i.Name, i.Service, i.Upstream, i.Load, i.Capacity.Slots, learned, serviceTime, workTime)
+	rows.Add(i.Name, i.Service, i.Upstream, i.Load, i.Capacity.Slots, limitOrDash(i.Capacity.LearnedLimit), serviceTime(i.Capacity.ServiceUS), workTime)
 	return rows.Write(c.out)
 }
 
+// limitOrDash returns a learned limit, or a dash if none is in use.
+func limitOrDash(n int) string {
+	if n <= 0 {
+		return "-"
+	}
+	return strconv.Itoa(n)
+}
+
+// serviceTime returns a learned service time, or a dash if none is known.
+func serviceTime(us int64) string {
+	if us <= 0 {
+		return "-"
+	}
+	return (time.Duration(us) * time.Microsecond).String()
+}
+
 func (c *cli) printFleet(f nodes.Fleet) error {
 	if c.output == show.JSON {
 		return show.WriteJSON(c.out, f)
--- a/node/relay/cold.go
+++ b/node/relay/cold.go
@@ -11,13 +11,13 @@
 
 // coldGate bounds the calls to the local upstream while that is cold. It is safe for concurrent use.
 type coldGate struct {
-	mu         *sync.Mutex
+	mu         sync.Mutex
 	gate       *warm.Gate
 	dispatched uint64 // calls sent to the upstream
 }
 
 func newColdGate(started time.Time) coldGate {
-	return coldGate{mu: &sync.Mutex{}, gate: warm.NewGate(started)}
+	return coldGate{gate: warm.NewGate(started)}
 }
 
 // announce applies what an announcement says. It reports whether the upstream becomes cold or ceases
@@ -63,6 +63,9 @@
 // coldWait returns the time until the upstream takes another call, 0 if it does now.
 func (t *Target) coldWait(service string, now time.Time) time.Duration {
 	rate := t.coldRate(service)
+	if rate == 0 {
+		return 0
+	}
 	t.cold.mu.Lock()
 	defer t.cold.mu.Unlock()
 	return t.cold.gate.Wait(now, rate)
