picker: one check decides and explains which targets are left out

Cause: Explain repeated the conditions under which candidates leaves out a target, so that a condition added to one could be missed in the other and the explanation would not match the choice.

Change: listCandidates uses excluded, which returned the reasons to Explain only. Targets whose pace is exhausted are still listed if no others are left.

Measured: BenchmarkPick, five times each, shows no difference beyond its noise, with 3, 30 and 300 targets (300: 4.3 to 4.6 us after, 4.4 to 5.1 us before). Tests of core/picker and node/relay pass with -race.

--- a/core/picker/explain.go
+++ b/core/picker/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -37,7 +36,7 @@
 	out := make([]Explanation, 0, len(c.targets))
 	for _, t := range c.targets {
 		e := Explanation{
-			Target: t.Target, Excluded: t.excluded(now, q), Chance: float64(chosen[t.ID]) / explainDraws, InFlight: t.inFlight,
+			Target: t.Target, Excluded: t.excluded(now, &q), Chance: float64(chosen[t.ID]) / explainDraws, InFlight: t.inFlight,
 			Load: t.load(now), Limit: t.feedback.Limit, Attempts: t.quality.expectedAttempts(now), FeedbackAge: -1,
 		}
 		if !t.feedbackAt.IsZero() {
@@ -51,23 +50,6 @@
 	return out
 }
 
-// excluded returns why the target can't be chosen for a call, or "" if it can.
-func (t *targetState) excluded(now time.Time, q Query) string {
-	switch {
-	case t.Draining:
-		return "draining"
-	case t.ejected:
-		return "ejected"
-	case slices.Contains(q.Tried, t.ID):
-		return "tried"
-	case t.full(now):
-		return "cold"
-	case t.pace.exhausted(now):
-		return "pace"
-	}
-	return ""
-}
-
 // Clone returns a copy that shares no state with s.
 func (s *Set) Clone() *Set {
 	c := *s
--- a/core/picker/set.go
+++ b/core/picker/set.go
@@ -233,16 +233,17 @@
 // candidates fills ownZone and otherZones with the targets that may be chosen.
 // Targets whose pace is exhausted are among them only if there are no others.
 func (s *Set) candidates(now time.Time, q Query) {
-	s.listCandidates(q, func(t *targetState) bool { return !t.full(now) && !t.pace.exhausted(now) })
+	s.listCandidates(now, &q, "")
 	if len(s.ownZone)+len(s.otherZones) == 0 {
-		s.listCandidates(q, func(t *targetState) bool { return !t.full(now) })
+		s.listCandidates(now, &q, excludedPace)
 	}
 }
 
-func (s *Set) listCandidates(q Query, accept func(t *targetState) bool) {
+// listCandidates lists the targets that are not excluded, or only for the given reason.
+func (s *Set) listCandidates(now time.Time, q *Query, permitted string) {
 	s.ownZone, s.otherZones = s.ownZone[:0], s.otherZones[:0]
 	for _, t := range s.targets {
-		if t.Draining || t.ejected || slices.Contains(q.Tried, t.ID) || !accept(t) {
+		if reason := t.excluded(now, q); reason != "" && reason != permitted {
 			continue
 		}
 		if t.Zone == s.zone {
@@ -253,6 +254,26 @@
 	}
 }
 
+// excludedPace is the reason for which a target is excluded only while others are left.
+const excludedPace = "pace"
+
+// excluded returns why the target can't be chosen for a call, or "" if it can.
+func (t *targetState) excluded(now time.Time, q *Query) string {
+	switch {
+	case t.Draining:
+		return "draining"
+	case t.ejected:
+		return "ejected"
+	case slices.Contains(q.Tried, t.ID):
+		return "tried"
+	case t.full(now):
+		return "cold"
+	case t.pace.exhausted(now):
+		return excludedPace
+	}
+	return ""
+}
+
 // choose returns the target with the lower score among two random ones, or nil
 // if ts is empty.
 func choose(now time.Time, ts []*targetState, rng *rand.Rand) *targetState {
