relay: a response with a status above 599 is refused

Callers got an answer with status 600 or 999 as the upstream sent it, with its body. Such a status is invalid (RFC 9110, section 15) and tells a caller nothing; net/http reads any three digits.

Cause: the check of the status had a lower bound only. A status below 200, among them 000, 099 and 101, was refused before.

Change: one function tells which status may be that of a final response. Others are handled like a response to another request: the outcome is unknown, a safe call is repeated, and the caller gets 502 if that fails too.

--- a/node/relay/target_test.go
+++ b/node/relay/target_test.go
@@ -59,6 +59,9 @@
 		{0, ResponseMismatched},
 		{http.StatusSwitchingProtocols, ResponseMismatched},
 		{200, ResponseValid},
+		{599, ResponseValid},
+		{600, ResponseMismatched},
+		{999, ResponseMismatched},
 	} {
 		assert.Equal(t, c.classify(Upstream{}, &http.Response{StatusCode: test.status}), test.want)
 	}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -163,8 +163,8 @@
 // may be a second copy of an earlier one doesn't tell whether the upstream executes the
 // request.
 func (c *upstreamCall) classify(up Upstream, resp *http.Response) ResponseClass {
-	if resp.StatusCode < http.StatusOK {
-		return ResponseMismatched // no final status, though net/http returns some
+	if !isFinalStatus(resp.StatusCode) {
+		return ResponseMismatched
 	}
 	class := c.target.protocol.ClassifyResponse(c.head, resp)
 	refused := class == ResponseNotExecuted || class == ResponseWrongUpstream
@@ -183,6 +183,12 @@
 	return class
 }
 
+// isFinalStatus reports whether a status may be that of a final response (RFC 9110, section 15).
+// The parser of net/http returns responses with any three digits.
+func isFinalStatus(status int) bool {
+	return status >= http.StatusOK && status < 600
+}
+
 // mayRepeat reports whether the request may be sent to the upstream once more.
 func (c *upstreamCall) mayRepeat(now time.Time) bool {
 	return c.head.Repeatable && c.head.ContentLength == 0 && now.Before(c.head.Call.Deadline) && c.target.checkZone() == nil && c.target.gate.takeRepeat(now) &&
