strict, relay: a response whose field names are malformed is refused

Callers got an answer in whose head the name of a field contained a space, as in "Content-Length : 10" or "X Name: 1". The field was lost on its way, and where it stated the length, the body was read in another form than the upstream meant: until the end of the connection, or with the bytes of its chunks.

Cause: the parser of net/http accepts a space in a field name and then treats the field as one with an unknown name, in final and interim responses. Other bytes that are no part of a name, such as control bytes, it rejects.

Change: new package core/strict checks the heads of responses on their connection, where they are still as the upstream sent them. The first wrong byte ends the reading, so that net/http never returns such a response. A hook of net/http for interim responses would lift the limit of their size. The outcome of the call is unknown, and it ends as one whose response isn't HTTP.

--- /dev/null
+++ b/core/strict/head.go
@@ -0,0 +1,114 @@
+package strict
+
+import (
+	"bytes"
+	"fmt"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// headState is the part of a response that a headScanner expects next.
+type headState int
+
+const (
+	inBody       headState = iota // nothing is checked
+	inStatusLine                  // of an interim or of the final response
+	atLineStart                   // of a field line, a continued field value or the empty line
+	inFieldName
+	inFieldValue
+	atHeadEnd // after the carriage return of the empty line
+)
+
+// maxKeptBytes is the number of bytes of a status line that a headScanner examines.
+const maxKeptBytes = 32
+
+// headScanner checks the heads of the responses to one request, that is of any number of interim
+// responses and of the final one. It accepts what net/http rejects anyway. The zero value
+// expects a body.
+type headScanner struct {
+	state headState
+	kept  [maxKeptBytes]byte // start of the status line
+	n     int                // length of kept that is in use
+}
+
+// expectHead makes the next byte the first one of a status line.
+func (s *headScanner) expectHead() {
+	s.state, s.n = inStatusLine, 0
+}
+
+// scan checks the next bytes of a response. If they are malformed, it returns the number of bytes
+// up to and including the first wrong one, and an error.
+func (s *headScanner) scan(p []byte) (int, *MalformedError) {
+	for i := 0; i < len(p) && s.state != inBody; i++ {
+		if s.state == inFieldValue {
+			left := bytes.IndexByte(p[i:], '\n')
+			if left < 0 {
+				break
+			}
+			i += left
+		}
+		if err := s.next(p[i]); err != nil {
+			return i + 1, err
+		}
+	}
+	return len(p), nil
+}
+
+func (s *headScanner) next(b byte) *MalformedError {
+	switch s.state {
+	case inStatusLine:
+		if b == '\n' {
+			s.state = atLineStart
+		} else if s.n < len(s.kept) {
+			s.kept[s.n] = b
+			s.n++
+		}
+	case atLineStart:
+		switch b {
+		case '\r':
+			s.state = atHeadEnd
+		case '\n':
+			s.endHead()
+		case ' ', '\t':
+			s.state = inFieldValue // continues the one of the line before
+		default:
+			s.state = inFieldName
+			return s.next(b)
+		}
+	case inFieldName:
+		switch {
+		case b == ':':
+			s.state = inFieldValue
+		case !httpguts.IsTokenRune(rune(b)):
+			return &MalformedError{Detail: fmt.Sprintf("a field name contains %q", b)}
+		}
+	case inFieldValue:
+		if b == '\n' {
+			s.state = atLineStart
+		}
+	case atHeadEnd:
+		if b != '\n' {
+			return &MalformedError{Detail: fmt.Sprintf("a line begins with a carriage return and %q", b)}
+		}
+		s.endHead()
+	case inBody:
+	}
+	return nil
+}
+
+// endHead handles the empty line after the fields. Another head follows that of an interim
+// response.
+func (s *headScanner) endHead() {
+	if s.isInterim() {
+		s.expectHead()
+		return
+	}
+	s.state = inBody
+}
+
+// isInterim reports whether the status line is that of a response which another one follows.
+func (s *headScanner) isInterim() bool {
+	_, status, _ := bytes.Cut(s.kept[:s.n], []byte(" "))
+	status = bytes.TrimLeft(status, " ")
+	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
+}
--- a/node/relay/cold_test.go
+++ b/node/relay/cold_test.go
@@ -39,7 +39,7 @@
 	dial := func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go u.serve(far)
-		return &upstreamConn{Conn: near}, nil
+		return newUpstreamConn(near), nil
 	}
 	target.client.kept.DialContext, target.client.fresh.DialContext = dial, dial
 	body, err := json.Marshal(model.Service{ColdPerSecond: testColdRate})
--- a/node/relay/remaining_test.go
+++ b/node/relay/remaining_test.go
@@ -94,7 +94,7 @@
 		}
 		near, far := net.Pipe()
 		go u.serve(far)
-		return &upstreamConn{Conn: near}, nil
+		return newUpstreamConn(near), nil
 	}
 	target.client.kept.DialContext, target.client.fresh.DialContext = dial, dial
 	target.Announce(Upstream{Service: "s", Addr: "127.0.0.1:1", State: Ready, TTLMS: time.Minute.Milliseconds()}, time.Now())
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -117,7 +117,9 @@
 	// RoundTrip calls GotConn in its own goroutine before it passes the request to the one
 	// that writes it, so no one else reads the header at that time.
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		c.conn.Store(info.Conn.(*upstreamConn))
+		conn := info.Conn.(*upstreamConn)
+		conn.ExpectResponse()
+		c.conn.Store(conn)
 		c.target.protocol.SetRemaining(header, time.Until(c.head.Call.Deadline))
 	}}))
 	req.Header = header // of its own, since net/http may still read that of an earlier sending
--- a/node/relay/upstream_call_bench_test.go
+++ b/node/relay/upstream_call_bench_test.go
@@ -24,7 +24,7 @@
 	target.client.kept.DialContext = func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go respondToAll(far)
-		return &upstreamConn{Conn: near}, nil
+		return newUpstreamConn(near), nil
 	}
 	up := Upstream{Service: "s", Addr: "127.0.0.1:1"}
 	call := model.Call{Attempts: 1, Deadline: time.Now().Add(time.Hour)}
--- a/node/relay/upstream_client.go
+++ b/node/relay/upstream_client.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"dogwoodsill.org/core/strict"
 )
 
 // Limits, sizes and times of the connections to the upstream.
@@ -48,7 +51,7 @@
 // upstreamConn is a connection to the upstream. It remembers the refusals that arrived on
 // it, because a second copy of one may follow at any later time.
 type upstreamConn struct {
-	net.Conn
+	*strict.Conn
 
 	mu      sync.Mutex
 	refused []string // identifiers that the latest refusals state, oldest first
@@ -60,7 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &upstreamConn{Conn: conn}, nil
+	return newUpstreamConn(conn), nil
+}
+
+func newUpstreamConn(conn net.Conn) *upstreamConn {
+	return &upstreamConn{Conn: strict.NewConn(conn)}
 }
 
 // recordRefusal records a refusal that states the given identifier, which may be empty. It
@@ -89,7 +96,8 @@
 // isMalformedResponse reports whether what came in place of a response is none, such as bytes
 // that follow an earlier response on a kept connection. The error of net/http has no type.
 func isMalformedResponse(err error) bool {
-	return err != nil && strings.Contains(err.Error(), "malformed HTTP")
+	var malformed *strict.MalformedError
+	return errors.As(err, &malformed) || err != nil && strings.Contains(err.Error(), "malformed HTTP")
 }
 
 // discard closes the connection of a response that belongs to another request, and the
