strict: a transfer encoding in an HTTP/1.0 response is refused

Callers got the sizes of the chunks as a part of the body: an upstream answered with HTTP/1.0 and Transfer-Encoding: chunked.

Cause: net/http drops the field of such a response, so that its body is read until the end of the connection, or up to the length that it also states. The framing of the response is faulty (RFC 9112, section 6.1).

Change: the check of the head refuses the field if the version is HTTP/1.0.

--- a/core/strict/head.go
+++ b/core/strict/head.go
@@ -19,7 +19,7 @@
 	atHeadEnd // after the carriage return of the empty line
 )
 
-// maxKeptBytes is the number of bytes of a status line that a headScanner examines.
+// maxKeptBytes is the number of bytes of a status line or a field name that a headScanner examines.
 const maxKeptBytes = 32
 
 // headScanner checks the heads of the responses to one request, that is of any number of interim
@@ -27,8 +27,11 @@
 // expects a body.
 type headScanner struct {
 	state headState
-	kept  [maxKeptBytes]byte // start of the status line
+	kept  [maxKeptBytes]byte // start of the status line or of the field name
 	n     int                // length of kept that is in use
+
+	interim  bool // another response follows
+	encoding bool // the version of the response has transfer encodings
 }
 
 // expectHead makes the next byte the first one of a status line.
@@ -57,12 +60,11 @@
 func (s *headScanner) next(b byte) *MalformedError {
 	switch s.state {
 	case inStatusLine:
-		if b == '\n' {
-			s.state = atLineStart
-		} else if s.n < len(s.kept) {
-			s.kept[s.n] = b
-			s.n++
+		if b != '\n' {
+			s.keep(b)
+			return nil
 		}
+		s.endStatusLine()
 	case atLineStart:
 		switch b {
 		case '\r':
@@ -72,16 +74,17 @@
 		case ' ', '\t':
 			s.state = inFieldValue // continues the one of the line before
 		default:
-			s.state = inFieldName
+			s.state, s.n = inFieldName, 0
 			return s.next(b)
 		}
 	case inFieldName:
 		switch {
 		case b == ':':
-			s.state = inFieldValue
+			return s.endFieldName()
 		case !httpguts.IsTokenRune(rune(b)):
 			return &MalformedError{Detail: fmt.Sprintf("a field name contains %q", b)}
 		}
+		s.keep(b)
 	case inFieldValue:
 		if b == '\n' {
 			s.state = atLineStart
@@ -96,19 +99,36 @@
 	return nil
 }
 
-// endHead handles the empty line after the fields. Another head follows that of an interim
-// response.
+func (s *headScanner) keep(b byte) {
+	if s.n < len(s.kept) {
+		s.kept[s.n] = b
+		s.n++
+	}
+}
+
+func (s *headScanner) endStatusLine() {
+	version, status, _ := bytes.Cut(s.kept[:s.n], []byte(" "))
+	status = bytes.TrimLeft(status, " ")
+	s.interim = bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
+	s.encoding = !bytes.Equal(version, []byte("HTTP/1.0"))
+	s.state = atLineStart
+}
+
+// endFieldName checks the name of a field. net/http ignores the transfer encoding of an HTTP/1.0
+// response, whose body would contain the sizes of its chunks.
+func (s *headScanner) endFieldName() *MalformedError {
+	if !s.encoding && bytes.EqualFold(s.kept[:s.n], []byte("Transfer-Encoding")) {
+		return &MalformedError{Detail: "a transfer encoding in an HTTP/1.0 response"}
+	}
+	s.state = inFieldValue
+	return nil
+}
+
+// endHead handles the empty line after the fields.
 func (s *headScanner) endHead() {
-	if s.isInterim() {
+	if s.interim {
 		s.expectHead()
 		return
 	}
 	s.state = inBody
 }
-
-// isInterim reports whether the status line is that of a response which another one follows.
-func (s *headScanner) isInterim() bool {
-	_, status, _ := bytes.Cut(s.kept[:s.n], []byte(" "))
-	status = bytes.TrimLeft(status, " ")
-	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
-}
