strict: a response of another major version than 1 is refused

Callers got the body of a response whose version was HTTP/0.9, HTTP/2.0 or HTTP/9.1 on a connection of HTTP/1.1.

Cause: net/http accepts any two digits and parses the rest like HTTP/1.1, or for a lower version without transfer encodings. Nothing says that the peer meant that (RFC 9110, section 2.5).

Change: the check of the status line demands major version 1.

--- a/core/strict/head.go
+++ b/core/strict/head.go
@@ -64,7 +64,7 @@
 			s.keep(b)
 			return nil
 		}
-		s.endStatusLine()
+		return s.endStatusLine()
 	case atLineStart:
 		switch b {
 		case '\r':
@@ -106,12 +106,17 @@
 	}
 }
 
-func (s *headScanner) endStatusLine() {
+// endStatusLine checks the version, of which net/http accepts any two digits.
+func (s *headScanner) endStatusLine() *MalformedError {
 	version, status, _ := bytes.Cut(s.kept[:s.n], []byte(" "))
+	if !bytes.HasPrefix(version, []byte("HTTP/1.")) {
+		return &MalformedError{Detail: fmt.Sprintf("the version is %q", version)}
+	}
 	status = bytes.TrimLeft(status, " ")
 	s.interim = bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
 	s.encoding = !bytes.Equal(version, []byte("HTTP/1.0"))
 	s.state = atLineStart
+	return nil
 }
 
 // endFieldName checks the name of a field. net/http ignores the transfer encoding of an HTTP/1.0
--- a/core/strict/head_test.go
+++ b/core/strict/head_test.go
@@ -26,6 +26,8 @@
 		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\nTransfer-Encodings: a\r\n\r\n", true},
 		{"transfer encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
 		{"transfer encoding of HTTP/1.0", "HTTP/1.0 200 OK\r\nX-A: b\r\ntransfer-encoding:", false},
+		{"HTTP/1.2", "HTTP/1.2 200 OK\r\n\r\n", true},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n", false},
 		{"space", "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length ", false},
 		{"space in an interim response", "HTTP/1.1 103 Early Hints\r\nLink ", false},
 		{"space after an interim response", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX ", false},
