strict, relay: a malformed trailer ends a response as incomplete

Callers got a response as complete whose trailer had a field name with a space.

Cause: net/http parses trailers as it parses heads. The check of heads on the connection doesn't know where a trailer begins.

Change: CheckTrailer makes the body of such a response end with an error, so that the node reports it as incomplete.

Measured: platform TestBrokenAnswers with seven malformed trailers.

--- a/core/strict/doc.go
+++ b/core/strict/doc.go
@@ -3,6 +3,6 @@
 // field is lost that would state where the body ends, and a body without a length that is cut by
 // a reset of its connection while the request is still being written.
 //
-// The checks follow RFC 9112. They cover the heads of final and interim responses and the end of
-// the connection. Sizes are limited by net/http alone.
+// The checks follow RFC 9112. They cover the heads of final and interim responses, trailers and
+// the end of the connection. Sizes are limited by net/http alone.
 package strict
--- /dev/null
+++ b/core/strict/trailer.go
@@ -0,0 +1,37 @@
+package strict
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// CheckTrailer makes the body of a response end with a *MalformedError in place of io.EOF if the
+// name of a trailer field is malformed.
+func CheckTrailer(resp *http.Response) {
+	if len(resp.TransferEncoding) > 0 { // no other response has a trailer
+		resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp}
+	}
+}
+
+// checkedBody is a body whose trailer is checked.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		for name := range b.resp.Trailer {
+			if !httpguts.ValidHeaderFieldName(name) {
+				return n, &MalformedError{Detail: fmt.Sprintf("the name of a trailer field is %.40q", name)}
+			}
+		}
+	}
+	return n, err
+}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -17,6 +17,7 @@
 	"dogwoodsill.org/core/limit"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/strict"
 )
 
 // upstreamCall is one call that is dispatched to the upstream.
@@ -123,7 +124,11 @@
 		c.target.protocol.SetRemaining(header, time.Until(c.head.Call.Deadline))
 	}}))
 	req.Header = header // of its own, since net/http may still read that of an earlier sending
-	return via.RoundTrip(req)
+	resp, err := via.RoundTrip(req)
+	if err == nil {
+		strict.CheckTrailer(resp)
+	}
+	return resp, err
 }
 
 // discardBody reads a short body to its end, so that its connection can be reused, and closes
