strict, platform: a malformed response to a health check is refused

A node took an upstream for healthy, or believed what it said of its cold time, from a response whose head had a field name with a space, or which had a transfer encoding in HTTP/1.0.

Cause: the clients of health checks had the parser of net/http only, as the calls to upstreams did before.

Status 000 was refused before.

--- /dev/null
+++ b/core/strict/transport.go
@@ -0,0 +1,46 @@
+package strict
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.RoundTripper that returns a *MalformedError for a malformed response. It
+// checks plain connections only, not those with TLS.
+type Transport struct {
+	*http.Transport
+}
+
+// NewTransport returns a Transport that sends requests with base, whose DialContext it replaces.
+// No one else may use base.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+	return &Transport{Transport: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*Conn); ok {
+			conn.ExpectResponse()
+		}
+	}}
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailer(resp)
+	return resp, nil
+}
