strict: the error of a malformed head is returned as such

Cause: net/http parses the start of a line that is cut by the end of the reading, and returns an error of its own for it, "missing colon". A safe call with such a response was not repeated as it is after other bytes that are no response, but counted as broken off by the upstream.

Change: Conn tells which error has ended its reading; the clients return that.

Measured: tests of node/relay and core/strict and the tests of broken and cut answers of platform pass with -race. They check now that a request which must not run twice reaches the upstream once.

--- a/core/strict/conn.go
+++ b/core/strict/conn.go
@@ -14,10 +14,10 @@
 // those of net.Conn.
 type Conn struct {
 	net.Conn
-	malformed error // returned by all further reads; used by the reader only
 
-	mu   sync.Mutex // guards head
-	head headScanner
+	mu        sync.Mutex // guards the next two
+	head      headScanner
+	malformed *MalformedError // returned by all further reads
 
 	writeMu sync.Mutex // held during a write
 	reset   error      // of a write on a connection that the peer has reset
@@ -36,17 +36,27 @@
 	c.head.expectHead()
 }
 
+// Malformed returns the error that has ended the reading, or nil if all heads were well-formed.
+// net/http may return another error, as it parses the start of a line that is cut there.
+func (c *Conn) Malformed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.malformed == nil {
+		return nil
+	}
+	return c.malformed
+}
+
 // Read implements net.Conn. It returns a *MalformedError after the first wrong byte of a head, and
 // io.EOF only if the peer has closed the connection in order.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.malformed != nil {
-		return 0, c.malformed
+	if err := c.Malformed(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if checked, malformed := c.check(p[:n]); malformed != nil {
+	if checked, ok := c.check(p[:n]); !ok {
 		// The reader first gets the bytes, as net/http takes an error of the first read from a
 		// kept connection for one that was closed while it was idle.
-		c.malformed = malformed
 		return checked, nil
 	}
 	if errors.Is(err, io.EOF) {
@@ -55,10 +65,13 @@
 	return n, err
 }
 
-func (c *Conn) check(p []byte) (int, *MalformedError) {
+// check returns the number of bytes up to the first wrong one and false, or all and true.
+func (c *Conn) check(p []byte) (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.scan(p)
+	var n int
+	n, c.malformed = c.head.scan(p)
+	return n, c.malformed == nil
 }
 
 // endOfData returns the error of a read at the end of the data. The kernel reports a reset only
--- a/core/strict/transport.go
+++ b/core/strict/transport.go
@@ -32,12 +32,17 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn *Conn // the last one that was used
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*Conn); ok {
-			conn.ExpectResponse()
+		if c, ok := info.Conn.(*Conn); ok {
+			c.ExpectResponse()
+			conn = c
 		}
 	}}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil && conn != nil && conn.Malformed() != nil {
+		err = conn.Malformed()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -125,10 +125,14 @@
 	}}))
 	req.Header = header // of its own, since net/http may still read that of an earlier sending
 	resp, err := via.RoundTrip(req)
-	if err == nil {
-		strict.CheckTrailer(resp)
+	if conn := c.conn.Load(); err != nil && conn != nil && conn.Malformed() != nil {
+		err = conn.Malformed()
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	strict.CheckTrailer(resp)
+	return resp, nil
 }
 
 // discardBody reads a short body to its end, so that its connection can be reused, and closes
