strict, agent: a malformed response of the log service is refused

A node took an append for done from a response of the log service whose head had a field name with a space.

Cause: the client used the default transport of net/http.

Change: strict.NewClient returns a client with the settings of that transport; the agent has one of its own and closes its idle connections at its end.

--- a/core/strict/transport.go
+++ b/core/strict/transport.go
@@ -49,3 +49,8 @@
 	CheckTrailer(resp)
 	return resp, nil
 }
+
+// NewClient returns a client like http.DefaultClient with a Transport of its own.
+func NewClient() *http.Client {
+	return &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -21,6 +21,7 @@
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/metric"
 	"dogwoodsill.org/core/setup"
+	"dogwoodsill.org/core/strict"
 	"dogwoodsill.org/core/super"
 	"dogwoodsill.org/node/claims"
 	"dogwoodsill.org/node/conns"
@@ -61,6 +62,7 @@
 	ops       *http.Server
 	listeners listeners
 
+	logHTTP         *http.Client // nil if the log has a client of its own
 	callersTLS      *tls.Config  // nil for plain text
 	platform        *Platform    // nil for the default protocols
 	registeredNodes atomic.Int64 // number of nodes in the platform's directory
@@ -147,7 +149,8 @@
 		return nil, err
 	}
 	if a.logService == nil {
-		a.logService = logsvc.NewClient(cfg.Log.URL, newLogHTTPClient(cfg.Log.Timeout.D()))
+		a.logHTTP = newLogHTTPClient(cfg.Log.Timeout.D())
+		a.logService = logsvc.NewClient(cfg.Log.URL, a.logHTTP)
 	}
 	if err := a.assemble(); err != nil {
 		a.listeners.close()
@@ -160,7 +163,9 @@
 // newLogHTTPClient returns the HTTP client for the log service. Its timeout is the
 // given one in addition to the duration of the longest poll.
 func newLogHTTPClient(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout + max(config.MaxReadWait, zones.LongPollTimeout)}
+	client := strict.NewClient()
+	client.Timeout = timeout + max(config.MaxReadWait, zones.LongPollTimeout)
+	return client
 }
 
 func (a *Agent) listen() error {
@@ -419,4 +424,7 @@
 	a.links.close()
 	a.tree.Stop()
 	a.target.Close()
+	if a.logHTTP != nil {
+		a.logHTTP.CloseIdleConnections()
+	}
 }
