admin: a malformed response of a node or of the log is refused

Operators were shown the status of a node from a response whose head had a field name with a space.

Cause: the client used the default transport of net/http.

Change: it is the one of package strict.

--- a/admin/cmds/root.go
+++ b/admin/cmds/root.go
@@ -19,6 +19,7 @@
 	"dogwoodsill.org/core/config"
 	"dogwoodsill.org/core/logsvc"
 	"dogwoodsill.org/core/pubsh"
+	"dogwoodsill.org/core/strict"
 )
 
 // Environment variables that provide defaults for flags.
@@ -60,7 +61,7 @@
 // Run executes the command given by args and returns the exit status. Customers'
 // keys are redacted in everything that is written to stderr.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer, opts ...Option) int {
-	c := &cli{output: show.Table, http: &http.Client{}, getenv: os.Getenv, out: stdout, errOut: stderr}
+	c := &cli{output: show.Table, http: strict.NewClient(), getenv: os.Getenv, out: stdout, errOut: stderr}
 	for _, opt := range opts {
 		opt(c)
 	}
