relay: a malformed reply of another node is refused

A node took a response from another node without a look at its status and its field names. In a release, a node of an earlier version still passes on what its upstream sent: a status of 999, field names with a space. A reply whose status is that of an interim response would have been written as one, followed by a 200 of the server itself.

Cause: only the node at the upstream checked the response.

Change: the reply to a call or a claim is checked where it arrives, its trailer at the end of the body. The outcome of a refused one is unknown.

Measured: relay TestMalformedReply, 12 of 14 cases fail before (no error), and all pass after with -race, as do the tests of node/relay and node/claims.

--- a/core/strict/trailer.go
+++ b/core/strict/trailer.go
@@ -27,11 +27,19 @@
 func (b *checkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		for name := range b.resp.Trailer {
-			if !httpguts.ValidHeaderFieldName(name) {
-				return n, &MalformedError{Detail: fmt.Sprintf("the name of a trailer field is %.40q", name)}
-			}
+		if malformed := CheckNames(b.resp.Trailer); malformed != nil {
+			return n, malformed
 		}
 	}
 	return n, err
 }
+
+// CheckNames returns a *MalformedError if the name of a field is malformed.
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedError{Detail: fmt.Sprintf("the name of a field is %.40q", name)}
+		}
+	}
+	return nil
+}
--- a/node/relay/attempt_error.go
+++ b/node/relay/attempt_error.go
@@ -9,6 +9,7 @@
 	"dogwoodsill.org/core/picker"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/retry"
+	"dogwoodsill.org/core/strict"
 )
 
 // attemptError is the failure of one attempt.
@@ -64,6 +65,10 @@
 	}
 	var session *frame.SessionError
 	e := refuse.New(refuse.UpstreamFailed, "the target's node gave no answer")
+	var malformed *strict.MalformedError
+	if errors.As(err, &malformed) {
+		e = refuse.New(refuse.UpstreamFailed, "the target's node: %v", malformed)
+	}
 	return &attemptError{
 		refusal: e.WithExecuted(refuse.ExecutionUnknown), outcome: retry.Failed, result: picker.Failed,
 		linkLost: errors.As(err, &session), reached: true,
--- a/node/relay/caller.go
+++ b/node/relay/caller.go
@@ -367,6 +367,9 @@
 		s.Reset(frame.CodeInternal)
 	}, func() { sendBody(s, body, req.Body) })
 	reply, err := receiveHead(ctx, s)
+	if err == nil {
+		err = reply.check()
+	}
 	if err != nil {
 		s.Reset(frame.CodeCanceled)
 		return nil, ReplyHead{}, noReplyError(ctx, err)
--- a/node/relay/caller_test.go
+++ b/node/relay/caller_test.go
@@ -34,13 +34,18 @@
 	return n[addr], nil
 }
 
-// replyWith returns a handler that sends the same reply to every call.
-func replyWith(t *testing.T, h ReplyHead, body string) frame.Handler {
+// replyWith returns a handler that sends the same reply to every call, with the given fields of a
+// trailer, if any.
+func replyWith(t *testing.T, h ReplyHead, body string, fields ...http.Header) frame.Handler {
 	t.Helper()
 	return func(s *frame.Stream) {
 		head, err := pack(h)
 		assert.Check(t, err)
-		trailer, err := pack(ReplyTrailer{Complete: true})
+		end := ReplyTrailer{Complete: true}
+		if len(fields) > 0 {
+			end.Trailer = fields[0]
+		}
+		trailer, err := pack(end)
 		assert.Check(t, err)
 		if s.SendHead(head) == nil {
 			_, _ = s.Write([]byte(body))
@@ -94,6 +99,48 @@
 	}
 }
 
+// TestMalformedReply guards against a reply of another node that is passed on although it holds
+// what no upstream may send.
+func TestMalformedReply(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		head    ReplyHead
+		trailer http.Header
+		ok      bool
+	}{
+		{"valid", ReplyHead{Status: 200, Header: http.Header{"X-Name": {"1"}}}, http.Header{"X-End": {"1"}}, true},
+		{"no status", ReplyHead{}, nil, false},
+		{"interim status", ReplyHead{Status: 103}, nil, false},
+		{"status 999", ReplyHead{Status: 999}, nil, false},
+		{"space in a field name", ReplyHead{Status: 200, Header: http.Header{"Content-Length ": {"2"}}}, nil, false},
+		{"control byte in a field name", ReplyHead{Status: 200, Header: http.Header{"X-\x01": {"1"}}}, nil, false},
+		{"space in a trailer", ReplyHead{Status: 200}, http.Header{"X End": {"1"}}, false},
+	} {
+		for _, key := range []string{"", "key"} {
+			t.Run(test.name+map[string]string{"": ", call", "key": ", claim"}[key], func(t *testing.T) {
+				test.head.ContentLength = 2
+				nodes := fakeNodes{"one": newSession(t, replyWith(t, test.head, "ok", test.trailer))}
+				c := NewCaller(NewBalancer(nodes, "a", 1), nodes, metric.New())
+				body, err := NewBody(http.NoBody, 0, nil)
+				assert.NilError(t, err)
+				req := &Request{Service: "s", Method: http.MethodGet, URI: "/", Body: body, Call: model.Call{Attempts: 1, Deadline: time.Now().Add(10 * time.Second)}}
+				var resp *Response
+				var e *refuse.Error
+				if key == "" {
+					resp, _, e = c.Do(t.Context(), req)
+				} else {
+					resp, _, _, e = c.Forward(t.Context(), req, key, "one")
+				}
+				if e == nil {
+					_, err = io.ReadAll(resp.Body)
+				}
+				assert.Equal(t, e == nil && err == nil, test.ok, "%v %v", e, err)
+				assert.Assert(t, e == nil || e.Executed == refuse.ExecutionUnknown, "%v", e)
+			})
+		}
+	}
+}
+
 // TestHeaderBetweenNodesIsBounded guards against a request whose header fits the limit for
 // callers and not that between nodes, and that is refused as if nodes were unreachable.
 func TestHeaderBetweenNodesIsBounded(t *testing.T) {
--- a/node/relay/response.go
+++ b/node/relay/response.go
@@ -12,6 +12,7 @@
 	"dogwoodsill.org/core/picker"
 	"dogwoodsill.org/core/refuse"
 	"dogwoodsill.org/core/retry"
+	"dogwoodsill.org/core/strict"
 )
 
 // Response is the response of an upstream. Its body must be read to the end or
@@ -152,7 +153,7 @@
 		return n, err
 	}
 	trailer, uerr := unpack[ReplyTrailer](b.s.Trailer())
-	if uerr != nil || !trailer.Complete {
+	if uerr != nil || !trailer.Complete || strict.CheckNames(trailer.Trailer) != nil {
 		b.end(picker.Failed, nil)
 		return n, &TruncatedError{Service: b.req.Service}
 	}
--- a/node/relay/wire.go
+++ b/node/relay/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"dogwoodsill.org/core/frame"
 	"dogwoodsill.org/core/model"
 	"dogwoodsill.org/core/refuse"
+	"dogwoodsill.org/core/strict"
 )
 
 // Kinds of streams between nodes. The kind tells the receiver how to handle a
@@ -66,6 +68,18 @@
 	Crashes       []crash.Record `msgpack:"crashes"`      // if set, the caller must send the fingerprint of the request
 }
 
+// check returns a *strict.MalformedError if the reply holds a response that an upstream can't have
+// sent. The node that sent it may run an earlier version, which passes on more.
+func (h *ReplyHead) check() error {
+	if h.Refusal != nil {
+		return nil
+	}
+	if !isFinalStatus(h.Status) {
+		return &strict.MalformedError{Detail: fmt.Sprintf("the status is %d", h.Status)}
+	}
+	return strict.CheckNames(h.Header)
+}
+
 // ReplyTrailer follows the body of a reply that holds a response.
 type ReplyTrailer struct {
 	Complete     bool        `msgpack:"complete"` // the upstream's response is complete
