strict: many spaces before a status can't hide an interim response

Cause: the check of heads keeps the first 32 bytes of a status line. With more spaces than that before the status it took an interim response for the final one, and left the final head unchecked. net/http accepts any number of spaces.

Change: a status line without a status in these bytes is malformed.

--- a/core/strict/head.go
+++ b/core/strict/head.go
@@ -113,6 +113,9 @@
 		return &MalformedError{Detail: fmt.Sprintf("the version is %q", version)}
 	}
 	status = bytes.TrimLeft(status, " ")
+	if len(status) < 3 {
+		return &MalformedError{Detail: "there is no status, or many spaces before it"}
+	}
 	s.interim = bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
 	s.encoding = !bytes.Equal(version, []byte("HTTP/1.0"))
 	s.state = atLineStart
