--- a/bench/cli/malformed_test.go
+++ b/bench/cli/malformed_test.go
@@ -1,11 +1,10 @@
 package cli
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -24,21 +23,15 @@
 		{"Content-Length ", false},
 	} {
 		t.Run(fmt.Sprintf("%q", test.length), func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer func() { _ = ln.Close() }()
-			go func() {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
 					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: 2\r\n\r\n{}", test.length)
+					_ = conn.Close()
 				}
-			}()
+			}))
+			defer server.Close()
 			var out, errOut bytes.Buffer
-			cmds.Run(t.Context(), []string{"status", "--nodes", ln.Addr().String()}, &out, &errOut)
+			cmds.Run(t.Context(), []string{"status", "--nodes", server.Listener.Addr().String()}, &out, &errOut)
 			refused := strings.Contains(out.String()+errOut.String(), "malformed HTTP response")
 			assert.Equal(t, refused, !test.ok, "%s%s", out.String(), errOut.String())
 		})
--- a/core/strict/transport_test.go
+++ b/core/strict/transport_test.go
@@ -1,11 +1,10 @@
 package strict
 
 import (
-	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -21,26 +20,22 @@
 		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\nX : 1\r\n\r\n"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer func() { _ = ln.Close() }()
-			go func() {
-				conn, err := ln.Accept()
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, rw, err := http.NewResponseController(w).Hijack()
 				if err != nil {
 					return
 				}
 				defer func() { _ = conn.Close() }()
-				r := bufio.NewReader(conn)
-				for _, response := range []string{valid, test.second} {
-					if _, err := http.ReadRequest(r); err == nil {
-						_, _ = io.WriteString(conn, response)
-					}
+				_, _ = io.WriteString(conn, valid)
+				if _, err := http.ReadRequest(rw.Reader); err == nil {
+					_, _ = io.WriteString(conn, test.second)
 				}
-			}()
+			}))
+			defer server.Close()
 			client := NewClient()
 			defer client.CloseIdleConnections()
 			get := func() error {
-				resp, err := client.Post("http://"+ln.Addr().String(), "", nil)
+				resp, err := client.Post(server.URL, "", nil)
 				if err != nil {
 					return err
 				}
@@ -48,7 +43,7 @@
 				return errors.Join(err, resp.Body.Close())
 			}
 			assert.NilError(t, get())
-			err = get()
+			err := get()
 			var malformed *MalformedError
 			assert.Equal(t, errors.As(err, &malformed), test.second != valid, "%v", err)
 			assert.Equal(t, err == nil, test.second == valid)
--- a/node/agent/log_client_test.go
+++ b/node/agent/log_client_test.go
@@ -1,11 +1,10 @@
 package agent
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -25,23 +24,17 @@
 		{"space", "Content-Length ", false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			defer func() { _ = ln.Close() }()
-			go func() {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = conn.Close() }()
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, req.Body)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
 					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: 11\r\n\r\n{\"first\":7}", test.length)
+					_ = conn.Close()
 				}
-			}()
+			}))
+			defer server.Close()
 			client := newLogHTTPClient(time.Second)
 			defer client.CloseIdleConnections()
-			_, err = logsvc.NewClient("http://"+ln.Addr().String(), client).Append(t.Context(), "config", []byte("record"))
+			_, err := logsvc.NewClient(server.URL, client).Append(t.Context(), "config", []byte("record"))
 			assert.Equal(t, err == nil, test.ok, "%v", err)
 		})
 	}
