relay, platform: a malformed response is named in the refusal

Cause: the log line of a failed attempt said only that the upstream gave no answer, whatever was wrong with the one that it gave.

Change: the refusal states what is malformed.

--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -333,6 +333,10 @@
 		reason = refuse.Cancelled
 	}
 	e := refuse.New(reason, "the upstream gave no answer")
+	var malformed *strict.MalformedError
+	if errors.As(err, &malformed) {
+		e = refuse.New(reason, "the upstream: %v", malformed)
+	}
 	if gotConn {
 		e = e.WithExecuted(refuse.ExecutionUnknown)
 	}
