strict, relay: one function checks the result of a round trip

Cause: relay and strict.Transport each replaced the error of a malformed head and had the trailer checked. relay took the connection for that from the call, where it may be the one of an earlier sending. Two refusals looked for a malformed response in the same way, and the error of Conn was converted where it could have been kept as an error.

Change: Conn.CheckResult serves both clients, with the connection of the sending; noAnswerDetail serves both refusals. Checks and texts are the same.

Measured: tests of core/strict, node/relay and node/agent and those of broken, cut, reset and refused answers of platform pass with -race, unchanged.

--- a/core/strict/conn.go
+++ b/core/strict/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -17,7 +18,7 @@
 
 	mu        sync.Mutex // guards the next two
 	head      headScanner
-	malformed *MalformedError // returned by all further reads
+	malformed error // a *MalformedError that all further reads return
 
 	writeMu sync.Mutex // held during a write
 	reset   error      // of a write on a connection that the peer has reset
@@ -36,21 +37,34 @@
 	c.head.expectHead()
 }
 
-// Malformed returns the error that has ended the reading, or nil if all heads were well-formed.
-// net/http may return another error, as it parses the start of a line that is cut there.
-func (c *Conn) Malformed() error {
+// CheckResult returns the result of a round trip with a *MalformedError in place of another error
+// if a head was malformed, as net/http also parses the start of a line that is cut there. The body
+// of a response ends with a *MalformedError if its trailer is malformed. Without a connection, c is
+// nil.
+func (c *Conn) CheckResult(resp *http.Response, err error) (*http.Response, error) {
+	if err == nil {
+		checkTrailer(resp)
+		return resp, nil
+	}
+	if c != nil {
+		if malformed := c.readError(); malformed != nil {
+			err = malformed
+		}
+	}
+	return nil, err
+}
+
+// readError returns the error that has ended the reading, or nil.
+func (c *Conn) readError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.malformed == nil {
-		return nil
-	}
 	return c.malformed
 }
 
 // Read implements net.Conn. It returns a *MalformedError after the first wrong byte of a head, and
 // io.EOF only if the peer has closed the connection in order.
 func (c *Conn) Read(p []byte) (int, error) {
-	if err := c.Malformed(); err != nil {
+	if err := c.readError(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
@@ -69,9 +83,11 @@
 func (c *Conn) check(p []byte) (int, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var n int
-	n, c.malformed = c.head.scan(p)
-	return n, c.malformed == nil
+	n, malformed := c.head.scan(p)
+	if malformed != nil {
+		c.malformed = malformed
+	}
+	return n, malformed == nil
 }
 
 // endOfData returns the error of a read at the end of the data. The kernel reports a reset only
--- a/core/strict/trailer.go
+++ b/core/strict/trailer.go
@@ -9,9 +9,9 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// CheckTrailer makes the body of a response end with a *MalformedError in place of io.EOF if the
+// checkTrailer makes the body of a response end with a *MalformedError in place of io.EOF if the
 // name of a trailer field is malformed.
-func CheckTrailer(resp *http.Response) {
+func checkTrailer(resp *http.Response) {
 	if len(resp.TransferEncoding) > 0 { // no other response has a trailer
 		resp.Body = &checkedBody{ReadCloser: resp.Body, resp: resp}
 	}
--- a/core/strict/transport.go
+++ b/core/strict/transport.go
@@ -40,14 +40,7 @@
 		}
 	}}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err != nil && conn != nil && conn.Malformed() != nil {
-		err = conn.Malformed()
-	}
-	if err != nil {
-		return nil, err
-	}
-	CheckTrailer(resp)
-	return resp, nil
+	return conn.CheckResult(resp, err)
 }
 
 // NewClient returns a client like http.DefaultClient with a Transport of its own.
--- a/node/relay/attempt_error.go
+++ b/node/relay/attempt_error.go
@@ -64,17 +64,22 @@
 		return &attemptError{refusal: contextRefusal(ctx).WithExecuted(refuse.ExecutionUnknown), outcome: retry.Rejected, result: contextResult(ctx)}
 	}
 	var session *frame.SessionError
-	e := refuse.New(refuse.UpstreamFailed, "the target's node gave no answer")
-	var malformed *strict.MalformedError
-	if errors.As(err, &malformed) {
-		e = refuse.New(refuse.UpstreamFailed, "the target's node: %v", malformed)
-	}
+	e := refuse.New(refuse.UpstreamFailed, "%s", noAnswerDetail("the target's node", err))
 	return &attemptError{
 		refusal: e.WithExecuted(refuse.ExecutionUnknown), outcome: retry.Failed, result: picker.Failed,
 		linkLost: errors.As(err, &session), reached: true,
 	}
 }
 
+// noAnswerDetail says why there is no valid answer of an upstream or a node.
+func noAnswerDetail(who string, err error) string {
+	var malformed *strict.MalformedError
+	if errors.As(err, &malformed) {
+		return who + ": " + malformed.Error()
+	}
+	return who + " gave no answer"
+}
+
 // contextResult returns the result to record for a target when the context of an
 // attempt ended: a missed deadline counts as a failure of the target, a
 // cancellation by the caller doesn't.
--- a/node/relay/upstream_call.go
+++ b/node/relay/upstream_call.go
@@ -115,24 +115,19 @@
 		header["User-Agent"] = nil // otherwise net/http adds its own
 	}
 	c.target.protocol.SetHeaders(header, c.head, up, c.active.Token, time.Until(c.head.Call.Deadline))
+	var checked *strict.Conn // nil without a connection
 	// RoundTrip calls GotConn in its own goroutine before it passes the request to the one
 	// that writes it, so no one else reads the header at that time.
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn := info.Conn.(*upstreamConn)
-		conn.ExpectResponse()
+		checked = conn.Conn
+		checked.ExpectResponse()
 		c.conn.Store(conn)
 		c.target.protocol.SetRemaining(header, time.Until(c.head.Call.Deadline))
 	}}))
 	req.Header = header // of its own, since net/http may still read that of an earlier sending
 	resp, err := via.RoundTrip(req)
-	if conn := c.conn.Load(); err != nil && conn != nil && conn.Malformed() != nil {
-		err = conn.Malformed()
-	}
-	if err != nil {
-		return nil, err
-	}
-	strict.CheckTrailer(resp)
-	return resp, nil
+	return checked.CheckResult(resp, err)
 }
 
 // discardBody reads a short body to its end, so that its connection can be reused, and closes
@@ -332,11 +327,7 @@
 	case errors.Is(err, context.Canceled):
 		reason = refuse.Cancelled
 	}
-	e := refuse.New(reason, "the upstream gave no answer")
-	var malformed *strict.MalformedError
-	if errors.As(err, &malformed) {
-		e = refuse.New(reason, "the upstream: %v", malformed)
-	}
+	e := refuse.New(reason, "%s", noAnswerDetail("the upstream", err))
 	if gotConn {
 		e = e.WithExecuted(refuse.ExecutionUnknown)
 	}
